--- /dev/null
+++ b/Source/Basilgap/Common/Error.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <string>
+
+#include <tl/expected.hpp>
+
+namespace basilgap {
+
+enum class ErrorCode {
+    Invalid,
+    Io,
+    Damaged,
+    Full,
+    Unreachable,
+    Timeout,
+    Refused,
+    Conflict,
+    NotFound,
+};
+
+// What went wrong, in which step, and with which peer, file or address.
+struct Error
+{
+    ErrorCode code = ErrorCode::Invalid;
+    std::string step;
+    std::string peer;
+    std::string message;
+
+    // One line for people: "step peer: message".
+    std::string text() const;
+};
+
+template<typename Value>
+using Result = tl::expected<Value, Error>;
+
+inline tl::unexpected<Error> fail(Error error)
+{
+    return tl::unexpected<Error>(std::move(error));
+}
+
+// The error of the last system call (errno).
+Error systemError(std::string step, std::string peer);
+
+} // namespace basilgap
--- /dev/null
+++ b/Source/Basilgap/Common/EventLog.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <concepts>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+#include "Basilgap/Common/Error.h"
+#include "Basilgap/Common/Millis.h"
+
+namespace basilgap {
+
+enum class LogLevel { Info, Warning, Error };
+
+// Names the process in every log line and sends the lines to standard error.
+void startEventLog(const char *program, const std::string &processId);
+
+// One log line of key=value pairs, written when the object goes out of scope. Values with spaces,
+// quotes or '=' are quoted.
+class LogEvent
+{
+public:
+    explicit LogEvent(std::string_view event, LogLevel level = LogLevel::Info);
+    ~LogEvent();
+    LogEvent(const LogEvent &) = delete;
+    LogEvent &operator=(const LogEvent &) = delete;
+
+    LogEvent &with(std::string_view key, std::string_view value);
+    LogEvent &with(std::string_view key, const char *value);
+    LogEvent &with(std::string_view key, Millis value);
+    LogEvent &with(const basilgap::Error &error);
+
+    template<std::integral Number>
+    LogEvent &with(std::string_view key, Number value)
+    {
+        line_ << ' ' << key << '=' << +value;
+        return *this;
+    }
+
+private:
+    std::ostringstream line_;
+    LogLevel level_;
+};
+
+} // namespace basilgap
--- /dev/null
+++ b/Source/Basilgap/Common/LatencyHistogram.cpp
@@ -0,0 +1,90 @@
+#include "Basilgap/Common/LatencyHistogram.h"
+
+#include <sstream>
+
+#include <boost/histogram.hpp>
+
+namespace basilgap {
+
+namespace {
+
+constexpr unsigned BucketCount = 240;
+constexpr double SmallestMs = 0.01;
+constexpr double LargestMs = 600000;
+
+using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+
+auto makeBuckets()
+{
+    return boost::histogram::make_histogram(Axis(BucketCount, SmallestMs, LargestMs));
+}
+
+} // namespace
+
+struct LatencyHistogram::Data
+{
+    decltype(makeBuckets()) buckets = makeBuckets();
+    uint64_t count = 0;
+    double sum = 0;
+};
+
+LatencyHistogram::LatencyHistogram()
+    : data_(std::make_unique<Data>())
+{}
+
+LatencyHistogram::~LatencyHistogram() = default;
+LatencyHistogram::LatencyHistogram(LatencyHistogram &&) noexcept = default;
+LatencyHistogram &LatencyHistogram::operator=(LatencyHistogram &&) noexcept = default;
+
+void LatencyHistogram::add(double milliseconds)
+{
+    data_->buckets(milliseconds);
+    data_->count++;
+    data_->sum += milliseconds;
+}
+
+uint64_t LatencyHistogram::count() const
+{
+    return data_->count;
+}
+
+double LatencyHistogram::sum() const
+{
+    return data_->sum;
+}
+
+double LatencyHistogram::percentile(double fraction) const
+{
+    const double wanted = fraction * static_cast<double>(data_->count);
+    double seen = 0;
+    double upper = 0;
+    for (auto &&bucket :
+        boost::histogram::indexed(data_->buckets, boost::histogram::coverage::all)) {
+        if (*bucket == 0)
+            continue;
+        seen += *bucket;
+        upper = std::min(bucket.bin().upper(), LargestMs);
+        if (seen >= wanted)
+            return upper;
+    }
+    return upper;
+}
+
+std::string LatencyHistogram::metricText(const std::string &name) const
+{
+    std::ostringstream text;
+    text << "# TYPE " << name << " histogram\n";
+    double seen = 0;
+    for (auto &&bucket :
+        boost::histogram::indexed(data_->buckets, boost::histogram::coverage::all)) {
+        if (*bucket == 0 || bucket.index() >= static_cast<int>(BucketCount))
+            continue;
+        seen += *bucket;
+        text << name << "_bucket{le=\"" << bucket.bin().upper() << "\"} " << seen << '\n';
+    }
+    text << name << "_bucket{le=\"+Inf\"} " << data_->count << '\n';
+    text << name << "_sum " << data_->sum << '\n' << name << "_count " << data_->count << '\n';
+    return text.str();
+}
+
+} // namespace basilgap
--- /dev/null
+++ b/Source/Basilgap/Common/LeaseTimes.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Basilgap/Common/Millis.h"
+
+namespace basilgap {
+
+// How long an entry may act on a view after it sent the renewal that confirmed it.
+constexpr Millis ViewLease{ 2000 };
+
+// How long a worker may run its tasks after it sent the poll that was answered.
+constexpr Millis WorkerLease{ 10000 };
+
+// Added wherever one host waits for the end of another's lease: covers clocks that run at
+// different speeds.
+constexpr Millis LeaseDriftMargin{ 200 };
+
+// Time between two renewals of an entry.
+constexpr Millis RenewInterval{ 500 };
+
+// Time between two announcements of a backend server, and the silence after which it is gone.
+constexpr Millis AnnounceInterval{ 1000 };
+constexpr Millis BackendSilence{ 3500 };
+
+// Longest time that a worker's poll is held.
+constexpr Millis WorkerPollWait{ 2000 };
+
+} // namespace basilgap
--- /dev/null
+++ b/Source/Basilgap/Control/EntrySessions.cpp
@@ -0,0 +1,107 @@
+#include "Basilgap/Control/EntrySessions.h"
+
+#include <algorithm>
+
+#include "Basilgap/Common/LeaseTimes.h"
+
+namespace basilgap::control {
+
+namespace {
+
+constexpr Millis SilenceToClose{ 5000 };
+
+} // namespace
+
+EntrySessions::EntrySessions(const state::SessionTable &sessions, Millis now)
+    : sessions_(sessions)
+    , start_(now)
+{}
+
+EntryLink &EntrySessions::renewed(
+    EntryNumber number, network::PeerStream *stream, const schema::Renew &renew, Millis now)
+{
+    EntryLink &link = links_[number];
+    if (link.stream != stream || renew.full()) {
+        link = EntryLink();
+        link.number = number;
+        link.stream = stream;
+    }
+    link.heard = now;
+    link.reported = Revision(renew.revision());
+    link.stopping = renew.stopping();
+    if (!renew.demand_unchanged())
+        link.demand.assign(renew.demand().begin(), renew.demand().end());
+    for (const auto &holding : renew.holdings())
+        link.holdings[holding.key()] = holding;
+    link.doubtful.assign(renew.doubtful().begin(), renew.doubtful().end());
+    return link;
+}
+
+void EntrySessions::confirmed(EntryNumber number, Revision revision, Millis received)
+{
+    const Millis end = received + ViewLease + LeaseDriftMargin;
+    std::vector<Lease> &leases = leases_[number];
+    std::erase_if(leases,
+        [&](const Lease &lease) { return lease.end <= received || lease.revision == revision; });
+    leases.push_back({ revision, end });
+}
+
+void EntrySessions::streamClosed(const network::PeerStream *stream)
+{
+    for (auto &[number, link] : links_) {
+        if (link.stream == stream)
+            link.stream = nullptr;
+    }
+}
+
+bool EntrySessions::isInForce(Revision revision, Millis now) const
+{
+    // Leases of entries whose sessions are closed or unknown by now are covered by this wait too.
+    const bool earlierLeaderCovers = now < start_ + ViewLease + LeaseDriftMargin;
+    for (const auto &[number, session] : sessions_.all()) {
+        const auto link = links_.find(number);
+        if (link != links_.end() && link->second.reported >= revision)
+            continue;
+        if (earlierLeaderCovers)
+            return false;
+        const auto leases = leases_.find(number);
+        if (leases == leases_.end())
+            continue;
+        for (const Lease &lease : leases->second) {
+            if (lease.revision < revision && now < lease.end)
+                return false;
+        }
+    }
+    return true;
+}
+
+Millis EntrySessions::leaseEnd(EntryNumber number) const
+{
+    Millis end = start_ + ViewLease + LeaseDriftMargin;
+    const auto leases = leases_.find(number);
+    if (leases == leases_.end())
+        return end;
+    for (const Lease &lease : leases->second)
+        end = std::max(end, lease.end);
+    return end;
+}
+
+std::vector<schema::SessionState> EntrySessions::silent(Millis now) const
+{
+    std::vector<schema::SessionState> result;
+    for (const auto &[number, session] : sessions_.all()) {
+        const auto link = links_.find(number);
+        const Millis heard = link == links_.end() ? start_ : link->second.heard;
+        if (!session.closed() && now - heard > SilenceToClose && now >= leaseEnd(number))
+            result.push_back(session);
+    }
+    return result;
+}
+
+EntryLink *EntrySessions::find(EntryNumber number)
+{
+    const auto found = links_.find(number);
+    return found == links_.end() ? nullptr : &found->second;
+}
+
+} // namespace basilgap::control
--- /dev/null
+++ b/Source/Basilgap/Control/LeaderSessions.cpp
@@ -0,0 +1,223 @@
+// The leader's side of entry sessions: renewals, views and allotments.
+
+#include "Basilgap/Common/EventLog.h"
+#include "Basilgap/Common/LeaseTimes.h"
+#include "Basilgap/Control/Leader.h"
+
+namespace basilgap::control {
+
+namespace {
+
+// An operator's command waits this long at most until it is in force everywhere.
+constexpr Millis InForceDeadline{ 6000 };
+
+// Adds the values that differ from those sent before, and `gone` for keys that are not there any
+// more.
+template<typename View, typename Add, typename Gone>
+void addDifferences(
+    const std::map<uint32_t, View> &current, std::map<uint32_t, View> *sent, Add add, Gone gone)
+{
+    for (const auto &[key, view] : current) {
+        const auto before = sent->find(key);
+        if (before == sent->end() || before->second.SerializeAsString() != view.SerializeAsString())
+            *add() = view;
+    }
+    for (const auto &[key, view] : *sent) {
+        if (!current.contains(key))
+            gone(view);
+    }
+    *sent = current;
+}
+
+} // namespace
+
+void Leader::handleRenew(network::PeerStream &stream, const schema::Renew &renew)
+{
+    const EntryId entry(renew.entry());
+    const schema::SessionState *session = state_.sessions().find(entry);
+    if (session != nullptr && session->incarnation() == renew.incarnation())
+        return takeRenewal(stream, renew, EntryNumber(session->number()));
+    if (!opening_.insert(entry).second)
+        return;
+    LogEvent("entry-session-opens").with("peer", entry.value());
+    schema::Command command;
+    schema::OpenSession *open = command.mutable_open_session();
+    open->set_entry(renew.entry());
+    open->set_incarnation(renew.incarnation());
+    open->set_zone(renew.zone());
+    open->set_peer_address(renew.peer_address());
+    replica_.propose(command, guarded([this, entry, renew, id = stream.id()](const auto &outcome) {
+        opening_.erase(entry);
+        const auto found = streams_.find(id);
+        if (outcome.code() == schema::ACCEPTED && found != streams_.end())
+            handleRenew(*found->second, renew);
+    }));
+}
+
+void Leader::takeRenewal(
+    network::PeerStream &stream, const schema::Renew &renew, EntryNumber number)
+{
+    const Millis now = steadyNow();
+    EntryLink &link = sessions_.renewed(number, &stream, renew, now);
+    for (const auto &announcement : renew.announcements())
+        backends_.announced(announcement, now);
+    for (const auto &id : renew.heard())
+        backends_.heard(BackendId(id), now);
+    if (renew.announcements_size() > 0)
+        nextAllotments_ = Millis();
+    settleInForce();
+    replica_.confirmLeadership(guarded([this, stream = stream.id(), number = link.number,
+                                           sequence = renew.sequence(), now](bool leads) {
+        if (leads)
+            confirmRenewal(stream, number, sequence, now);
+    }));
+}
+
+void Leader::confirmRenewal(uint64_t stream, EntryNumber number, uint64_t sequence, Millis received)
+{
+    EntryLink *link = sessions_.find(number);
+    const schema::SessionState *session = state_.sessions().find(number);
+    const bool current = link != nullptr && link->stream != nullptr && link->stream->id() == stream
+        && session != nullptr && !session->closed();
+    if (!current)
+        return;
+    const Revision revision = state_.config().revision();
+    schema::PeerMessage message;
+    schema::RenewReply *reply = message.mutable_renew_reply();
+    reply->set_sequence(sequence);
+    reply->set_confirmed(true);
+    if (link->reported < revision)
+        *reply->mutable_view() = views_.build(link->reported);
+    addRunning(*link, reply);
+    addChanges(link, reply);
+    // A lost reply leaves the entry with the revision that it reported.
+    sessions_.confirmed(number, revision, received);
+    link->stream->send(message);
+}
+
+void Leader::addChanges(EntryLink *link, schema::RenewReply *reply)
+{
+    reply->set_revision(state_.config().revision().value());
+    reply->set_session(link->number.value());
+    reply->set_full(!link->sentAnything);
+    link->sentAnything = true;
+    addDifferences(
+        allotments_.backendViews(steadyNow()), &link->sentBackends,
+        [reply] { return reply->add_backends(); },
+        [reply](schema::BackendView view) {
+            view.set_gone(true);
+            *reply->add_backends() = std::move(view);
+        });
+    addDifferences(
+        allotments_.viewFor(link->number), &link->sentAllotments,
+        [reply] { return reply->add_allotments(); },
+        [reply](schema::AllotmentView view) {
+            view.set_amount(0);
+            view.set_target(0);
+            *reply->add_allotments() = std::move(view);
+        });
+    const auto weights = allotments_.weightsFor(link->number);
+    if (weights == link->sentWeights)
+        return;
+    for (const auto &[team, weight] : weights) {
+        schema::TeamWeight *row = reply->add_weights();
+        row->set_team(team);
+        row->set_weight(weight);
+    }
+    link->sentWeights = weights;
+}
+
+void Leader::addRunning(const EntryLink &link, schema::RenewReply *reply) const
+{
+    const schema::SessionState *session = state_.sessions().find(link.number);
+    for (const uint32_t key : link.doubtful) {
+        const auto name = state_.allotments().keys().find(state::AllotmentKeyNumber(key));
+        if (name == state_.allotments().keys().end())
+            continue;
+        const BackendId id(name->second.substr(name->second.find('/') + 1));
+        const BackendRegistry::Backend *backend = backends_.find(id);
+        if (backend == nullptr)
+            continue;
+        const auto &running = backend->announcement.running();
+        const auto count = running.find(session->entry());
+        schema::BackendRunning *row = reply->add_running();
+        row->set_key(key);
+        row->set_count(count == running.end() ? 0 : count->second);
+        row->set_age_ms(static_cast<uint32_t>((steadyNow() - backend->heard).count()));
+    }
+}
+
+void Leader::pushChanges()
+{
+    for (auto &[number, link] : sessions_.links()) {
+        if (link.stream == nullptr || !link.sentAnything)
+            continue;
+        schema::PeerMessage message;
+        schema::RenewReply *reply = message.mutable_renew_reply();
+        addChanges(&link, reply);
+        if (reply->backends_size() + reply->allotments_size() + reply->weights_size() > 0)
+            link.stream->send(message);
+    }
+}
+
+void Leader::pushViews()
+{
+    for (auto &[number, link] : sessions_.links()) {
+        if (link.stream == nullptr)
+            continue;
+        schema::PeerMessage message;
+        schema::RenewReply *reply = message.mutable_renew_reply();
+        *reply->mutable_view() = views_.build(link.reported);
+        reply->set_revision(state_.config().revision().value());
+        reply->set_session(number.value());
+        link.stream->send(message);
+    }
+}
+
+void Leader::closeSilentSessions()
+{
+    for (const schema::SessionState &session : sessions_.silent(steadyNow())) {
+        LogEvent("entry-session-closes", LogLevel::Warning).with("peer", session.entry());
+        schema::Command command;
+        command.mutable_close_session()->set_entry(session.entry());
+        command.mutable_close_session()->set_incarnation(session.incarnation());
+        replica_.propose(command, [](const schema::CommandOutcome &) {});
+    }
+}
+
+void Leader::planAllotments()
+{
+    const auto batch = allotments_.plan(steadyNow());
+    if (!batch) {
+        pushChanges();
+        return;
+    }
+    allotmentsInFlight_ = true;
+    schema::Command command;
+    *command.mutable_allotments() = *batch;
+    replica_.propose(
+        command, guarded([this](const schema::CommandOutcome &) { allotmentsInFlight_ = false; }));
+}
+
+void Leader::settleInForce()
+{
+    const Millis now = steadyNow();
+    std::vector<std::pair<InForceWaiter, bool>> settled;
+    std::erase_if(waiters_, [&](InForceWaiter &waiter) {
+        const bool inForce = sessions_.isInForce(waiter.revision, now);
+        if (!inForce && now < waiter.deadline)
+            return false;
+        settled.emplace_back(std::move(waiter), inForce);
+        return true;
+    });
+    for (const auto &[waiter, inForce] : settled)
+        waiter.callback(inForce);
+}
+
+void Leader::whenInForce(Revision revision, std::function<void(bool)> callback)
+{
+    waiters_.push_back({ revision, steadyNow() + InForceDeadline, std::move(callback) });
+    settleInForce();
+}
+
+} // namespace basilgap::control
--- /dev/null
+++ b/Source/Basilgap/Control/ReplicaTask.cpp
@@ -0,0 +1,346 @@
+#include "Basilgap/Control/ReplicaTask.h"
+
+#include "Basilgap/Common/EventLog.h"
+#include "Basilgap/Common/Hash.h"
+#include "Basilgap/Replication/Membership.h"
+
+namespace basilgap::control {
+
+namespace {
+
+constexpr Millis TickInterval{ 20 };
+constexpr Millis ProbeInterval{ 200 };
+constexpr Millis WriteRetryInterval{ 1000 };
+
+// Records kept behind a snapshot, so that a replica that was away for a short while needs none.
+constexpr uint64_t TrailingRecords = 4000;
+
+} // namespace
+
+Result<std::unique_ptr<ReplicaTask>> ReplicaTask::start(network::EventLoop &loop, Options options)
+{
+    auto storage = replication::LogStorage::open({
+        .folder = options.settings.data_folder(),
+        .replica = ReplicaId(options.settings.id()),
+        .calls = &options.disk,
+    });
+    if (!storage)
+        return fail(storage.error());
+    std::unique_ptr<ReplicaTask> task(
+        new ReplicaTask(loop, std::move(options), std::move(*storage)));
+    return task;
+}
+
+ReplicaTask::ReplicaTask(
+    network::EventLoop &loop, Options options, std::unique_ptr<replication::LogStorage> storage)
+    : loop_(loop)
+    , options_(std::move(options))
+    , self_(options_.settings.id())
+    , storage_(std::move(storage))
+    , ticker_(loop, [this] { tick(); })
+    , flusher_(loop, [this] { flush(); })
+    , prober_(loop, [this] { probe(); })
+    , writeRetry_(loop, [this] { retryWrite(); })
+{
+    if (storage_->tornBytes() > 0)
+        LogEvent("log-tail-cut", LogLevel::Warning).with("bytes", storage_->tornBytes());
+    replication::RaftRestart restart = storage_->takeRestart();
+    if (restart.snapshotMeta.index() > 0)
+        state_.restore(*restart.snapshotState);
+    applied_ = LogIndex(restart.snapshotMeta.index());
+    core_ = std::make_unique<replication::RaftCore>(
+        replication::RaftOptions{
+            .self = self_, .incarnation = storage_->incarnation(), .seed = randomNumber() },
+        std::move(restart), steadyNow());
+    logBytesAtSnapshot_ = storage_->logBytes();
+    updateLinks();
+    ticker_.startRepeating(TickInterval);
+    prober_.startRepeating(ProbeInterval);
+}
+
+uint64_t ReplicaTask::sentBytes() const
+{
+    uint64_t sum = 0;
+    for (const auto &[id, link] : links_)
+        sum += link->sentBytes();
+    return sum;
+}
+
+void ReplicaTask::updateLinks()
+{
+    std::map<ReplicaId, std::string> wanted;
+    for (const auto &peer : options_.settings.peers())
+        wanted[ReplicaId(peer.id())] = peer.address();
+    for (const auto &member : core_->membership().members())
+        wanted[ReplicaId(member.id())] = member.address();
+    wanted.erase(self_);
+    std::erase_if(links_, [&wanted](const auto &entry) {
+        const auto found = wanted.find(entry.first);
+        return found == wanted.end() || found->second != entry.second->address();
+    });
+    for (const auto &[id, address] : wanted) {
+        if (links_.contains(id))
+            continue;
+        schema::Hello hello;
+        hello.set_id(self_.value());
+        hello.set_incarnation(storage_->incarnation().value());
+        hello.set_is_replica(true);
+        links_[id] = std::make_unique<network::PeerLink>(loop_,
+            network::PeerLink::Options{
+                .address = address,
+                .cellKey = options_.cellKey,
+                .hello = hello,
+                .onMessage =
+                    [this](const schema::PeerMessage &message) {
+                        if (message.has_probe_reply())
+                            handleProbeReply(message.probe_reply());
+                        else
+                            options_.onReply(message);
+                    },
+                .onUp = [] {},
+                .onDown = [] {},
+            });
+    }
+}
+
+bool ReplicaTask::sendTo(const ReplicaId &replica, const schema::PeerMessage &message)
+{
+    const auto link = links_.find(replica);
+    return link != links_.end() && link->second->send(message);
+}
+
+bool ReplicaTask::receive(network::PeerStream &stream, const schema::PeerMessage &message)
+{
+    if (message.has_raft()) {
+        // While records can't be written this replica must look dead to the others.
+        if (diskTrouble_.empty())
+            core_->step(message.raft(), steadyNow());
+        scheduleFlush();
+        return true;
+    }
+    if (message.has_probe()) {
+        handleProbe(stream, message.probe());
+        return true;
+    }
+    if (message.has_form()) {
+        core_->form(message.form().membership(), steadyNow());
+        scheduleFlush();
+        return true;
+    }
+    return false;
+}
+
+void ReplicaTask::propose(schema::Command command, OutcomeCallback callback)
+{
+    command.set_stamp_ms(static_cast<uint64_t>(wallNow().count()));
+    const auto index = core_->propose(schema::LogRecord::COMMAND, command.SerializeAsString());
+    if (!index || !diskTrouble_.empty()) {
+        schema::CommandOutcome outcome;
+        outcome.set_code(schema::UNAVAILABLE);
+        outcome.set_message(index ? diskTrouble_ : index.error().text());
+        return callback(outcome);
+    }
+    waiting_[index->value()] = { core_->term().value(), std::move(callback) };
+    scheduleFlush();
+}
+
+void ReplicaTask::confirmLeadership(std::function<void(bool)> callback)
+{
+    if (!leading_)
+        return callback(false);
+    barriers_.push_back({ core_->beginBarrier(), std::move(callback) });
+}
+
+bool ReplicaTask::transferLeadership()
+{
+    std::set<ReplicaId> avoid;
+    for (const auto &replica : state_.config().config().replicas()) {
+        if (state_.config().isZoneOut(ZoneName(replica.zone())))
+            avoid.insert(ReplicaId(replica.id()));
+    }
+    const bool sent = core_->transferLeadership(avoid) || core_->transferLeadership({});
+    scheduleFlush();
+    return sent;
+}
+
+void ReplicaTask::tick()
+{
+    if (diskTrouble_.empty())
+        core_->tick(steadyNow());
+    flush();
+    tendMembership();
+}
+
+void ReplicaTask::scheduleFlush()
+{
+    if (!flusher_.isPending())
+        flusher_.startOnce(Millis(0));
+}
+
+void ReplicaTask::flush()
+{
+    while (diskTrouble_.empty()) {
+        replication::RaftOutput output = core_->takeOutput();
+        if (output.isEmpty())
+            break;
+        send(output.earlyMessages);
+        if (!writeOutput(output))
+            return;
+        send(output.messages);
+        if (output.install) {
+            state_.restore(output.install->state());
+            applied_ = LogIndex(output.install->meta().index());
+            LogEvent("snapshot-installed").with("index", applied_.value());
+            updateLinks();
+        }
+        applyAll(output.committed);
+    }
+    noteRole();
+    settleBarriers();
+}
+
+bool ReplicaTask::writeOutput(const replication::RaftOutput &output)
+{
+    if (!output.needsSync())
+        return true;
+    const auto written = storage_->write(output);
+    if (written) {
+        core_->persisted(core_->lastIndex());
+        return true;
+    }
+    if (written.error().code != ErrorCode::Full) {
+        options_.onFatal(written.error());
+        return false;
+    }
+    diskTrouble_ = written.error().text();
+    LogEvent("disk-full", LogLevel::Error).with(written.error());
+    core_->stepDown();
+    unwritten_ = output;
+    noteRole();
+    writeRetry_.startOnce(WriteRetryInterval);
+    return false;
+}
+
+// Messages of the unwritten output are not sent late: the protocol repeats what matters.
+void ReplicaTask::retryWrite()
+{
+    const auto written = storage_->write(unwritten_);
+    if (!written && written.error().code != ErrorCode::Full)
+        return options_.onFatal(written.error());
+    if (!written)
+        return writeRetry_.startOnce(WriteRetryInterval);
+    LogEvent("disk-usable");
+    diskTrouble_.clear();
+    core_->persisted(core_->lastIndex());
+    const std::vector<schema::LogRecord> committed = std::move(unwritten_.committed);
+    unwritten_ = {};
+    applyAll(committed);
+    scheduleFlush();
+}
+
+void ReplicaTask::send(const std::vector<schema::RaftMessage> &messages)
+{
+    for (const schema::RaftMessage &raft : messages) {
+        schema::PeerMessage message;
+        *message.mutable_raft() = raft;
+        sendTo(ReplicaId(raft.to()), message);
+    }
+}
+
+void ReplicaTask::applyAll(const std::vector<schema::LogRecord> &records)
+{
+    for (const schema::LogRecord &record : records)
+        apply(record);
+    if (!records.empty())
+        maybeSnapshot();
+}
+
+void ReplicaTask::apply(const schema::LogRecord &record)
+{
+    applied_ = LogIndex(record.index());
+    if (record.kind() == schema::LogRecord::MEMBERSHIP)
+        updateLinks();
+    schema::CommandOutcome outcome;
+    schema::Command command;
+    if (record.kind() == schema::LogRecord::COMMAND && command.ParseFromString(record.data())) {
+        outcome = state_.apply(applied_, command);
+        options_.onApplied(command, outcome);
+    }
+    const auto waiting = waiting_.find(record.index());
+    if (waiting == waiting_.end())
+        return;
+    const Waiting found = std::move(waiting->second);
+    waiting_.erase(waiting);
+    if (found.term != record.term())
+        outcome.set_code(schema::UNAVAILABLE);
+    found.callback(outcome);
+}
+
+void ReplicaTask::settleBarriers()
+{
+    const uint64_t confirmed = core_->confirmedRound();
+    std::vector<Barrier> settled;
+    std::erase_if(barriers_, [&](Barrier &barrier) {
+        const bool done = !leading_ || barrier.round <= confirmed;
+        if (done)
+            settled.push_back(std::move(barrier));
+        return done;
+    });
+    for (const Barrier &barrier : settled)
+        barrier.callback(leading_);
+}
+
+void ReplicaTask::noteRole()
+{
+    const bool leads = core_->isEstablishedLeader() && diskTrouble_.empty();
+    if (leads == leading_)
+        return;
+    leading_ = leads;
+    LogEvent(leads ? "leading" : "not-leading")
+        .with("term", core_->term().value())
+        .with("index", core_->commitIndex().value());
+    if (leads)
+        return options_.onLead();
+    failWaiting();
+    settleBarriers();
+    options_.onFollow();
+}
+
+void ReplicaTask::failWaiting()
+{
+    std::map<uint64_t, Waiting> failed;
+    failed.swap(waiting_);
+    schema::CommandOutcome outcome;
+    outcome.set_code(schema::UNAVAILABLE);
+    outcome.set_message("the leader changed before the outcome was known");
+    for (const auto &[index, waiting] : failed)
+        waiting.callback(outcome);
+}
+
+void ReplicaTask::maybeSnapshot()
+{
+    if (storage_->logBytes() < logBytesAtSnapshot_ + options_.settings.snapshot_bytes())
+        return;
+    schema::Snapshot snapshot;
+    snapshot.mutable_meta()->set_index(applied_.value());
+    snapshot.mutable_meta()->set_term(core_->termAt(applied_).value());
+    *snapshot.mutable_meta()->mutable_membership() = core_->membershipAt(applied_);
+    snapshot.set_state(state_.save());
+    const LogIndex keepFrom(
+        applied_.value() > TrailingRecords ? applied_.value() - TrailingRecords : 0);
+    const auto saved = storage_->saveSnapshot(snapshot, keepFrom);
+    logBytesAtSnapshot_ = storage_->logBytes();
+    if (!saved && saved.error().code == ErrorCode::Full) {
+        LogEvent("snapshot-failed", LogLevel::Warning).with(saved.error());
+        return;
+    }
+    if (!saved)
+        return options_.onFatal(saved.error());
+    LogEvent("snapshot-saved")
+        .with("index", applied_.value())
+        .with("bytes", snapshot.state().size());
+    core_->compact(
+        snapshot.meta(), std::make_shared<const std::string>(snapshot.state()), keepFrom);
+}
+
+} // namespace basilgap::control
--- /dev/null
+++ b/Source/Basilgap/Control/ReplicaTask.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "Basilgap/Common/Error.h"
+#include "Basilgap/Network/EventLoop.h"
+#include "Basilgap/Network/PeerLink.h"
+#include "Basilgap/Network/PeerServer.h"
+#include "Basilgap/Replication/LogStorage.h"
+#include "Basilgap/Replication/RaftCore.h"
+#include "Basilgap/State/CellState.h"
+#include "Settings.pb.h"
+
+namespace basilgap::control {
+
+// Runs one replica: the log core, its storage, the links to the other replicas and the cell state.
+class ReplicaTask
+{
+public:
+    using OutcomeCallback = std::function<void(const schema::CommandOutcome &)>;
+
+    struct Options
+    {
+        const schema::ControlSettings &settings;
+        std::string cellKey;
+        replication::DiskCalls &disk;
+        // This replica knows all committed records of earlier leaders and leads.
+        std::function<void()> onLead;
+        std::function<void()> onFollow;
+        // A command was applied.
+        std::function<void(const schema::Command &, const schema::CommandOutcome &)> onApplied;
+        // Answers to messages sent to other replicas by sendTo().
+        std::function<void(schema::PeerMessage)> onReply;
+        // The durable state can't be trusted any more; the process must end.
+        std::function<void(const Error &)> onFatal;
+    };
+
+    static Result<std::unique_ptr<ReplicaTask>> start(network::EventLoop &loop, Options options);
+
+    // Handles a message that arrived from another replica; false when it is for somebody else.
+    bool receive(network::PeerStream &stream, const schema::PeerMessage &message);
+
+    // Proposes a command; the callback gets its outcome once it is applied, or UNAVAILABLE when
+    // this replica does not lead or lost the lead before it knew.
+    void propose(schema::Command command, OutcomeCallback callback);
+
+    // Calls back once a quorum confirmed after this call that this replica leads; with false when
+    // it does not any more.
+    void confirmLeadership(std::function<void(bool)> callback);
+
+    const state::CellState &state() const { return state_; }
+    const replication::RaftCore &core() const { return *core_; }
+    bool isLeading() const { return leading_; }
+    // The leader's id, or an empty one.
+    ReplicaId leader() const { return core_->leader(); }
+    Incarnation incarnation() const { return storage_->incarnation(); }
+    uint64_t tornBytes() const { return storage_->tornBytes(); }
+    uint64_t sentBytes() const;
+    // Why no record can be written; empty when it can.
+    const std::string &diskTrouble() const { return diskTrouble_; }
+
+    // Sends a message to another replica; false when the link is down.
+    bool sendTo(const ReplicaId &replica, const schema::PeerMessage &message);
+
+    // Hands leadership to another replica, outside the given zones where possible.
+    bool transferLeadership();
+
+private:
+    struct Waiting
+    {
+        uint64_t term = 0;
+        OutcomeCallback callback;
+    };
+
+    struct Barrier
+    {
+        uint64_t round = 0;
+        std::function<void(bool)> callback;
+    };
+
+    ReplicaTask(network::EventLoop &loop, Options options,
+        std::unique_ptr<replication::LogStorage> storage);
+    void restoreState();
+    void tick();
+    void scheduleFlush();
+    void flush();
+    bool writeOutput(const replication::RaftOutput &output);
+    void retryWrite();
+    void send(const std::vector<schema::RaftMessage> &messages);
+    void applyAll(const std::vector<schema::LogRecord> &records);
+    void apply(const schema::LogRecord &record);
+    void settleBarriers();
+    void noteRole();
+    void failWaiting();
+    void maybeSnapshot();
+    void updateLinks();
+    void probe();
+    void handleProbe(network::PeerStream &stream, const schema::Probe &probe);
+    void handleProbeReply(const schema::ProbeReply &reply);
+    void formWhenAllBlank();
+    void tendMembership();
+    bool tendMember(const schema::ReplicaConfig &wanted);
+    schema::Member selfMember() const;
+
+    network::EventLoop &loop_;
+    Options options_;
+    ReplicaId self_;
+    std::unique_ptr<replication::LogStorage> storage_;
+    std::unique_ptr<replication::RaftCore> core_;
+    state::CellState state_;
+    std::map<ReplicaId, std::unique_ptr<network::PeerLink>> links_;
+    std::map<uint64_t, Waiting> waiting_;
+    std::vector<Barrier> barriers_;
+    bool leading_ = false;
+    LogIndex applied_;
+    uint64_t logBytesAtSnapshot_ = 0;
+    std::string diskTrouble_;
+    replication::RaftOutput unwritten_;
+    // What the other replicas said while this one has no state.
+    std::map<ReplicaId, schema::ProbeReply> probeReplies_;
+    // Incarnations of blank replicas that asked to join.
+    std::map<ReplicaId, schema::Probe> joining_;
+    network::Timer ticker_;
+    network::Timer flusher_;
+    network::Timer prober_;
+    network::Timer writeRetry_;
+};
+
+} // namespace basilgap::control
--- /dev/null
+++ b/Source/Basilgap/Control/WorkerRegistry.cpp
@@ -0,0 +1,323 @@
+#include "Basilgap/Control/WorkerRegistry.h"
+
+#include <algorithm>
+
+#include "Basilgap/Common/EventLog.h"
+#include "Basilgap/Common/LeaseTimes.h"
+
+namespace basilgap::control {
+
+namespace {
+
+// A worker polls again only after the answer before has been dealt with or has timed out, so a task
+// that is still missing after this many polls was never started there.
+constexpr int MissingPollsToLost = 4;
+
+constexpr int OverMemoryReports = 2;
+
+// A task may exceed its processor reservation by this part before it is throttled.
+constexpr int64_t ProcessorSlackPercent = 10;
+
+} // namespace
+
+void TaskEndWriter::add(
+    const TaskId &task, schema::TaskEnd end, const std::string &reason, int64_t peakMemoryMb)
+{
+    const auto job = static_cast<int64_t>(task.job.value());
+    ends_->add_job(job - job_);
+    ends_->add_task(static_cast<int32_t>(static_cast<int64_t>(task.index) - task_));
+    ends_->add_end(end);
+    ends_->add_reason(reason);
+    ends_->add_peak_memory_mb(static_cast<uint64_t>(peakMemoryMb));
+    job_ = job;
+    task_ = task.index;
+}
+
+WorkerRegistry::WorkerRegistry(const state::CellState &state, Millis now)
+    : state_(state)
+    , start_(now)
+{}
+
+Result<Worker *> WorkerRegistry::report(
+    const schema::WorkerReport &report, network::PeerStream *stream, Millis now)
+{
+    const WorkerId id(report.id());
+    const auto found = workers_.find(id);
+    if (found == workers_.end() && report.unchanged())
+        return fail({ ErrorCode::NotFound, "worker-report", report.id(), "not known" });
+    const Incarnation incarnation(report.incarnation());
+    if (found != workers_.end() && found->second.incarnation != incarnation) {
+        const Worker &known = found->second;
+        if (incarnation < known.incarnation)
+            return fail({ ErrorCode::Conflict, "worker-report", report.id(),
+                "a later incarnation has reported" });
+        if (hasLease(known, now))
+            return fail({ ErrorCode::Conflict, "worker-report", report.id(),
+                "the incarnation before still holds its lease" });
+        if (report.unchanged())
+            return fail({ ErrorCode::NotFound, "worker-report", report.id(), "not known" });
+        workers_.erase(found);
+    }
+    const bool isNew = !workers_.contains(id);
+    Worker &worker = workers_[id];
+    if (isNew) {
+        worker.id = id;
+        worker.incarnation = incarnation;
+        // An earlier leader may have extended a lease of this worker.
+        worker.leaseEnd = start_ + WorkerLease + LeaseDriftMargin;
+    } else if (report.sequence() <= worker.sequence) {
+        return fail(
+            { ErrorCode::Conflict, "worker-report", report.id(), "a later report arrived" });
+    }
+    worker.sequence = report.sequence();
+    worker.heard = now;
+    worker.stream = stream;
+    if (!report.unchanged()) {
+        worker.zone = ZoneName(report.zone());
+        worker.rack = RackName(report.rack());
+        worker.capacity = state::fromSchema(report.capacity());
+        takeTasks(report, &worker);
+    }
+    noteMissing(&worker);
+    return &worker;
+}
+
+void WorkerRegistry::takeTasks(const schema::WorkerReport &report, Worker *worker)
+{
+    std::map<TaskId, ReportedTask> tasks;
+    for (const auto &reported : report.tasks()) {
+        const TaskId id{ JobId(reported.job()), reported.task() };
+        ReportedTask &task = tasks[id];
+        const auto before = worker->tasks.find(id);
+        if (before != worker->tasks.end() && before->second.epoch == reported.epoch())
+            task = before->second;
+        task.epoch = reported.epoch();
+        task.state = reported.state();
+        task.reason = reported.reason();
+        task.usage = state::fromSchema(reported.usage());
+        task.peakMemoryMb = std::max(task.peakMemoryMb, task.usage.memoryMb);
+        const state::Job *job = state_.jobs().find(id.job);
+        const state::Task *known = state_.jobs().find(id);
+        const bool over =
+            known != nullptr && task.usage.memoryMb > job->reservation(*known).memoryMb;
+        task.overMemory = over ? task.overMemory + 1 : 0;
+    }
+    worker->tasks = std::move(tasks);
+}
+
+void WorkerRegistry::noteMissing(Worker *worker)
+{
+    std::map<TaskId, int> missing;
+    for (const TaskId &id : state_.jobs().runningOn(state_.jobs().numberOf(worker->id))) {
+        const auto reported = worker->tasks.find(id);
+        const uint32_t epoch = state_.jobs().find(id)->epoch;
+        if (reported == worker->tasks.end() || reported->second.epoch < epoch)
+            missing[id] = worker->missing[id] + 1;
+    }
+    worker->missing = std::move(missing);
+}
+
+void WorkerRegistry::extendLease(const WorkerId &worker, Millis received)
+{
+    const auto found = workers_.find(worker);
+    if (found != workers_.end())
+        found->second.leaseEnd =
+            std::max(found->second.leaseEnd, received + WorkerLease + LeaseDriftMargin);
+}
+
+void WorkerRegistry::streamClosed(const network::PeerStream *stream)
+{
+    for (auto &[id, worker] : workers_) {
+        if (worker.stream == stream)
+            worker.stream = nullptr;
+    }
+}
+
+schema::WorkerOrders WorkerRegistry::ordersFor(
+    const Worker &worker, const std::set<TaskId> &stopping) const
+{
+    schema::WorkerOrders orders;
+    orders.set_worker(worker.id.value());
+    orders.set_sequence(worker.sequence);
+    orders.set_lease_ms(static_cast<uint32_t>(WorkerLease.count()));
+    const WorkerNumber number = state_.jobs().numberOf(worker.id);
+    const auto addOrder = [](auto *list, const TaskId &id, uint32_t epoch) {
+        schema::TaskOrder *order = list->Add();
+        order->set_job(id.job.value());
+        order->set_task(id.index);
+        order->set_epoch(epoch);
+        return order;
+    };
+    for (const TaskId &id : state_.jobs().runningOn(number)) {
+        const state::Job &job = *state_.jobs().find(id.job);
+        const state::Task &task = *state_.jobs().find(id);
+        const auto reported = worker.tasks.find(id);
+        const bool started = reported != worker.tasks.end() && reported->second.epoch >= task.epoch;
+        if (started || job.isFinished() || stopping.contains(id)
+            || state_.config().isZoneOut(worker.zone))
+            continue;
+        schema::TaskStart *start = orders.add_start();
+        start->set_job(id.job.value());
+        start->set_task(id.index);
+        start->set_epoch(task.epoch);
+        start->set_team(job.team.value());
+        *start->mutable_per_task() = state::toSchema(job.reservation(task));
+        *start->mutable_command() = job.spec.command();
+    }
+    for (const auto &[id, reported] : worker.tasks) {
+        const state::Job *job = state_.jobs().find(id.job);
+        const state::Task *task = state_.jobs().find(id);
+        const bool wanted = task != nullptr && task->phase == schema::TaskState::RUNNING
+            && task->worker == number && task->epoch == reported.epoch && !job->isFinished();
+        if (!wanted) {
+            addOrder(orders.mutable_stop(), id, reported.epoch);
+            continue;
+        }
+        if (reported.state != schema::TaskReport::RUNNING)
+            continue;
+        if (stopping.contains(id)) {
+            const bool keep = job->spec.checkpointable();
+            addOrder(
+                keep ? orders.mutable_checkpoint() : orders.mutable_stop(), id, reported.epoch);
+            continue;
+        }
+        const int64_t reserved = job->reservation(*task).millicores;
+        if (reported.usage.millicores * 100 > reserved * (100 + ProcessorSlackPercent))
+            addOrder(orders.mutable_throttle(), id, reported.epoch)
+                ->set_millicores(static_cast<uint64_t>(reserved));
+    }
+    return orders;
+}
+
+schema::TaskEnds WorkerRegistry::collectEnds(
+    const std::set<TaskId> &stopping, scheduling::WorkerHealth *health, Millis now)
+{
+    schema::TaskEnds ends;
+    TaskEndWriter writer(&ends);
+    for (const auto &[number, tasks] : state_.jobs().byWorker()) {
+        for (const TaskId &id : tasks)
+            endOfTask(id, number, stopping, health, now, &writer);
+    }
+    return ends;
+}
+
+void WorkerRegistry::endOfTask(const TaskId &id, WorkerNumber number,
+    const std::set<TaskId> &stopping, scheduling::WorkerHealth *health, Millis now,
+    TaskEndWriter *ends)
+{
+    const WorkerId *workerId = state_.jobs().workerOf(number);
+    const auto found = workerId == nullptr ? workers_.end() : workers_.find(*workerId);
+    if (found == workers_.end()) {
+        if (now >= start_ + WorkerLease + LeaseDriftMargin)
+            ends->add(id, schema::TASK_LOST, "the worker did not return", 0);
+        return;
+    }
+    const Worker &worker = found->second;
+    if (!hasLease(worker, now))
+        return ends->add(id, schema::TASK_LOST, "the worker's lease ran out", 0);
+    const uint32_t epoch = state_.jobs().find(id)->epoch;
+    const auto reported = worker.tasks.find(id);
+    if (reported == worker.tasks.end() || reported->second.epoch < epoch) {
+        const auto missing = worker.missing.find(id);
+        if (missing != worker.missing.end() && missing->second >= MissingPollsToLost)
+            ends->add(id, schema::TASK_LOST, "the worker does not run the task", 0);
+        return;
+    }
+    if (reported->second.epoch == epoch && reported->second.state != schema::TaskReport::RUNNING)
+        endReported(id, reported->second, number, stopping, health, now, ends);
+}
+
+void WorkerRegistry::endReported(const TaskId &id, const ReportedTask &reported,
+    WorkerNumber number, const std::set<TaskId> &stopping, scheduling::WorkerHealth *health,
+    Millis now, TaskEndWriter *ends)
+{
+    using Verdict = scheduling::WorkerHealth::Verdict;
+    switch (reported.state) {
+    case schema::TaskReport::DONE:
+        health->taskSucceeded(number);
+        return ends->add(id, schema::TASK_DONE, "", 0);
+    case schema::TaskReport::FAILED: {
+        const bool blameJob = health->taskFailed(number, id.job, now) == Verdict::BlameJob;
+        return ends->add(id, blameJob ? schema::TASK_FAILED : schema::TASK_LOST, reported.reason,
+            reported.peakMemoryMb);
+    }
+    case schema::TaskReport::CHECKPOINTED:
+        return ends->add(id, schema::TASK_CHECKPOINTED, "", reported.peakMemoryMb);
+    default:
+        // A stop that nobody asked for is the worker's own doing.
+        return ends->add(id, stopping.contains(id) ? schema::TASK_STOPPED : schema::TASK_LOST,
+            reported.reason, reported.peakMemoryMb);
+    }
+}
+
+std::vector<TaskId> WorkerRegistry::overusers() const
+{
+    std::vector<TaskId> tasks;
+    for (const auto &[id, worker] : workers_) {
+        for (const auto &[task, reported] : worker.tasks) {
+            const state::Task *known = state_.jobs().find(task);
+            if (reported.overMemory >= OverMemoryReports && known != nullptr
+                && known->epoch == reported.epoch && reported.state == schema::TaskReport::RUNNING)
+                tasks.push_back(task);
+        }
+    }
+    return tasks;
+}
+
+scheduling::WorkerPool WorkerRegistry::usablePool(
+    const scheduling::WorkerHealth &health, Millis now) const
+{
+    scheduling::WorkerPool pool;
+    for (const auto &[id, worker] : workers_) {
+        const WorkerNumber number = state_.jobs().numberOf(id);
+        // Half a lease of silence: the worker is probably gone, so nothing new goes there.
+        const bool silent = now - worker.heard > WorkerLease / 2;
+        const size_t running = state_.jobs().runningOn(number).size();
+        if (number.value() == 0 || silent || state_.config().isZoneOut(worker.zone)
+            || !health.mayStart(number, running, now))
+            continue;
+        scheduling::PoolWorker usable{ .number = number,
+            .zone = worker.zone,
+            .rack = worker.rack,
+            .capacity = worker.capacity,
+            .reserved = state_.jobs().reservedOn(number) };
+        if (health.isOnProbation(number))
+            usable.startsLeft = 1;
+        pool.add(usable);
+    }
+    return pool;
+}
+
+state::Resources WorkerRegistry::largest() const
+{
+    state::Resources largest;
+    for (const auto &[id, worker] : workers_) {
+        largest.millicores = std::max(largest.millicores, worker.capacity.millicores);
+        largest.memoryMb = std::max(largest.memoryMb, worker.capacity.memoryMb);
+        largest.accelerators = std::max(largest.accelerators, worker.capacity.accelerators);
+    }
+    return largest;
+}
+
+std::vector<schema::WorkerRegistration> WorkerRegistry::unregistered() const
+{
+    std::vector<schema::WorkerRegistration> registrations;
+    uint32_t next = state_.jobs().nextWorker();
+    for (const auto &[id, worker] : workers_) {
+        if (state_.jobs().numberOf(id).value() != 0)
+            continue;
+        schema::WorkerRegistration registration;
+        registration.set_number(next++);
+        registration.set_worker(id.value());
+        registrations.push_back(std::move(registration));
+    }
+    return registrations;
+}
+
+const Worker *WorkerRegistry::find(const WorkerId &worker) const
+{
+    const auto found = workers_.find(worker);
+    return found == workers_.end() ? nullptr : &found->second;
+}
+
+} // namespace basilgap::control
--- /dev/null
+++ b/Source/Basilgap/Entry/CallerApi.cpp
@@ -0,0 +1,152 @@
+#include "Basilgap/Entry/CallerApi.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "Basilgap/Common/Hash.h"
+#include "Basilgap/Network/Json.h"
+
+namespace basilgap::entry {
+
+namespace {
+
+constexpr Millis TickInterval{ 20 };
+
+// A request that arrives while no view is confirmed waits this long for one.
+constexpr Millis LongestParked{ 5000 };
+constexpr size_t MaxIdempotencyKeyLength = 255;
+
+using network::errorResponse;
+using network::HttpRequest;
+using network::ResponderPointer;
+
+// Methods whose repetition has the effect of one request (RFC 9110, 9.2.2).
+bool isIdempotentMethod(const std::string &method)
+{
+    return method == "GET" || method == "HEAD" || method == "OPTIONS" || method == "PUT"
+        || method == "DELETE";
+}
+
+bool isVisibleText(const std::string &text)
+{
+    return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 127; });
+}
+
+// The caller's own time limit; false when the header can't be read.
+bool readTimeout(const HttpRequest &request, Millis *timeout)
+{
+    const auto header = network::findHeader(request.headers, "Basilgap-Timeout-Ms");
+    if (!header)
+        return true;
+    int64_t value = 0;
+    const char *end = header->data() + header->size();
+    const auto [stop, error] = std::from_chars(header->data(), end, value);
+    if (error != std::errc() || stop != end || value <= 0)
+        return false;
+    *timeout = std::min(*timeout, Millis(value));
+    return true;
+}
+
+} // namespace
+
+CallerApi::CallerApi(network::EventLoop &loop, Options options)
+    : options_(std::move(options))
+    , ticker_(loop, [this] { tick(); })
+{
+    ticker_.startRepeating(TickInterval);
+}
+
+void CallerApi::handle(HttpRequest request, ResponderPointer responder)
+{
+    if (request.path() == "/healthz")
+        return health(responder);
+    const Millis now = steadyNow();
+    if (options_.view.isValid(now))
+        return route(std::move(request), std::move(responder), now);
+    if (parked_.size() >= options_.maxParked)
+        return responder->answer(errorResponse({ .status = 503,
+            .error = "no current view of the configuration",
+            .step = "accept",
+            .retryAfterSeconds = 1 }));
+    parked_.push_back({ std::move(request), std::move(responder), now });
+}
+
+void CallerApi::tick()
+{
+    const Millis now = steadyNow();
+    while (!parked_.empty()) {
+        const bool valid = options_.view.isValid(now);
+        const bool expired = now - parked_.front().arrived >= LongestParked;
+        if (!valid && !expired)
+            return;
+        Parked parked = std::move(parked_.front());
+        parked_.pop_front();
+        if (valid) {
+            route(std::move(parked.request), std::move(parked.responder), parked.arrived);
+            continue;
+        }
+        parked.responder->answer(errorResponse({ .status = 503,
+            .error = "no current view of the configuration",
+            .step = "accept",
+            .retryAfterSeconds = 1 }));
+    }
+}
+
+void CallerApi::health(const ResponderPointer &responder)
+{
+    const bool healthy = options_.view.isValid(steadyNow()) && !options_.isLeaving();
+    responder->answer({ healthy ? 200 : 503, {}, healthy ? "ok\n" : "leaving\n" });
+}
+
+void CallerApi::route(HttpRequest request, ResponderPointer responder, Millis arrived)
+{
+    const auto authorization = network::findHeader(request.headers, "Authorization");
+    const auto caller = authorization ? options_.view.authenticate(*authorization) : std::nullopt;
+    if (!caller)
+        return responder->answer(errorResponse(
+            { .status = 401, .error = "the key is missing or unknown", .step = "authenticate" }));
+    const std::string path = request.path();
+    if (path == "/v1/jobs" || path.rfind("/v1/jobs/", 0) == 0)
+        return serveJobs(request, responder, *caller);
+    serve(std::move(request), std::move(responder), *caller, arrived);
+}
+
+void CallerApi::serve(
+    HttpRequest http, ResponderPointer responder, const ViewStore::Caller &caller, Millis arrived)
+{
+    const schema::RouteConfig *route = options_.view.findRoute(http.path());
+    if (route == nullptr)
+        return responder->answer(
+            errorResponse({ .status = 404, .error = "no route for the path", .step = "route" }));
+    const auto &teams = route->teams();
+    if (!teams.empty() && std::find(teams.begin(), teams.end(), caller.team.value()) == teams.end())
+        return responder->answer(errorResponse(
+            { .status = 403, .error = "the team may not use the route", .step = "route" }));
+    Millis timeout(route->timeout_ms());
+    if (!readTimeout(http, &timeout))
+        return responder->answer(errorResponse({ .status = 400,
+            .error = "must be a positive whole number",
+            .field = "Basilgap-Timeout-Ms",
+            .step = "accept" }));
+    const auto key = network::findHeader(http.headers, "Idempotency-Key");
+    if (key && (key->empty() || key->size() > MaxIdempotencyKeyLength || !isVisibleText(*key)))
+        return responder->answer(errorResponse({ .status = 400,
+            .error = "must have 1 to 255 visible characters",
+            .field = "Idempotency-Key",
+            .step = "accept" }));
+    auto request = std::make_unique<Request>();
+    request->caller = caller;
+    request->flow = { caller.team, PoolName(route->pool()) };
+    request->repeatable =
+        route->has_repeatable() ? route->repeatable() : isIdempotentMethod(http.method);
+    request->arrived = arrived;
+    request->deadline = arrived + timeout;
+    request->http = std::move(http);
+    request->responder = std::move(responder);
+    if (!key)
+        return options_.dispatcher.submit(std::move(request));
+    request->claim = ClaimKey{ caller.team, sha256(*key) };
+    options_.claims.submit(std::move(request));
+}
+
+} // namespace basilgap::entry
--- /dev/null
+++ b/Source/Basilgap/Entry/ClaimService.cpp
@@ -0,0 +1,282 @@
+#include "Basilgap/Entry/ClaimService.h"
+
+#include <vector>
+
+#include "Basilgap/Common/EventLog.h"
+#include "Basilgap/Common/Hash.h"
+#include "Basilgap/Network/Json.h"
+
+namespace basilgap::entry {
+
+namespace {
+
+constexpr Millis TickInterval{ 100 };
+constexpr Millis JoinResendInterval{ 500 };
+
+// A claim that was not used is given back for as long as this is tried.
+constexpr Millis GiveBackTimeout{ 60000 };
+
+void answer(const Request &request, const network::ErrorAnswer &error)
+{
+    if (request.responder)
+        request.responder->answer(network::errorResponse(error));
+}
+
+void answerUnknown(const Request &request)
+{
+    answer(request,
+        { .status = 409,
+            .error = "the outcome of the first request can't be told",
+            .outcome = "unknown",
+            .step = "claim" });
+}
+
+void answerOtherBody(const Request &request)
+{
+    answer(request,
+        { .status = 422,
+            .error = "the Idempotency-Key was used with another request",
+            .outcome = "not-run",
+            .field = "Idempotency-Key",
+            .step = "claim" });
+}
+
+void answerKept(const Request &request, const ClaimOutcome &outcome)
+{
+    if (outcome.outcome == "unknown")
+        return answerUnknown(request);
+    network::HttpResponse response{ .status = static_cast<int>(outcome.answer.status()),
+        .headers = {},
+        .body = outcome.answer.body() };
+    for (const auto &header : outcome.answer.headers())
+        response.headers.push_back({ header.name(), header.value() });
+    if (request.responder)
+        request.responder->answer(std::move(response));
+}
+
+std::string bodyHashOf(const Request &request)
+{
+    return sha256(request.http.method + " " + request.http.target + "\n" + request.http.body);
+}
+
+} // namespace
+
+ClaimService::ClaimService(network::EventLoop &loop, Options options, const ViewStore &view)
+    : loop_(loop)
+    , options_(std::move(options))
+    , view_(view)
+    , ticker_(loop, [this] { tick(); })
+{
+    ticker_.startRepeating(TickInterval);
+}
+
+Result<std::unique_ptr<ClaimService>> ClaimService::listen(
+    network::EventLoop &loop, Options options, const ViewStore &view)
+{
+    const std::string address = options.peerAddress;
+    const std::string cellKey = options.cellKey;
+    std::unique_ptr<ClaimService> service(new ClaimService(loop, std::move(options), view));
+    auto peers = network::PeerServer::listen(loop,
+        {
+            .address = address,
+            .cellKey = cellKey,
+            .onMessage =
+                [self = service.get()](network::PeerStream &stream,
+                    const schema::PeerMessage &message) { self->handlePeer(stream, message); },
+            .onClosed = [self = service.get()](
+                            network::PeerStream &stream) { self->streams_.erase(stream.id()); },
+        });
+    if (!peers)
+        return fail(peers.error());
+    service->peers_ = std::move(*peers);
+    return service;
+}
+
+void ClaimService::submit(RequestPointer request)
+{
+    const ClaimKey key = *request->claim;
+    const std::string bodyHash = bodyHashOf(*request);
+    switch (book_.find(key, bodyHash)) {
+    case ClaimBook::Found::OtherBody:
+        return answerOtherBody(*request);
+    case ClaimBook::Found::Running:
+    case ClaimBook::Found::Finished:
+        return joinHere(std::move(request));
+    case ClaimBook::Found::No:
+        break;
+    }
+    book_.open(key, bodyHash);
+    schema::RpcRequest rpc;
+    schema::ClaimOpen *open = rpc.mutable_command()->mutable_claim_open();
+    open->set_team(key.team.value());
+    open->set_key_hash(key.hash);
+    open->set_body_hash(bodyHash);
+    open->set_entry(options_.entry.value());
+    open->set_entry_incarnation(options_.incarnation.value());
+    const Millis left = request->deadline - steadyNow();
+    auto held = std::make_shared<RequestPointer>(std::move(request));
+    options_.rpc.call(std::move(rpc), left,
+        [this, held](const Result<schema::RpcReply> &reply) { opened(std::move(*held), reply); });
+}
+
+void ClaimService::opened(RequestPointer request, const Result<schema::RpcReply> &reply)
+{
+    const ClaimKey key = *request->claim;
+    if (!reply) {
+        giveBack(key);
+        book_.finish(key, { .outcome = "not-run", .answer = {} }, steadyNow());
+        return answer(*request,
+            { .status = 503,
+                .error = reply.error().message,
+                .outcome = "not-run",
+                .step = reply.error().step,
+                .retryAfterSeconds = 1 });
+    }
+    const schema::CommandOutcome &outcome = reply->outcome();
+    const bool isOwn =
+        outcome.code() == schema::CLAIMED && outcome.owner() == options_.entry.value();
+    // Our own earlier proposal whose answer was lost: nothing was run under it.
+    if (outcome.code() == schema::ACCEPTED || isOwn)
+        return options_.run(std::move(request));
+    book_.finish(key, { .outcome = "not-run", .answer = {} }, steadyNow());
+    if (outcome.code() == schema::CONFLICT)
+        return answerOtherBody(*request);
+    if (outcome.code() == schema::CLAIMED)
+        return joinAt(EntryId(outcome.owner()), std::move(request));
+    answerUnknown(*request);
+}
+
+void ClaimService::ended(const ClaimKey &key, const ClaimOutcome &outcome)
+{
+    if (outcome.outcome == "not-run")
+        giveBack(key);
+    book_.finish(key, outcome, steadyNow());
+}
+
+void ClaimService::giveBack(const ClaimKey &key)
+{
+    schema::RpcRequest rpc;
+    schema::ClaimEnd *end = rpc.mutable_command()->mutable_claim_end();
+    end->set_team(key.team.value());
+    end->set_key_hash(key.hash);
+    end->set_entry(options_.entry.value());
+    end->set_not_run(true);
+    options_.rpc.call(std::move(rpc), GiveBackTimeout, [](const Result<schema::RpcReply> &) {});
+}
+
+void ClaimService::joinHere(RequestPointer request)
+{
+    auto held = std::make_shared<RequestPointer>(std::move(request));
+    book_.join(
+        *(*held)->claim, [held](const ClaimOutcome &outcome) { answerKept(**held, outcome); });
+}
+
+network::PeerLink *ClaimService::linkTo(const EntryId &owner)
+{
+    const auto session = view_.entries().find(owner);
+    if (session == view_.entries().end())
+        return nullptr;
+    const std::string &address = session->second.peer_address();
+    auto &link = links_[owner];
+    if (link && link->address() == address)
+        return link.get();
+    schema::Hello hello;
+    hello.set_id(options_.entry.value());
+    hello.set_incarnation(options_.incarnation.value());
+    link = std::make_unique<network::PeerLink>(loop_,
+        network::PeerLink::Options{
+            .address = address,
+            .cellKey = options_.cellKey,
+            .hello = hello,
+            .onMessage =
+                [this](const schema::PeerMessage &message) {
+                    if (message.has_join_reply())
+                        handleJoinReply(message.join_reply());
+                },
+            .onUp = [this] { tick(); },
+            .onDown = [] {},
+        });
+    return link.get();
+}
+
+void ClaimService::joinAt(const EntryId &owner, RequestPointer request)
+{
+    if (linkTo(owner) == nullptr)
+        return answerUnknown(*request);
+    LogEvent("claim-join").with("peer", owner.value()).with("team", request->caller.team.value());
+    const uint64_t id = nextJoin_++;
+    const Millis deadline = request->deadline;
+    request->backend = BackendId(owner.value());
+    joins_[id] = Join{ std::move(request), deadline };
+    tick();
+}
+
+void ClaimService::tick()
+{
+    const Millis now = steadyNow();
+    std::vector<RequestPointer> expired;
+    for (auto &[id, join] : joins_) {
+        if (now >= join.deadline) {
+            expired.push_back(std::move(join.request));
+            continue;
+        }
+        if (now - join.request->sentAt < JoinResendInterval)
+            continue;
+        network::PeerLink *link = linkTo(EntryId(join.request->backend.value()));
+        schema::PeerMessage message;
+        schema::JoinRequest *out = message.mutable_join_request();
+        out->set_id(id);
+        out->set_team(join.request->claim->team.value());
+        out->set_key_hash(join.request->claim->hash);
+        if (link != nullptr && link->send(message))
+            join.request->sentAt = now;
+    }
+    std::erase_if(joins_, [](const auto &entry) { return entry.second.request == nullptr; });
+    for (const RequestPointer &request : expired)
+        answerUnknown(*request);
+}
+
+void ClaimService::handlePeer(network::PeerStream &stream, const schema::PeerMessage &message)
+{
+    streams_[stream.id()] = &stream;
+    if (!message.has_join_request())
+        return;
+    const schema::JoinRequest &request = message.join_request();
+    const ClaimKey key{ TeamName(request.team()), request.key_hash() };
+    const auto reply = [this, stream = stream.id(), id = request.id()](
+                           bool found, const ClaimOutcome &outcome) {
+        const auto open = streams_.find(stream);
+        if (open == streams_.end())
+            return;
+        schema::PeerMessage out;
+        schema::JoinReply *body = out.mutable_join_reply();
+        body->set_id(id);
+        body->set_found(found);
+        body->set_outcome(outcome.outcome);
+        *body->mutable_answer() = outcome.answer;
+        open->second->send(out);
+    };
+    if (book_.find(key, "") == ClaimBook::Found::No)
+        return reply(false, {});
+    book_.join(key, [reply](const ClaimOutcome &outcome) { reply(true, outcome); });
+}
+
+void ClaimService::handleJoinReply(const schema::JoinReply &reply)
+{
+    const auto found = joins_.find(reply.id());
+    if (found == joins_.end())
+        return;
+    const RequestPointer request = std::move(found->second.request);
+    joins_.erase(found);
+    if (!reply.found())
+        return answerUnknown(*request);
+    answerKept(*request, { .outcome = reply.outcome(), .answer = reply.answer() });
+}
+
+void ClaimService::expire(Millis now)
+{
+    const auto retention = static_cast<int64_t>(view_.config().retention().claim_ms());
+    book_.expire(now, Millis(retention));
+}
+
+} // namespace basilgap::entry
--- /dev/null
+++ b/Source/Basilgap/Entry/ConnectionPool.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Basilgap/Common/Ids.h"
+#include "Basilgap/Network/HttpConnection.h"
+
+namespace basilgap::entry {
+
+// Connections to backend servers that wait for their next exchange. A connection whose exchange
+// did not complete never comes back here.
+class ConnectionPool
+{
+public:
+    explicit ConnectionPool(network::EventLoop &loop);
+
+    // An idle connection, or a new one.
+    std::unique_ptr<network::HttpConnection> take(
+        const BackendId &backend, const std::string &address);
+
+    void giveBack(const BackendId &backend, const std::string &address,
+        std::unique_ptr<network::HttpConnection> connection);
+
+    // Closes the idle connections to a backend server.
+    void drop(const BackendId &backend) { idle_.erase(backend); }
+
+private:
+    struct Idle
+    {
+        std::string address;
+        std::vector<std::unique_ptr<network::HttpConnection>> connections;
+    };
+
+    network::EventLoop &loop_;
+    std::map<BackendId, Idle> idle_;
+};
+
+} // namespace basilgap::entry
--- /dev/null
+++ b/Source/Basilgap/Entry/ControlClient.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "Basilgap/Common/Ids.h"
+#include "Basilgap/Network/PeerLink.h"
+#include "Basilgap/Network/RpcClient.h"
+#include "Cell.pb.h"
+#include "Settings.pb.h"
+
+namespace basilgap::entry {
+
+// The entry's side of its session with the leader: finds the leader, renews the view lease and
+// carries requests to it.
+class ControlClient
+{
+public:
+    struct Options
+    {
+        const schema::EntrySettings &settings;
+        Incarnation incarnation;
+        std::string cellKey;
+        // Fills a renewal with what there is to report; everything when it is full.
+        std::function<void(schema::Renew *)> fillRenewal;
+        // An answer of the leader; sentAt is the time at which the renewal that it confirms was
+        // sent, or nothing when it confirms none.
+        std::function<void(const schema::RenewReply &, std::optional<Millis> sentAt)> onReply;
+        std::function<void(const schema::WorkerOrdersBatch &)> onOrders;
+    };
+
+    ControlClient(network::EventLoop &loop, Options options);
+
+    // Follows the replicas that the configuration lists.
+    void setReplicas(const schema::CellConfig &config);
+
+    // Renews soon, because something changed.
+    void renewSoon(Millis delay);
+
+    void sendDigest(const schema::WorkerDigest &digest);
+
+    network::RpcClient &rpc() { return rpc_; }
+    ReplicaId leader() const { return target_; }
+    // Changes whenever the entry turns to another leader or connects to it anew.
+    uint64_t generation() const { return generation_; }
+    const std::map<ReplicaId, std::unique_ptr<network::PeerLink>> &links() const { return links_; }
+
+private:
+    struct Sent
+    {
+        uint64_t sequence;
+        Millis at;
+    };
+
+    void addLink(const ReplicaId &replica, const std::string &address);
+    void renew();
+    void tick();
+    void received(const ReplicaId &from, const schema::PeerMessage &message);
+    void handleReply(const ReplicaId &from, const schema::RenewReply &reply);
+    void turnTo(const ReplicaId &replica);
+    void turnToNext();
+    bool send(const schema::PeerMessage &message);
+
+    network::EventLoop &loop_;
+    Options options_;
+    std::map<ReplicaId, std::unique_ptr<network::PeerLink>> links_;
+    network::RpcClient rpc_;
+    ReplicaId target_;
+    uint64_t generation_ = 1;
+    uint64_t reportedGeneration_ = 0;
+    uint64_t sequence_ = 0;
+    std::deque<Sent> sent_;
+    Millis lastReply_;
+    Millis lastRenewal_;
+    network::Timer renewer_;
+    network::Timer ticker_;
+};
+
+} // namespace basilgap::entry
--- /dev/null
+++ b/Source/Basilgap/Entry/Dispatcher.cpp
@@ -0,0 +1,250 @@
+#include "Basilgap/Entry/Dispatcher.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "Basilgap/Common/EventLog.h"
+#include "Basilgap/Network/Json.h"
+#include "Basilgap/Settings/CellFile.h"
+
+namespace basilgap::entry {
+
+namespace {
+
+constexpr Millis TickInterval{ 20 };
+
+} // namespace
+
+std::string teamHolding(const TeamName &team)
+{
+    return "team/" + team.value();
+}
+
+Dispatcher::Dispatcher(network::EventLoop &loop, Options options, ViewStore &view,
+    HoldingTable &holdings, BackendTable &backends)
+    : loop_(loop)
+    , options_(std::move(options))
+    , view_(view)
+    , holdings_(holdings)
+    , backends_(backends)
+    , connections_(loop)
+    , ticker_(loop, [this] { tick(); })
+    , pumper_(loop, [this] { pump(); })
+{
+    ticker_.startRepeating(TickInterval);
+}
+
+double Dispatcher::serviceMsOf(const Flow &flow) const
+{
+    const auto found = serviceMs_.find(flow);
+    return found == serviceMs_.end() ? 0 : found->second;
+}
+
+// Teams that the leader has not seen waiting yet get the part that their share would give them.
+double Dispatcher::queueWeight(const TeamName &team) const
+{
+    const auto found = leaderWeights_.find(team);
+    if (found != leaderWeights_.end() && found->second > 0)
+        return found->second;
+    double shares = 0;
+    double weights = 0;
+    for (const auto &[known, weight] : leaderWeights_) {
+        const schema::TeamConfig *config = view_.findTeam(known);
+        shares += config == nullptr ? 0 : config->share();
+        weights += weight;
+    }
+    const schema::TeamConfig *config = view_.findTeam(team);
+    const double share = config == nullptr ? 1 : config->share();
+    return shares > 0 && weights > 0 ? share * weights / shares : share;
+}
+
+uint32_t Dispatcher::weightOf(const TeamName &team) const
+{
+    return static_cast<uint32_t>(std::lround(queueWeight(team)));
+}
+
+// Time until a request that joins the flow now would start, if the team got its part of the slots
+// held here; 0 while too little is known.
+double Dispatcher::expectedWaitMs(const Flow &flow) const
+{
+    const double service = serviceMsOf(flow);
+    const uint32_t held = backends_.heldOf(flow.pool);
+    if (service <= 0 || held == 0)
+        return 0;
+    double weights = 0;
+    double own = 0;
+    std::vector<Flow> active = queue_.flows();
+    for (const auto &[running, count] : runningByFlow_) {
+        if (count > 0 && queue_.sizeOf(running) == 0)
+            active.push_back(running);
+    }
+    if (std::find(active.begin(), active.end(), flow) == active.end())
+        active.push_back(flow);
+    for (const Flow &other : active) {
+        if (other.pool != flow.pool)
+            continue;
+        const double weight = queueWeight(other.team);
+        weights += weight;
+        own += other == flow ? weight : 0;
+    }
+    const auto running = runningByFlow_.find(flow);
+    const double runs = running == runningByFlow_.end() ? 0 : running->second;
+    const double slots = std::max({ 1.0, runs, weights > 0 ? held * own / weights : held });
+    const double ahead = static_cast<double>(queue_.sizeOf(flow));
+    const bool startsNow = ahead == 0 && runs < slots;
+    return startsNow ? 0 : (ahead + 1) * service / slots;
+}
+
+void Dispatcher::submit(RequestPointer request)
+{
+    request->id = RequestId(nextRequest_++);
+    const Millis now = steadyNow();
+    const double wait = expectedWaitMs(request->flow);
+    const double left = static_cast<double>((request->deadline - now).count());
+    const bool full = queue_.size() >= options_.maxQueue;
+    if (full || wait + serviceMsOf(request->flow) > left) {
+        counters_.refused++;
+        const auto retryAfter = static_cast<int>(std::clamp(std::ceil(wait / 1000), 1.0, 60.0));
+        auto response = network::errorResponse({ .status = 503,
+            .error = full ? "the queue is full" : "the deadline can't be met",
+            .outcome = "not-run",
+            .step = "admit",
+            .retryAfterSeconds = retryAfter });
+        finish(std::move(request), std::move(response), "not-run");
+        return;
+    }
+    counters_.accepted++;
+    budgets_[request->caller.team].deposit();
+    watchCaller(*request);
+    enqueue(std::move(request), false);
+    options_.onDemand();
+    pump();
+}
+
+// A request that nobody waits for is not started. Under a claim somebody may ask for it later.
+void Dispatcher::watchCaller(Request &request)
+{
+    if (request.claim || !request.responder)
+        return;
+    request.responder->onCallerGone([this, id = request.id, flow = request.flow] {
+        if (queue_.remove(flow, id))
+            waitingRequests_.erase(id);
+    });
+}
+
+void Dispatcher::enqueue(RequestPointer request, bool front)
+{
+    const FairQueue::Item item{ request->id, request->deadline };
+    const double weight = queueWeight(request->flow.team);
+    if (front)
+        queue_.pushFront(request->flow, item, weight);
+    else
+        queue_.push(request->flow, item, weight);
+    waitingRequests_[request->id] = std::move(request);
+}
+
+bool Dispatcher::hasTeamRoom(const TeamName &team) const
+{
+    const schema::TeamConfig *config = view_.findTeam(team);
+    if (config == nullptr)
+        return false;
+    return config->limit().slots() >= settings::UnlimitedSlots
+        || holdings_.freeOf(teamHolding(team)) > 0;
+}
+
+bool Dispatcher::mayStart(const Flow &flow, Millis now)
+{
+    return hasTeamRoom(flow.team) && backends_.hasFree(flow.pool, now);
+}
+
+void Dispatcher::pump()
+{
+    std::vector<RequestPointer> unplaced;
+    while (queue_.size() > 0) {
+        // Read for every dispatch: the process may have been frozen since the last one.
+        const Millis now = steadyNow();
+        if (!view_.isValid(now))
+            break;
+        const auto item = queue_.pop([&](const Flow &flow) { return mayStart(flow, now); },
+            [&](const Flow &flow) { return 1 + serviceMsOf(flow); });
+        if (!item)
+            break;
+        RequestPointer request = std::move(waitingRequests_[item->id]);
+        waitingRequests_.erase(item->id);
+        if (!view_.isKeyValid(request->caller)) {
+            answerError(std::move(request), 401, "the key was withdrawn", "dispatch");
+            continue;
+        }
+        const double left = static_cast<double>((request->deadline - now).count());
+        if (left <= 0 || left < serviceMsOf(request->flow) / 2) {
+            counters_.expired++;
+            answerError(std::move(request), request->maybeRan ? 504 : 503,
+                "the deadline can't be met any more", "dispatch");
+            continue;
+        }
+        if (backends_.wereAllTried(request->flow.pool, request->tried))
+            request->tried.clear();
+        const auto backend = backends_.choose(request->flow.pool, request->tried, now);
+        if (backend)
+            start(std::move(request), *backend);
+        else
+            unplaced.push_back(std::move(request));
+    }
+    for (RequestPointer &request : unplaced)
+        enqueue(std::move(request), true);
+}
+
+void Dispatcher::schedulePump()
+{
+    if (!pumper_.isPending())
+        pumper_.startOnce(Millis(0));
+}
+
+void Dispatcher::update(const schema::RenewReply &reply)
+{
+    for (const auto &weight : reply.weights()) {
+        const TeamName team(weight.team());
+        leaderWeights_[team] = weight.weight();
+        queue_.setWeight(team, queueWeight(team));
+    }
+    for (const TeamName &team : backends_.settleDoubts(&reply, steadyNow()))
+        holdings_.release(teamHolding(team));
+    schedulePump();
+}
+
+void Dispatcher::tick()
+{
+    const Millis now = steadyNow();
+    for (const FairQueue::Item &item : queue_.takeExpired(now)) {
+        RequestPointer request = std::move(waitingRequests_[item.id]);
+        waitingRequests_.erase(item.id);
+        counters_.expired++;
+        answerError(std::move(request), request->maybeRan ? 504 : 503,
+            view_.isValid(now) ? "the deadline passed while the request waited"
+                               : "no current view of the configuration",
+            "wait");
+    }
+    for (const TeamName &team : backends_.settleDoubts(nullptr, now))
+        holdings_.release(teamHolding(team));
+    pump();
+}
+
+std::vector<schema::TeamDemand> Dispatcher::demand() const
+{
+    std::map<Flow, schema::TeamDemand> byFlow;
+    for (const Flow &flow : queue_.flows())
+        byFlow[flow].set_queued(static_cast<uint32_t>(queue_.sizeOf(flow)));
+    for (const auto &[flow, count] : runningByFlow_) {
+        if (count > 0)
+            byFlow[flow].set_running(count);
+    }
+    std::vector<schema::TeamDemand> demand;
+    for (auto &[flow, row] : byFlow) {
+        row.set_team(flow.team.value());
+        row.set_pool(flow.pool.value());
+        demand.push_back(std::move(row));
+    }
+    return demand;
+}
+
+} // namespace basilgap::entry
--- /dev/null
+++ b/Source/Basilgap/Entry/EntryTask.cpp
@@ -0,0 +1,330 @@
+#include "Basilgap/Entry/EntryTask.h"
+
+#include <algorithm>
+
+#include "Basilgap/Common/EventLog.h"
+#include "Basilgap/Common/Hash.h"
+#include "Basilgap/Common/LeaseTimes.h"
+#include "Basilgap/Network/Json.h"
+#include "Basilgap/Settings/YamlReader.h"
+
+namespace basilgap::entry {
+
+namespace {
+
+constexpr Millis StopStepInterval{ 50 };
+constexpr Millis ClaimExpiryInterval{ 1000 };
+
+// Least time between two renewals that are sent because something changed.
+constexpr Millis DemandDelay{ 150 };
+constexpr Millis ChangeDelay{ 20 };
+
+// Stays behind the longest request at a stop.
+constexpr Millis StopMargin{ 2000 };
+
+// Larger bodies are met before any handler sees them.
+network::HttpResponse tooLarge()
+{
+    return network::errorResponse(
+        { .status = 413, .error = "the body is too large", .step = "read" });
+}
+
+} // namespace
+
+EntryTask::EntryTask(network::EventLoop &loop, const schema::EntrySettings &settings)
+    : loop_(loop)
+    , settings_(settings)
+    , incarnation_(randomNumber())
+    , stopper_(loop, [this] { stopStep(); })
+    , claimExpiry_(loop, [this] { claims_->expire(steadyNow()); })
+{}
+
+Result<std::unique_ptr<EntryTask>> EntryTask::start(
+    network::EventLoop &loop, const schema::EntrySettings &settings)
+{
+    std::unique_ptr<EntryTask> task(new EntryTask(loop, settings));
+    if (const auto opened = task->open(); !opened)
+        return fail(opened.error());
+    return task;
+}
+
+Result<void> EntryTask::open()
+{
+    const auto cellKey = settings::readKeyFile(settings_.cell_key_file());
+    if (!cellKey)
+        return fail(cellKey.error());
+    const auto operatorKey = settings::readKeyFile(settings_.operator_key_file());
+    if (!operatorKey)
+        return fail(operatorKey.error());
+    backends_ = std::make_unique<BackendTable>(
+        BackendTable::Options{ .zone = ZoneName(settings_.zone()), .seed = randomNumber() },
+        holdings_);
+    dispatcher_ = std::make_unique<Dispatcher>(loop_,
+        Dispatcher::Options{
+            .entry = EntryId(settings_.id()),
+            .incarnation = incarnation_,
+            .maxQueue = settings_.max_queue(),
+            .onClaimEnd = [this](const ClaimKey &key,
+                              const ClaimOutcome &outcome) { claims_->ended(key, outcome); },
+            .onDemand = [this] { control_->renewSoon(DemandDelay); },
+        },
+        view_, holdings_, *backends_);
+    openControl(*cellKey);
+    if (auto opened = openClaims(*cellKey); !opened)
+        return opened;
+    return openListeners(*operatorKey);
+}
+
+void EntryTask::openControl(const std::string &cellKey)
+{
+    workers_ = std::make_unique<WorkerRelay>(loop_,
+        WorkerRelay::Options{
+            .entry = EntryId(settings_.id()),
+            .sendDigest = [this](
+                              const schema::WorkerDigest &digest) { control_->sendDigest(digest); },
+            .generation = [this] { return control_->generation(); },
+        },
+        view_);
+    control_ = std::make_unique<ControlClient>(loop_,
+        ControlClient::Options{
+            .settings = settings_,
+            .incarnation = incarnation_,
+            .cellKey = cellKey,
+            .fillRenewal = [this](schema::Renew *renewal) { fillRenewal(renewal); },
+            .onReply = [this](const schema::RenewReply &reply,
+                           std::optional<Millis> sentAt) { handleReply(reply, sentAt); },
+            .onOrders = [this](
+                            const schema::WorkerOrdersBatch &batch) { workers_->received(batch); },
+        });
+}
+
+Result<void> EntryTask::openClaims(const std::string &cellKey)
+{
+    auto claims = ClaimService::listen(loop_,
+        {
+            .entry = EntryId(settings_.id()),
+            .incarnation = incarnation_,
+            .peerAddress = settings_.peer_address(),
+            .cellKey = cellKey,
+            .rpc = control_->rpc(),
+            .run = [this](RequestPointer request) { dispatcher_->submit(std::move(request)); },
+        },
+        view_);
+    if (!claims)
+        return fail(claims.error());
+    claims_ = std::move(*claims);
+    claimExpiry_.startRepeating(ClaimExpiryInterval);
+    return {};
+}
+
+Result<void> EntryTask::openListeners(const std::string &operatorKey)
+{
+    callerApi_ = std::make_unique<CallerApi>(loop_,
+        CallerApi::Options{ .view = view_,
+            .dispatcher = *dispatcher_,
+            .claims = *claims_,
+            .rpc = control_->rpc(),
+            .isLeaving = [this] { return isLeaving(); },
+            .maxParked = settings_.max_queue() });
+    serviceApi_ = std::make_unique<ServiceApi>(ServiceApi::Options{ .backends = *backends_,
+        .workers = *workers_,
+        .onChange = [this] { control_->renewSoon(ChangeDelay); } });
+    const network::HttpResponse refusal = tooLarge();
+    auto callers = network::HttpServer::listen(loop_,
+        { .address = settings_.public_address(),
+            .maxBodyBytes = settings_.max_body_bytes(),
+            .idleTimeout = Millis(settings_.idle_timeout_ms()),
+            .maxPending = settings_.max_connections(),
+            .tooLargeBody = refusal.body,
+            .tooLargeHeaders = refusal.headers },
+        [this](network::HttpRequest request, network::ResponderPointer responder) {
+            callerApi_->handle(std::move(request), std::move(responder));
+        });
+    if (!callers)
+        return fail(callers.error());
+    publicServer_ = std::move(*callers);
+    auto services = network::HttpServer::listen(loop_,
+        { .address = settings_.service_address(),
+            .tooLargeBody = refusal.body,
+            .tooLargeHeaders = refusal.headers },
+        [this](const network::HttpRequest &request, const network::ResponderPointer &responder) {
+            serviceApi_->handle(request, responder);
+        });
+    if (!services)
+        return fail(services.error());
+    serviceServer_ = std::move(*services);
+    auto admin = admin::AdminServer::listen(loop_,
+        { .address = settings_.admin_address(),
+            .operatorKey = operatorKey,
+            .rpc = control_->rpc(),
+            .dump = [this] { return dump(); },
+            .metrics = [this] { return metrics(); },
+            .status = [this] { return status(); } });
+    if (!admin)
+        return fail(admin.error());
+    admin_ = std::move(*admin);
+    return {};
+}
+
+void EntryTask::handleReply(const schema::RenewReply &reply, std::optional<Millis> sentAt)
+{
+    if (reply.has_view()) {
+        const Revision before = view_.revision();
+        if (const auto installed = view_.install(reply.view()); !installed)
+            LogEvent("view-refused", LogLevel::Warning).with(installed.error());
+        if (view_.revision() != before) {
+            LogEvent("view-installed").with("revision", view_.revision().value());
+            backends_->setZonesOut(view_.zonesOut());
+            control_->setReplicas(view_.config());
+            control_->renewSoon(Millis(0));
+        }
+        backends_->setEntryCount(view_.entries().size());
+    }
+    if (sentAt)
+        view_.confirmed(Revision(reply.revision()), *sentAt);
+    holdings_.update(reply);
+    backends_->update(reply);
+    dispatcher_->update(reply);
+    if (holdings_.hasChanges())
+        control_->renewSoon(ChangeDelay);
+}
+
+void EntryTask::fillRenewal(schema::Renew *renewal)
+{
+    renewal->set_revision(view_.revision().value());
+    renewal->set_stopping(stopping_);
+    schema::Renew demand;
+    for (const auto &row : dispatcher_->demand())
+        *demand.add_demand() = row;
+    const std::string text = demand.SerializeAsString();
+    renewal->set_demand_unchanged(!renewal->full() && text == lastDemand_);
+    if (!renewal->demand_unchanged())
+        *renewal->mutable_demand() = demand.demand();
+    lastDemand_ = text;
+    for (const auto &holding : holdings_.report(renewal->full()))
+        *renewal->add_holdings() = holding;
+    for (const uint32_t key : backends_->doubtfulKeys())
+        renewal->add_doubtful(key);
+    if (serviceApi_)
+        serviceApi_->report(renewal);
+}
+
+bool EntryTask::isLeaving() const
+{
+    return stopping_ || view_.isZoneOut(ZoneName(settings_.zone()));
+}
+
+void EntryTask::stop()
+{
+    if (stopping_)
+        return;
+    stopping_ = true;
+    stopStarted_ = steadyNow();
+    LogEvent("stopping");
+    control_->renewSoon(Millis(0));
+    stopper_.startRepeating(StopStepInterval);
+}
+
+void EntryTask::stopStep()
+{
+    const Millis now = steadyNow();
+    if (now - stopStarted_ < Millis(settings_.drain_ms()))
+        return;
+    publicServer_->stopAccepting();
+    serviceServer_->stopAccepting();
+    Millis longest = StopMargin;
+    for (const auto &route : view_.config().routes())
+        longest = std::max(longest, StopMargin + Millis(route.timeout_ms()));
+    const bool idle = dispatcher_->isIdle() && publicServer_->pendingRequests() == 0;
+    if (idle || now - stopStarted_ > longest + Millis(settings_.drain_ms()))
+        loop_.stop();
+}
+
+schema::StatusBody EntryTask::status() const
+{
+    schema::StatusBody body;
+    body.set_id(settings_.id());
+    body.set_role("entry");
+    body.set_leader(control_->leader().value());
+    body.set_version(static_cast<int64_t>(view_.config().version()));
+    body.set_hash(view_.hash());
+    for (const ZoneName &zone : view_.zonesOut())
+        body.add_zones_out(zone.value());
+    return body;
+}
+
+std::string EntryTask::dump() const
+{
+    const Millis now = steadyNow();
+    schema::EntryDump dump;
+    dump.set_id(settings_.id());
+    dump.set_incarnation(std::to_string(incarnation_.value()));
+    dump.set_zone(settings_.zone());
+    dump.set_revision(static_cast<int64_t>(view_.revision().value()));
+    dump.set_lease_left_ms(view_.leaseLeft(now).count());
+    dump.set_leader(control_->leader().value());
+    dump.set_stopping(stopping_);
+    dump.set_claims(static_cast<uint32_t>(claims_->size()));
+    dump.set_worker_polls(static_cast<uint32_t>(workers_->held()));
+    *dump.mutable_status() = status();
+    for (const auto &[id, backend] : backends_->all()) {
+        schema::BackendDump *row = dump.add_backends();
+        const HoldingTable::Holding *holding = holdings_.find("backend/" + id.value());
+        row->set_id(id.value());
+        row->set_zone(backend.view.zone());
+        row->set_pool(backend.view.pool());
+        row->set_leaving(backend.view.leaving());
+        row->set_held(holding == nullptr ? 0 : holding->held);
+        row->set_in_use(backend.live);
+        row->set_doubtful(static_cast<uint32_t>(backend.doubts.size()));
+        row->set_ejected(now < backend.ejectedUntil);
+        row->set_latency_ms(backend.latencyMs);
+        row->set_connections(backend.view.connections());
+    }
+    for (const auto &demand : dispatcher_->demand()) {
+        schema::TeamDump *row = dump.add_teams();
+        const TeamName team(demand.team());
+        const HoldingTable::Holding *slice = holdings_.find(teamHolding(team));
+        row->set_name(demand.team());
+        row->set_queued(demand.queued());
+        row->set_running(demand.running());
+        row->set_slice(slice == nullptr ? -1 : static_cast<int64_t>(slice->held));
+        row->set_weight(dispatcher_->weightOf(team));
+    }
+    for (const auto &[id, link] : control_->links()) {
+        schema::LinkDump *row = dump.add_links();
+        row->set_peer(id.value());
+        row->set_up(link->isUp());
+        row->set_sent_bytes(link->sentBytes());
+        row->set_received_bytes(link->receivedBytes());
+    }
+    return network::toJson(dump);
+}
+
+std::string EntryTask::metrics() const
+{
+    const DispatcherCounters &counters = dispatcher_->counters();
+    const auto line = [](const char *name, uint64_t value) {
+        return std::string(name) + " " + std::to_string(value) + "\n";
+    };
+    uint64_t sent = 0;
+    uint64_t received = 0;
+    for (const auto &[id, link] : control_->links()) {
+        sent += link->sentBytes();
+        received += link->receivedBytes();
+    }
+    return line("basilgap_requests_accepted", counters.accepted)
+        + line("basilgap_requests_refused", counters.refused)
+        + line("basilgap_requests_answered", counters.answered)
+        + line("basilgap_requests_retried", counters.retried)
+        + line("basilgap_requests_unknown", counters.unknown)
+        + line("basilgap_requests_expired", counters.expired)
+        + line("basilgap_requests_queued", dispatcher_->queued())
+        + line("basilgap_requests_running", dispatcher_->running())
+        + line("basilgap_control_sent_bytes", sent)
+        + line("basilgap_control_received_bytes", received)
+        + dispatcher_->waiting().metricText("basilgap_request_waiting_ms")
+        + dispatcher_->total().metricText("basilgap_request_total_ms");
+}
+
+} // namespace basilgap::entry
--- /dev/null
+++ b/Source/Basilgap/Entry/Exchange.cpp
@@ -0,0 +1,236 @@
+// The dispatcher's exchanges with backend servers: sending, judging the end, retrying, answering.
+
+#include "Basilgap/Common/EventLog.h"
+#include "Basilgap/Common/LeaseTimes.h"
+#include "Basilgap/Entry/Dispatcher.h"
+#include "Basilgap/Network/Json.h"
+
+namespace basilgap::entry {
+
+namespace {
+
+using network::ExchangeEnd;
+using network::ExchangeResult;
+
+constexpr double ServiceSmoothing = 0.1;
+
+const char *toText(ExchangeEnd end)
+{
+    switch (end) {
+    case ExchangeEnd::Complete:
+        return "complete";
+    case ExchangeEnd::ConnectFailed:
+        return "connect-failed";
+    case ExchangeEnd::Broken:
+        return "broken";
+    case ExchangeEnd::Timeout:
+        return "timeout";
+    case ExchangeEnd::TooLarge:
+        return "too-large";
+    }
+    return "?";
+}
+
+// The backend server refused an attempt whose grant had run out before it looked at it.
+bool isFenced(const ExchangeResult &result)
+{
+    return result.end == ExchangeEnd::Complete && result.response.status == 409
+        && network::findHeader(result.response.headers, "Basilgap-Outcome") == "not-run";
+}
+
+bool isBasilgapHeader(const std::string &name)
+{
+    return name.size() > 9
+        && (name.compare(0, 9, "Basilgap-") == 0 || name.compare(0, 9, "basilgap-") == 0);
+}
+
+} // namespace
+
+network::HttpRequest Dispatcher::attemptRequest(const Request &request) const
+{
+    network::HttpRequest out;
+    out.method = request.http.method;
+    out.target = request.http.target;
+    out.body = request.http.body;
+    for (const network::Header &header : request.http.headers) {
+        const bool isKey = network::findHeader({ header }, "Authorization").has_value();
+        if (!network::isHopByHop(header.name) && !isKey && !isBasilgapHeader(header.name))
+            out.headers.push_back(header);
+    }
+    const Millis left = view_.leaseLeft(steadyNow());
+    out.headers.push_back({ "Basilgap-Entry", options_.entry.value() });
+    out.headers.push_back({ "Basilgap-Attempt", request.attempt });
+    out.headers.push_back({ "Basilgap-Team", request.caller.team.value() });
+    out.headers.push_back({ "Basilgap-Expires-Ms", std::to_string(left.count()) });
+    return out;
+}
+
+void Dispatcher::start(RequestPointer request, const BackendId &backend)
+{
+    const Millis now = steadyNow();
+    const std::string address = backends_.find(backend)->view.address();
+    if (request->tried.empty())
+        waiting_.add(static_cast<double>((now - request->arrived).count()));
+    request->tried.insert(backend);
+    request->backend = backend;
+    request->sentAt = now;
+    request->attempt = options_.entry.value() + "-" + std::to_string(options_.incarnation.value())
+        + "-" + std::to_string(nextAttempt_++);
+    request->connection = connections_.take(backend, address);
+    backends_.started(backend);
+    holdings_.take(teamHolding(request->caller.team));
+    runningByFlow_[request->flow]++;
+    const RequestId id = request->id;
+    Request &running = *request;
+    running_[id] = std::move(request);
+    running.connection->exchange(attemptRequest(running), running.deadline - now,
+        [this, id](ExchangeResult result) { exchangeEnded(id, std::move(result)); });
+}
+
+void Dispatcher::exchangeEnded(RequestId id, ExchangeResult result)
+{
+    RequestPointer request = std::move(running_[id]);
+    running_.erase(id);
+    const auto echoed = network::findHeader(result.response.headers, "Basilgap-Attempt");
+    if (result.end == ExchangeEnd::Complete && echoed && *echoed != request->attempt) {
+        LogEvent("answer-mismatch", LogLevel::Warning)
+            .with("peer", request->backend.value())
+            .with("expected", request->attempt)
+            .with("got", *echoed);
+        result.end = ExchangeEnd::Broken;
+        request->connection.reset();
+    }
+    const bool fenced = isFenced(result);
+    noteEnd(*request, result, fenced);
+    settle(std::move(request), std::move(result));
+    options_.onDemand();
+    schedulePump();
+}
+
+// Gives the slot back, or keeps it when the backend server may still be at work.
+void Dispatcher::noteEnd(const Request &request, const ExchangeResult &result, bool fenced)
+{
+    const Millis now = steadyNow();
+    runningByFlow_[request.flow]--;
+    if (result.end == ExchangeEnd::Complete) {
+        const auto spent = static_cast<double>((now - request.sentAt).count());
+        backends_.answered(request.backend, spent);
+        holdings_.release(teamHolding(request.caller.team));
+        double &average = serviceMs_[request.flow];
+        if (!fenced)
+            average = average == 0 ? spent : average + ServiceSmoothing * (spent - average);
+        return;
+    }
+    LogEvent("exchange-failed", LogLevel::Warning)
+        .with("step", toText(result.end))
+        .with("peer", request.backend.value())
+        .with("team", request.caller.team.value())
+        .with("attempt", request.attempt)
+        .with("sent", result.bytesSent);
+    connections_.drop(request.backend);
+    if (!result.bytesSent) {
+        backends_.failed(request.backend, now);
+        holdings_.release(teamHolding(request.caller.team));
+        return;
+    }
+    const schema::RouteConfig *route = view_.findRoute(request.http.path());
+    const Millis longest(
+        route == nullptr ? request.deadline.count() - request.sentAt.count() : route->timeout_ms());
+    backends_.doubtful(request.backend, request.caller.team, now, now + longest);
+}
+
+void Dispatcher::settle(RequestPointer request, ExchangeResult result)
+{
+    const BackendId backend = request->backend;
+    if (request->connection && result.end == ExchangeEnd::Complete) {
+        const BackendTable::Backend *known = backends_.find(backend);
+        if (known != nullptr)
+            connections_.giveBack(backend, known->view.address(), std::move(request->connection));
+    }
+    request->connection.reset();
+    const bool fenced = isFenced(result);
+    if (result.end == ExchangeEnd::Complete && !fenced)
+        return answerWhole(std::move(request), std::move(result.response));
+    const bool ran = result.bytesSent && !fenced;
+    request->maybeRan = request->maybeRan || ran;
+    if (mayRetry(*request, ran)) {
+        counters_.retried++;
+        return retry(std::move(request));
+    }
+    const int status = result.end == ExchangeEnd::Timeout ? 504 : 502;
+    answerError(
+        std::move(request), status, "the backend server gave no whole answer", toText(result.end));
+}
+
+bool Dispatcher::mayRetry(Request &request, bool ran)
+{
+    if (ran && !request.repeatable)
+        return false;
+    if (steadyNow() >= request.deadline)
+        return false;
+    return budgets_[request.caller.team].withdraw();
+}
+
+void Dispatcher::retry(RequestPointer request)
+{
+    LogEvent("retry")
+        .with("team", request->caller.team.value())
+        .with("attempts", request->tried.size());
+    enqueue(std::move(request), true);
+}
+
+void Dispatcher::answerWhole(RequestPointer request, network::HttpResponse response)
+{
+    network::HttpResponse out{ .status = response.status, .headers = {}, .body = response.body };
+    for (const network::Header &header : response.headers) {
+        if (!network::isHopByHop(header.name) && !isBasilgapHeader(header.name))
+            out.headers.push_back(header);
+    }
+    counters_.answered++;
+    finish(std::move(request), std::move(out), "ran");
+}
+
+void Dispatcher::answerError(
+    RequestPointer request, int status, const std::string &error, const std::string &step)
+{
+    const std::string outcome = request->maybeRan ? "unknown" : "not-run";
+    counters_.unknown += request->maybeRan ? 1 : 0;
+    const bool later = status == 503;
+    network::HttpResponse response = network::errorResponse({ .status = status,
+        .error = error,
+        .outcome = outcome,
+        .step = step,
+        .peer = request->backend.value(),
+        .retryAfterSeconds = later ? 1 : 0 });
+    finish(std::move(request), std::move(response), outcome);
+}
+
+void Dispatcher::answerExpired(
+    RequestPointer request, const std::string &error, const std::string &step)
+{
+    const int status = request->maybeRan ? 504 : 503;
+    answerError(std::move(request), status, error, step);
+}
+
+void Dispatcher::finish(
+    RequestPointer request, network::HttpResponse response, const std::string &outcome)
+{
+    if (outcome == "ran")
+        response.headers.push_back({ "Basilgap-Outcome", "ran" });
+    total_.add(static_cast<double>((steadyNow() - request->arrived).count()));
+    if (request->claim) {
+        ClaimOutcome ended{ .outcome = outcome, .answer = {} };
+        ended.answer.set_status(static_cast<uint32_t>(response.status));
+        ended.answer.set_body(response.body);
+        for (const network::Header &header : response.headers) {
+            schema::HttpHeader *kept = ended.answer.add_headers();
+            kept->set_name(header.name);
+            kept->set_value(header.value);
+        }
+        options_.onClaimEnd(*request->claim, ended);
+    }
+    if (request->responder)
+        request->responder->answer(std::move(response));
+}
+
+} // namespace basilgap::entry
--- /dev/null
+++ b/Source/Basilgap/Entry/ViewStore.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "Basilgap/Common/Error.h"
+#include "Basilgap/Common/Ids.h"
+#include "Basilgap/Common/Millis.h"
+#include "Cell.pb.h"
+#include "Peer.pb.h"
+
+namespace basilgap::entry {
+
+// A key as it is kept: its SHA-256 in hexadecimal.
+using KeyHash = StrongType<struct KeyHashTag, std::string>;
+
+// The configuration that this entry has in force, and until when it may act on it.
+class ViewStore
+{
+public:
+    // Takes in a view; an older one than the one in force is ignored.
+    Result<void> install(const schema::View &view);
+
+    // The leader confirmed the revision in answer to a renewal that was sent at that time.
+    void confirmed(Revision revision, Millis sentAt);
+
+    // Whether work may be accepted and dispatched.
+    bool isValid(Millis now) const { return now < leaseEnd_; }
+    Millis leaseLeft(Millis now) const { return leaseEnd_ - now; }
+
+    Revision revision() const { return revision_; }
+    const schema::CellConfig &config() const { return config_; }
+    const std::string &hash() const { return hash_; }
+    const std::set<ZoneName> &zonesOut() const { return zonesOut_; }
+    bool isZoneOut(const ZoneName &zone) const { return zonesOut_.contains(zone); }
+    const std::map<EntryId, schema::SessionState> &entries() const { return entries_; }
+
+    // Team of the key in an Authorization header, with the key's hash.
+    struct Caller
+    {
+        TeamName team;
+        KeyHash key;
+    };
+    std::optional<Caller> authenticate(const std::string &authorization) const;
+    bool isKeyValid(const Caller &caller) const;
+
+    const schema::TeamConfig *findTeam(const TeamName &team) const;
+    // The route with the longest prefix of the path.
+    const schema::RouteConfig *findRoute(const std::string &path) const;
+
+private:
+    void indexConfig();
+
+    Revision revision_;
+    schema::CellConfig config_;
+    std::string hash_;
+    std::set<ZoneName> zonesOut_;
+    std::map<EntryId, schema::SessionState> entries_;
+    std::unordered_map<KeyHash, TeamName> keys_;
+    std::unordered_map<TeamName, int> teams_;
+    Millis leaseEnd_;
+};
+
+} // namespace basilgap::entry
--- /dev/null
+++ b/Source/Basilgap/Network/EventLoop.cpp
@@ -0,0 +1,77 @@
+#include "Basilgap/Network/EventLoop.h"
+
+#include <csignal>
+
+namespace basilgap::network {
+
+EventLoop::EventLoop()
+    : base_(event_base_new())
+{
+    // A peer that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+EventLoop::~EventLoop()
+{
+    event_base_free(base_);
+}
+
+void EventLoop::run()
+{
+    event_base_dispatch(base_);
+}
+
+void EventLoop::stop()
+{
+    event_base_loopbreak(base_);
+}
+
+Timer::Timer(EventLoop &loop, std::function<void()> callback)
+    : loop_(loop)
+    , callback_(std::move(callback))
+{}
+
+void Timer::startOnce(Millis delay)
+{
+    event_.reset(event_new(loop_.base(), -1, 0, fire, this));
+    const timeval time{ delay.count() / 1000, (delay.count() % 1000) * 1000 };
+    event_add(event_.get(), &time);
+}
+
+void Timer::startRepeating(Millis interval)
+{
+    event_.reset(event_new(loop_.base(), -1, EV_PERSIST, fire, this));
+    const timeval time{ interval.count() / 1000, (interval.count() % 1000) * 1000 };
+    event_add(event_.get(), &time);
+}
+
+void Timer::cancel()
+{
+    event_.reset();
+}
+
+bool Timer::isPending() const
+{
+    return event_ && event_pending(event_.get(), EV_TIMEOUT, nullptr) != 0;
+}
+
+void Timer::fire(evutil_socket_t, short, void *self)
+{
+    // The callback may destroy the timer.
+    const auto callback = static_cast<Timer *>(self)->callback_;
+    callback();
+}
+
+SignalWatch::SignalWatch(EventLoop &loop, int signal, std::function<void()> callback)
+    : callback_(std::move(callback))
+    , event_(evsignal_new(loop.base(), signal, fire, this))
+{
+    event_add(event_.get(), nullptr);
+}
+
+void SignalWatch::fire(evutil_socket_t, short, void *self)
+{
+    static_cast<SignalWatch *>(self)->callback_();
+}
+
+} // namespace basilgap::network
--- /dev/null
+++ b/Source/Basilgap/Network/EventLoop.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include <event2/event.h>
+
+#include "Basilgap/Common/Millis.h"
+
+namespace basilgap::network {
+
+struct EventDeleter
+{
+    void operator()(event *pointer) const { event_free(pointer); }
+};
+
+// The libevent loop of a daemon. All tasks of a process run in it, one callback at a time.
+class EventLoop
+{
+public:
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    // Runs until stop().
+    void run();
+    void stop();
+
+    event_base *base() const { return base_; }
+
+private:
+    event_base *base_;
+};
+
+// Calls back after a time, once or repeatedly; cancelled when destroyed.
+class Timer
+{
+public:
+    Timer(EventLoop &loop, std::function<void()> callback);
+    Timer(const Timer &) = delete;
+    Timer &operator=(const Timer &) = delete;
+
+    void startOnce(Millis delay);
+    void startRepeating(Millis interval);
+    void cancel();
+    bool isPending() const;
+
+private:
+    static void fire(evutil_socket_t, short, void *self);
+
+    EventLoop &loop_;
+    std::function<void()> callback_;
+    std::unique_ptr<event, EventDeleter> event_;
+};
+
+// Calls back when the process receives a signal.
+class SignalWatch
+{
+public:
+    SignalWatch(EventLoop &loop, int signal, std::function<void()> callback);
+    SignalWatch(const SignalWatch &) = delete;
+    SignalWatch &operator=(const SignalWatch &) = delete;
+
+private:
+    static void fire(evutil_socket_t, short, void *self);
+
+    std::function<void()> callback_;
+    std::unique_ptr<event, EventDeleter> event_;
+};
+
+} // namespace basilgap::network
--- /dev/null
+++ b/Source/Basilgap/Network/HttpConnection.cpp
@@ -0,0 +1,205 @@
+#include "Basilgap/Network/HttpConnection.h"
+
+#include <charconv>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include "Basilgap/Network/SocketAddress.h"
+
+namespace basilgap::network {
+
+namespace {
+
+constexpr size_t MaxHeaderBytes = 64 * 1024;
+
+evhttp_cmd_type methodType(const std::string &method)
+{
+    if (method == "GET")
+        return EVHTTP_REQ_GET;
+    if (method == "HEAD")
+        return EVHTTP_REQ_HEAD;
+    if (method == "PUT")
+        return EVHTTP_REQ_PUT;
+    if (method == "DELETE")
+        return EVHTTP_REQ_DELETE;
+    if (method == "OPTIONS")
+        return EVHTTP_REQ_OPTIONS;
+    if (method == "PATCH")
+        return EVHTTP_REQ_PATCH;
+    return EVHTTP_REQ_POST;
+}
+
+void noteSent(evbuffer *, const evbuffer_cb_info *info, void *flag)
+{
+    if (info->n_deleted > 0)
+        *static_cast<bool *>(flag) = true;
+}
+
+HttpResponse readResponse(evhttp_request *request)
+{
+    HttpResponse response;
+    response.status = evhttp_request_get_response_code(request);
+    const evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    for (const evkeyval *header = headers->tqh_first; header != nullptr;
+         header = header->next.tqe_next)
+        response.headers.push_back({ header->key, header->value });
+    evbuffer *body = evhttp_request_get_input_buffer(request);
+    response.body.resize(evbuffer_get_length(body));
+    evbuffer_remove(body, response.body.data(), response.body.size());
+    return response;
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(EventLoop &loop, Options options)
+    : loop_(loop)
+    , options_(std::move(options))
+    , deadline_(loop, [this] { finish({ .end = ExchangeEnd::Timeout, .response = {} }); })
+    , report_(loop, [this] {
+        auto done = std::move(done_);
+        done_ = nullptr;
+        done(std::move(result_));
+    })
+{
+    connect();
+}
+
+HttpConnection::~HttpConnection()
+{
+    if (connection_ == nullptr)
+        return;
+    evhttp_connection_set_closecb(connection_, nullptr, nullptr);
+    done_ = nullptr;
+    evhttp_connection_free(connection_);
+}
+
+void HttpConnection::connect()
+{
+    const auto address = parseAddress(options_.address);
+    if (!address)
+        return;
+    bufferevent *buffer = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    connection_ = evhttp_connection_base_bufferevent_new(
+        loop_.base(), nullptr, buffer, address->host.c_str(), address->port);
+    evhttp_connection_set_retries(connection_, 0);
+    evhttp_connection_set_max_body_size(
+        connection_, static_cast<ev_ssize_t>(options_.maxBodyBytes));
+    evhttp_connection_set_max_headers_size(connection_, MaxHeaderBytes);
+    evbuffer_add_cb(bufferevent_get_output(buffer), noteSent, &bytesSent_);
+    evhttp_connection_set_closecb(connection_, onClosed, this);
+}
+
+void HttpConnection::exchange(
+    const HttpRequest &request, Millis timeout, std::function<void(ExchangeResult)> done)
+{
+    done_ = std::move(done);
+    bytesSent_ = false;
+    failure_ = ExchangeEnd::Broken;
+    isHead_ = request.method == "HEAD";
+    if (connection_ == nullptr)
+        return finish({ .end = ExchangeEnd::ConnectFailed, .response = {} });
+    evhttp_request *outgoing = evhttp_request_new(onAnswer, this);
+    evhttp_request_set_error_cb(outgoing, onFailure);
+    evkeyvalq *headers = evhttp_request_get_output_headers(outgoing);
+    for (const Header &header : request.headers)
+        evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+    evhttp_add_header(headers, "Host", options_.address.c_str());
+    // evhttp sets the length for methods that usually have a body only.
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT"
+        || request.method == "PATCH")
+        evhttp_add_header(headers, "Content-Length", std::to_string(request.body.size()).c_str());
+    evbuffer_add(
+        evhttp_request_get_output_buffer(outgoing), request.body.data(), request.body.size());
+    deadline_.startOnce(timeout);
+    const timeval hardTimeout{ timeout.count() / 1000 + 1, 0 };
+    evhttp_connection_set_timeout_tv(connection_, &hardTimeout);
+    if (evhttp_make_request(
+            connection_, outgoing, methodType(request.method), request.target.c_str())
+        != 0)
+        finish({ .end = ExchangeEnd::ConnectFailed, .response = {} });
+}
+
+bool HttpConnection::isWhole(evhttp_request *request) const
+{
+    const char *length =
+        evhttp_find_header(evhttp_request_get_input_headers(request), "Content-Length");
+    if (length == nullptr || isHead_)
+        return true;
+    size_t expected = 0;
+    std::from_chars(length, length + std::char_traits<char>::length(length), expected);
+    return evbuffer_get_length(evhttp_request_get_input_buffer(request)) == expected;
+}
+
+void HttpConnection::onAnswer(evhttp_request *request, void *self)
+{
+    auto *connection = static_cast<HttpConnection *>(self);
+    if (!connection->done_)
+        return;
+    if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
+        const ExchangeEnd end =
+            connection->bytesSent_ ? connection->failure_ : ExchangeEnd::ConnectFailed;
+        return connection->finish({ .end = end, .response = {} });
+    }
+    if (!connection->isWhole(request))
+        return connection->finish({ .end = ExchangeEnd::Broken, .response = {} });
+    connection->finish({ .end = ExchangeEnd::Complete, .response = readResponse(request) });
+}
+
+void HttpConnection::onFailure(evhttp_request_error error, void *self)
+{
+    auto *connection = static_cast<HttpConnection *>(self);
+    if (error == EVREQ_HTTP_TIMEOUT)
+        connection->failure_ = ExchangeEnd::Timeout;
+    if (error == EVREQ_HTTP_DATA_TOO_LONG)
+        connection->failure_ = ExchangeEnd::TooLarge;
+}
+
+void HttpConnection::onClosed(evhttp_connection *, void *self)
+{
+    static_cast<HttpConnection *>(self)->reusable_ = false;
+}
+
+// Reports from the event loop: evhttp still uses the connection while it calls back.
+void HttpConnection::finish(ExchangeResult result)
+{
+    if (report_.isPending())
+        return;
+    deadline_.cancel();
+    result.bytesSent = bytesSent_;
+    if (result.end != ExchangeEnd::Complete)
+        reusable_ = false;
+    const auto close = findHeader(result.response.headers, "Connection");
+    if (close && *close == "close")
+        reusable_ = false;
+    result_ = std::move(result);
+    report_.startOnce(Millis(0));
+}
+
+void fetchOnce(EventLoop &loop, const std::string &address, const HttpRequest &request,
+    Millis timeout, std::function<void(ExchangeResult)> done)
+{
+    auto connection =
+        std::make_shared<HttpConnection>(loop, HttpConnection::Options{ .address = address });
+    connection->exchange(request, timeout, [connection, done](ExchangeResult result) mutable {
+        done(std::move(result));
+        connection.reset();
+    });
+}
+
+ExchangeResult fetchAndWait(const std::string &address, const HttpRequest &request, Millis timeout)
+{
+    EventLoop loop;
+    ExchangeResult result;
+    fetchOnce(loop, address, request, timeout, [&](ExchangeResult ended) {
+        result = std::move(ended);
+        loop.stop();
+    });
+    loop.run();
+    return result;
+}
+
+} // namespace basilgap::network
--- /dev/null
+++ b/Source/Basilgap/Network/HttpMessage.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace basilgap::network {
+
+struct Header
+{
+    std::string name;
+    std::string value;
+};
+
+using Headers = std::vector<Header>;
+
+// Value of the first header with the name, compared without case.
+std::optional<std::string> findHeader(const Headers &headers, std::string_view name);
+
+// True for headers that concern one connection only (RFC 9110, 7.6.1), or its framing.
+bool isHopByHop(std::string_view name);
+
+struct HttpRequest
+{
+    std::string method;
+    // Path and query as sent.
+    std::string target;
+    Headers headers;
+    std::string body;
+    std::string peer;
+
+    // The target without its query.
+    std::string path() const;
+    // Value of a query parameter, undecoded.
+    std::optional<std::string> query(std::string_view name) const;
+};
+
+struct HttpResponse
+{
+    int status = 200;
+    Headers headers;
+    std::string body;
+};
+
+// A response with a JSON body.
+HttpResponse jsonResponse(int status, std::string body);
+
+} // namespace basilgap::network
--- /dev/null
+++ b/Source/Basilgap/Network/HttpServer.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <event2/http.h>
+
+#include "Basilgap/Common/Error.h"
+#include "Basilgap/Network/EventLoop.h"
+#include "Basilgap/Network/HttpMessage.h"
+
+namespace basilgap::network {
+
+// The answer slot of one request. Exactly one answer is sent; a slot that is dropped unanswered
+// answers 503. Answering after the caller has gone does nothing.
+class Responder
+{
+public:
+    virtual ~Responder() = default;
+    virtual void answer(HttpResponse response) = 0;
+    // Closes the connection without an answer.
+    virtual void abort() = 0;
+    virtual bool isCallerGone() const = 0;
+    // Called when the caller closes its connection before the answer.
+    virtual void onCallerGone(std::function<void()> callback) = 0;
+};
+
+using ResponderPointer = std::shared_ptr<Responder>;
+using RequestHandler = std::function<void(HttpRequest, ResponderPointer)>;
+
+struct HttpServerOptions
+{
+    std::string address;
+    // Largest body that is read, in bytes. A larger one is answered 413 with `tooLargeBody`.
+    size_t maxBodyBytes = 1024 * 1024;
+    size_t maxHeaderBytes = 16 * 1024;
+    Millis idleTimeout{ 60000 };
+    // Requests over this number are answered 503 at once; 0: unbounded.
+    size_t maxPending = 0;
+    std::string tooLargeBody;
+    Headers tooLargeHeaders;
+};
+
+// An HTTP/1.1 listener on evhttp.
+class HttpServer
+{
+public:
+    static Result<std::unique_ptr<HttpServer>> listen(
+        EventLoop &loop, HttpServerOptions options, RequestHandler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    // Address with the port that was bound, useful when port 0 was asked for.
+    std::string address() const;
+
+    // Closes the listener; open connections go on and are closed after their next answer.
+    void stopAccepting();
+
+    // Requests that were read and not answered yet.
+    size_t pendingRequests() const { return pending_; }
+
+private:
+    friend class EvhttpResponder;
+
+    HttpServer(EventLoop &loop, HttpServerOptions options, RequestHandler handler);
+    static void handle(evhttp_request *request, void *self);
+    void dispatch(evhttp_request *request);
+
+    HttpServerOptions options_;
+    RequestHandler handler_;
+    evhttp *http_;
+    evhttp_bound_socket *socket_ = nullptr;
+    size_t pending_ = 0;
+    bool accepting_ = true;
+    // Outlives the server in responders that are still held.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace basilgap::network
--- /dev/null
+++ b/Source/Basilgap/Network/PeerLink.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Basilgap/Network/PeerStream.h"
+#include "Basilgap/Network/SocketAddress.h"
+
+namespace basilgap::network {
+
+// An outgoing connection to another process that is made again, with a growing delay, whenever it
+// is lost. Messages sent while it is down are dropped: the protocols above repeat themselves.
+class PeerLink
+{
+public:
+    struct Options
+    {
+        std::string address;
+        std::string cellKey;
+        // Sent first on every connection.
+        schema::Hello hello;
+        std::function<void(schema::PeerMessage)> onMessage;
+        std::function<void()> onUp;
+        std::function<void()> onDown;
+    };
+
+    PeerLink(EventLoop &loop, Options options);
+
+    // False when the link is down.
+    bool send(const schema::PeerMessage &message);
+
+    bool isUp() const { return up_; }
+    const std::string &address() const { return options_.address; }
+    uint64_t sentBytes() const { return sentBefore_ + (stream_ ? stream_->sentBytes() : 0); }
+    uint64_t receivedBytes() const
+    {
+        return receivedBefore_ + (stream_ ? stream_->receivedBytes() : 0);
+    }
+
+private:
+    void connect();
+    void opened(PeerStream &stream);
+    void lost();
+
+    EventLoop &loop_;
+    Options options_;
+    std::unique_ptr<PeerStream> stream_;
+    bool up_ = false;
+    Millis backoff_;
+    Timer reconnect_;
+    uint64_t sentBefore_ = 0;
+    uint64_t receivedBefore_ = 0;
+};
+
+} // namespace basilgap::network
--- /dev/null
+++ b/Source/Basilgap/Network/PeerServer.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include <event2/listener.h>
+
+#include "Basilgap/Common/Error.h"
+#include "Basilgap/Network/PeerStream.h"
+
+namespace basilgap::network {
+
+// Accepts streams of other processes of the cell.
+class PeerServer
+{
+public:
+    struct Options
+    {
+        std::string address;
+        std::string cellKey;
+        std::function<void(PeerStream &, schema::PeerMessage)> onMessage;
+        // The stream is destroyed after the call.
+        std::function<void(PeerStream &)> onClosed;
+    };
+
+    static Result<std::unique_ptr<PeerServer>> listen(EventLoop &loop, Options options);
+    ~PeerServer();
+    PeerServer(const PeerServer &) = delete;
+    PeerServer &operator=(const PeerServer &) = delete;
+
+    std::string address() const;
+
+    uint64_t sentBytes() const;
+    uint64_t receivedBytes() const;
+
+private:
+    PeerServer(EventLoop &loop, Options options);
+    static void onAccept(evconnlistener *, evutil_socket_t socket, sockaddr *peer, int, void *self);
+    void accept(evutil_socket_t socket, const std::string &peer);
+    void remove(PeerStream &stream);
+
+    EventLoop &loop_;
+    Options options_;
+    evconnlistener *listener_ = nullptr;
+    std::list<std::unique_ptr<PeerStream>> streams_;
+    uint64_t sentBefore_ = 0;
+    uint64_t receivedBefore_ = 0;
+};
+
+} // namespace basilgap::network
--- /dev/null
+++ b/Source/Basilgap/Network/PeerStream.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <event2/bufferevent.h>
+#include <nghttp2/nghttp2.h>
+
+#include "Basilgap/Network/EventLoop.h"
+#include "Peer.pb.h"
+
+namespace basilgap::network {
+
+// Largest message between processes, in bytes.
+constexpr size_t MaxPeerMessageBytes = 8 * 1024 * 1024;
+
+// Bytes that may wait to be sent on one stream before it is closed.
+constexpr size_t MaxPeerQueueBytes = 32 * 1024 * 1024;
+
+// One HTTP/2 connection between two processes with a single long-lived stream that carries
+// length-delimited protobuf messages both ways. The connecting side shows the cell key.
+class PeerStream
+{
+public:
+    enum class Role { Client, Server };
+
+    struct Options
+    {
+        Role role = Role::Client;
+        // Shown by the client, asked for by the server.
+        std::string cellKey;
+        // Address of the other side, for logs.
+        std::string peer;
+        std::function<void(PeerStream &, schema::PeerMessage)> onMessage;
+        // The stream is ready to carry messages.
+        std::function<void(PeerStream &)> onOpen;
+        // Called once, from the event loop; the stream may be destroyed inside.
+        std::function<void(PeerStream &)> onClosed;
+    };
+
+    // Takes over the bufferevent.
+    PeerStream(EventLoop &loop, bufferevent *connection, Options options);
+    ~PeerStream();
+    PeerStream(const PeerStream &) = delete;
+    PeerStream &operator=(const PeerStream &) = delete;
+
+    // Queues a message; false when the stream is closed or its queue is full.
+    bool send(const schema::PeerMessage &message);
+
+    // Closes soon; onClosed follows.
+    void close();
+
+    // Differs between all streams of this process.
+    uint64_t id() const { return id_; }
+    const std::string &peer() const { return options_.peer; }
+
+    // Who the other side said it is, once its Hello has arrived.
+    const schema::Hello &hello() const { return hello_; }
+
+    uint64_t sentBytes() const { return sentBytes_; }
+    uint64_t receivedBytes() const { return receivedBytes_; }
+
+private:
+    static void onReadable(bufferevent *, void *self);
+    static void onEvent(bufferevent *, short events, void *self);
+    static ssize_t readOutbound(nghttp2_session *, int32_t, uint8_t *buffer, size_t length,
+        uint32_t *flags, nghttp2_data_source *, void *self);
+    static ssize_t writeWire(
+        nghttp2_session *, const uint8_t *data, size_t length, int, void *self);
+    static int onHeader(nghttp2_session *, const nghttp2_frame *, const uint8_t *name, size_t,
+        const uint8_t *value, size_t valueLength, uint8_t, void *self);
+    static int onFrame(nghttp2_session *, const nghttp2_frame *frame, void *self);
+    static int onData(
+        nghttp2_session *, uint8_t, int32_t, const uint8_t *data, size_t length, void *self);
+    static int onStreamClosed(nghttp2_session *, int32_t, uint32_t, void *self);
+
+    void startSession();
+    void submitRequest();
+    void acceptRequest(int32_t stream);
+    void receive(const uint8_t *data, size_t length);
+    void deliver(const std::string &bytes);
+    void flush();
+
+    uint64_t id_;
+    Options options_;
+    bufferevent *connection_;
+    nghttp2_session *session_ = nullptr;
+    int32_t stream_ = -1;
+    bool authorized_ = false;
+    bool closed_ = false;
+    bool receiving_ = false;
+    std::string outbound_;
+    size_t outboundRead_ = 0;
+    std::string inbound_;
+    schema::Hello hello_;
+    uint64_t sentBytes_ = 0;
+    uint64_t receivedBytes_ = 0;
+    Timer closing_;
+};
+
+} // namespace basilgap::network
--- /dev/null
+++ b/Source/Basilgap/Replication/LogStorage.cpp
@@ -0,0 +1,322 @@
+#include "Basilgap/Replication/LogStorage.h"
+
+#include <cerrno>
+#include <filesystem>
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include "Basilgap/Common/Hash.h"
+#include "Basilgap/Replication/RecordFrame.h"
+
+namespace basilgap::replication {
+
+namespace {
+
+constexpr const char *IdentityFile = "identity";
+constexpr const char *HardStateFile = "hard-state";
+constexpr const char *SnapshotFile = "snapshot";
+constexpr const char *LogFile = "log";
+constexpr const char *LockFile = "lock";
+
+Error damaged(const std::string &path, size_t offset)
+{
+    return Error{ .code = ErrorCode::Damaged,
+        .step = "read",
+        .peer = path,
+        .message = "damaged record at offset " + std::to_string(offset) };
+}
+
+// Reads a file that holds one framed message; false when the file is missing or empty.
+Result<bool> readFramedFile(const std::string &path, google::protobuf::Message *message)
+{
+    const auto bytes = readWholeFile(path);
+    if (!bytes)
+        return fail(bytes.error());
+    if (bytes->empty())
+        return false;
+    const Frame frame = readFrame(*bytes, 0);
+    if (frame.state != FrameState::Whole
+        || !message->ParseFromArray(frame.content.data(), static_cast<int>(frame.content.size())))
+        return fail(damaged(path, 0));
+    return true;
+}
+
+std::string framed(const google::protobuf::Message &message)
+{
+    std::string bytes;
+    appendFrame(&bytes, message.SerializeAsString());
+    return bytes;
+}
+
+// The first frame of the log file names the record before its first one.
+std::string logHeader(LogIndex baseIndex, Term baseTerm)
+{
+    schema::SnapshotMeta header;
+    header.set_index(baseIndex.value());
+    header.set_term(baseTerm.value());
+    return framed(header);
+}
+
+} // namespace
+
+LogStorage::LogStorage(Options options)
+    : options_(std::move(options))
+{}
+
+LogStorage::~LogStorage()
+{
+    if (lock_ >= 0)
+        ::close(lock_);
+}
+
+Result<std::unique_ptr<LogStorage>> LogStorage::open(Options options)
+{
+    std::unique_ptr<LogStorage> storage(new LogStorage(std::move(options)));
+    using Step = Result<void> (LogStorage::*)();
+    for (const Step step : { &LogStorage::lockFolder, &LogStorage::readIdentity,
+             &LogStorage::readHardState, &LogStorage::readSnapshot, &LogStorage::readLog }) {
+        if (auto done = (storage.get()->*step)(); !done)
+            return fail(done.error());
+    }
+    return storage;
+}
+
+Result<void> LogStorage::lockFolder()
+{
+    std::error_code code;
+    std::filesystem::create_directories(options_.folder, code);
+    if (code)
+        return fail({ ErrorCode::Io, "create-folder", options_.folder, code.message() });
+    lock_ = ::open(path(LockFile).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+    if (lock_ < 0)
+        return fail(systemError("open", path(LockFile)));
+    if (::flock(lock_, LOCK_EX | LOCK_NB) != 0)
+        return fail({ ErrorCode::Conflict, "lock", options_.folder,
+            "another process holds the data folder" });
+    return {};
+}
+
+Result<void> LogStorage::readIdentity()
+{
+    schema::Member identity;
+    const auto found = readFramedFile(path(IdentityFile), &identity);
+    if (!found)
+        return fail(found.error());
+    if (*found && identity.id() != options_.replica.value())
+        return fail({ ErrorCode::Conflict, "read", path(IdentityFile),
+            "the folder belongs to replica " + identity.id() });
+    if (!*found) {
+        identity.set_id(options_.replica.value());
+        identity.set_incarnation(randomNumber());
+        if (auto done = replaceFile(path(IdentityFile), framed(identity), *options_.calls); !done)
+            return done;
+    }
+    incarnation_ = Incarnation(identity.incarnation());
+    return {};
+}
+
+Result<void> LogStorage::readHardState()
+{
+    const auto found = readFramedFile(path(HardStateFile), &restart_.hardState);
+    if (!found)
+        return fail(found.error());
+    return {};
+}
+
+Result<void> LogStorage::readSnapshot()
+{
+    schema::Snapshot snapshot;
+    const auto found = readFramedFile(path(SnapshotFile), &snapshot);
+    if (!found)
+        return fail(found.error());
+    restart_.snapshotMeta = snapshot.meta();
+    restart_.snapshotState = std::make_shared<const std::string>(snapshot.state());
+    return {};
+}
+
+Result<void> LogStorage::readLog()
+{
+    const auto bytes = readWholeFile(path(LogFile));
+    if (!bytes)
+        return fail(bytes.error());
+    if (bytes->empty())
+        return rewriteLog(
+            LogIndex(restart_.snapshotMeta.index()), Term(restart_.snapshotMeta.term()), {});
+    auto file = DiskFile::open(path(LogFile), *options_.calls);
+    if (!file)
+        return fail(file.error());
+    log_ = std::move(*file);
+    return scanLog(*bytes);
+}
+
+Result<void> LogStorage::scanLog(const std::string &bytes)
+{
+    // The log file is only ever replaced whole, so its header can't be torn.
+    schema::SnapshotMeta header;
+    const Frame first = readFrame(bytes, 0);
+    if (first.state != FrameState::Whole
+        || !header.ParseFromArray(first.content.data(), static_cast<int>(first.content.size())))
+        return fail(damaged(path(LogFile), 0));
+    baseIndex_ = header.index();
+    baseTerm_ = header.term();
+
+    std::vector<schema::LogRecord> records;
+    size_t offset = first.length;
+    while (offset < bytes.size()) {
+        const Frame frame = readFrame(bytes, offset);
+        const bool isLast = frame.length != 0 && offset + frame.length >= bytes.size();
+        if (frame.state == FrameState::Torn || (frame.state == FrameState::Damaged && isLast)) {
+            if (auto cut = cutTail(bytes, offset); !cut)
+                return cut;
+            break;
+        }
+        schema::LogRecord record;
+        const auto size = static_cast<int>(frame.content.size());
+        if (frame.state == FrameState::Damaged || !record.ParseFromArray(frame.content.data(), size)
+            || record.index() != lastIndex() + 1)
+            return fail(damaged(path(LogFile), offset));
+        offsets_.push_back(offset);
+        records.push_back(std::move(record));
+        offset += frame.length;
+    }
+    logLength_ = offset;
+    return adoptRecords(std::move(records));
+}
+
+Result<void> LogStorage::cutTail(const std::string &bytes, size_t offset)
+{
+    tornBytes_ = bytes.size() - offset;
+    if (auto cut = log_.truncate(offset); !cut)
+        return cut;
+    return log_.sync();
+}
+
+Result<void> LogStorage::adoptRecords(std::vector<schema::LogRecord> records)
+{
+    const uint64_t snapshotIndex = restart_.snapshotMeta.index();
+    RaftLog log(LogIndex(baseIndex_), Term(baseTerm_), std::move(records));
+    const bool joins = baseIndex_ <= snapshotIndex && snapshotIndex <= log.lastIndex().value()
+        && log.termAt(LogIndex(snapshotIndex)).value() == restart_.snapshotMeta.term();
+    if (joins) {
+        restart_.log = std::move(log);
+        return {};
+    }
+    // A crash between a received snapshot and the new log leaves records of an older past.
+    if (baseIndex_ > snapshotIndex)
+        return fail({ ErrorCode::Damaged, "read", path(LogFile),
+            "the log starts after the snapshot ends" });
+    const LogIndex base(snapshotIndex);
+    const Term term(restart_.snapshotMeta.term());
+    restart_.log = RaftLog(base, term, {});
+    return rewriteLog(base, term, {});
+}
+
+Result<void> LogStorage::writeHardState(const schema::HardState &state)
+{
+    return replaceFile(path(HardStateFile), framed(state), *options_.calls);
+}
+
+Result<void> LogStorage::write(const RaftOutput &output)
+{
+    if (output.hardState) {
+        if (auto done = writeHardState(*output.hardState); !done)
+            return done;
+    }
+    if (output.install) {
+        const LogIndex index(output.install->meta().index());
+        if (auto done = saveSnapshot(*output.install, index); !done)
+            return done;
+        if (auto done = rewriteLog(index, Term(output.install->meta().term()), {}); !done)
+            return done;
+    }
+    if (output.truncateFrom) {
+        if (auto done = truncateFrom(*output.truncateFrom); !done)
+            return done;
+    }
+    if (output.append.empty() && !output.truncateFrom)
+        return {};
+    if (auto done = append(output.append); !done)
+        return done;
+    return log_.sync();
+}
+
+Result<void> LogStorage::append(const std::vector<schema::LogRecord> &records)
+{
+    std::string bytes;
+    std::vector<uint64_t> offsets;
+    for (const schema::LogRecord &record : records) {
+        offsets.push_back(logLength_ + bytes.size());
+        appendFrame(&bytes, record.SerializeAsString());
+    }
+    if (auto done = log_.writeAt(logLength_, bytes); !done)
+        return done;
+    logLength_ += bytes.size();
+    offsets_.insert(offsets_.end(), offsets.begin(), offsets.end());
+    return {};
+}
+
+Result<void> LogStorage::truncateFrom(LogIndex index)
+{
+    if (index.value() > lastIndex())
+        return {};
+    const uint64_t offset = offsets_[index.value() - baseIndex_ - 1];
+    if (auto done = log_.truncate(offset); !done)
+        return done;
+    offsets_.resize(index.value() - baseIndex_ - 1);
+    logLength_ = offset;
+    return {};
+}
+
+Result<void> LogStorage::saveSnapshot(const schema::Snapshot &snapshot, LogIndex keepFrom)
+{
+    if (auto done = replaceFile(path(SnapshotFile), framed(snapshot), *options_.calls); !done)
+        return done;
+    if (keepFrom.value() <= baseIndex_ || keepFrom.value() > lastIndex())
+        return {};
+    const auto bytes = readWholeFile(path(LogFile));
+    if (!bytes)
+        return fail(bytes.error());
+    std::vector<std::string> kept;
+    uint64_t term = baseTerm_;
+    for (uint64_t index = keepFrom.value(); index <= lastIndex(); index++) {
+        const Frame frame = readFrame(*bytes, offsets_[index - baseIndex_ - 1]);
+        if (frame.state != FrameState::Whole)
+            return fail(damaged(path(LogFile), offsets_[index - baseIndex_ - 1]));
+        if (index > keepFrom.value()) {
+            kept.emplace_back(frame.content);
+            continue;
+        }
+        schema::LogRecord record;
+        record.ParseFromArray(frame.content.data(), static_cast<int>(frame.content.size()));
+        term = record.term();
+    }
+    return rewriteLog(keepFrom, Term(term), kept);
+}
+
+Result<void> LogStorage::rewriteLog(
+    LogIndex baseIndex, Term baseTerm, const std::vector<std::string> &records)
+{
+    std::string bytes = logHeader(baseIndex, baseTerm);
+    std::deque<uint64_t> offsets;
+    for (const std::string &record : records) {
+        offsets.push_back(bytes.size());
+        appendFrame(&bytes, record);
+    }
+    if (auto done = replaceFile(path(LogFile), bytes, *options_.calls); !done)
+        return done;
+    auto file = DiskFile::open(path(LogFile), *options_.calls);
+    if (!file)
+        return fail(file.error());
+    log_ = std::move(*file);
+    logLength_ = bytes.size();
+    baseIndex_ = baseIndex.value();
+    baseTerm_ = baseTerm.value();
+    offsets_ = std::move(offsets);
+    if (!restart_.log.size())
+        restart_.log = RaftLog(baseIndex, baseTerm, {});
+    return {};
+}
+
+} // namespace basilgap::replication
--- /dev/null
+++ b/Source/Basilgap/Replication/RaftElection.cpp
@@ -0,0 +1,184 @@
+#include <algorithm>
+
+#include "Basilgap/Replication/Membership.h"
+#include "Basilgap/Replication/RaftCore.h"
+
+namespace basilgap::replication {
+
+void RaftCore::resetElectionDue()
+{
+    const int64_t spread = (options_.electionMax - options_.electionMin).count();
+    const auto extra = static_cast<int64_t>(random_() % static_cast<uint64_t>(spread + 1));
+    electionDue_ = now_ + options_.electionMin + Millis(extra);
+}
+
+bool RaftCore::isSelfVoter() const
+{
+    const schema::Member *self = findMember(membership(), options_.self);
+    return self != nullptr && self->voter() && self->incarnation() == options_.incarnation.value();
+}
+
+void RaftCore::becomeFollower(Term term, const ReplicaId &leader)
+{
+    if (term.value() > hardState_.term()) {
+        hardState_.set_term(term.value());
+        hardState_.clear_voted_for();
+        saveHardState();
+    }
+    role_ = RaftRole::Follower;
+    leader_ = leader;
+    transferring_ = false;
+    progress_.clear();
+    resetElectionDue();
+}
+
+void RaftCore::startPreVote()
+{
+    role_ = RaftRole::PreCandidate;
+    leader_ = ReplicaId();
+    votes_ = { options_.self };
+    resetElectionDue();
+    if (hasQuorum(votes_))
+        return startElection(false);
+    requestVotes(true, false);
+}
+
+void RaftCore::startElection(bool transfer)
+{
+    role_ = RaftRole::Candidate;
+    leader_ = ReplicaId();
+    hardState_.set_term(hardState_.term() + 1);
+    hardState_.set_voted_for(options_.self.value());
+    saveHardState();
+    votes_ = { options_.self };
+    resetElectionDue();
+    if (hasQuorum(votes_))
+        return becomeLeader();
+    requestVotes(false, transfer);
+}
+
+void RaftCore::requestVotes(bool preVote, bool transfer)
+{
+    for (const auto &member : membership().members()) {
+        if (!member.voter() || member.id() == options_.self.value())
+            continue;
+        schema::RaftMessage message = makeMessage(member);
+        if (preVote)
+            message.set_term(hardState_.term() + 1);
+        schema::VoteRequest *request = message.mutable_vote_request();
+        request->set_last_index(log_.lastIndex().value());
+        request->set_last_term(log_.lastTerm().value());
+        request->set_pre_vote(preVote);
+        request->set_transfer(transfer);
+        output_.messages.push_back(std::move(message));
+    }
+}
+
+bool RaftCore::hasQuorum(const std::set<ReplicaId> &votes) const
+{
+    size_t count = 0;
+    for (const auto &member : membership().members())
+        count += member.voter() && votes.contains(ReplicaId(member.id())) ? 1 : 0;
+    return count * 2 > voterCount(membership());
+}
+
+bool RaftCore::isUpToDate(const schema::VoteRequest &request) const
+{
+    if (request.last_term() != log_.lastTerm().value())
+        return request.last_term() > log_.lastTerm().value();
+    return request.last_index() >= log_.lastIndex().value();
+}
+
+void RaftCore::handleVoteRequest(const schema::RaftMessage &message)
+{
+    if (isBlank())
+        return;
+    const schema::VoteRequest &request = message.vote_request();
+    const bool leaderAlive =
+        isLeader() || (!leader_.value().empty() && now_ - leaderHeard_ < options_.electionMin);
+    if (leaderAlive && !request.transfer())
+        return;
+    if (!request.pre_vote() && message.term() > hardState_.term())
+        becomeFollower(Term(message.term()), ReplicaId());
+
+    bool granted = message.term() >= hardState_.term() && isUpToDate(request);
+    if (request.pre_vote()) {
+        granted = granted && message.term() > hardState_.term();
+    } else {
+        const bool free =
+            hardState_.voted_for().empty() || hardState_.voted_for() == message.from();
+        granted = granted && free && message.term() == hardState_.term();
+    }
+    if (granted && !request.pre_vote()) {
+        hardState_.set_voted_for(message.from());
+        saveHardState();
+        resetElectionDue();
+    }
+    schema::RaftMessage reply = makeReply(message);
+    if (request.pre_vote() && granted)
+        reply.set_term(message.term());
+    reply.mutable_vote_reply()->set_granted(granted);
+    reply.mutable_vote_reply()->set_pre_vote(request.pre_vote());
+    output_.messages.push_back(std::move(reply));
+}
+
+void RaftCore::handleVoteReply(const schema::RaftMessage &message)
+{
+    const schema::VoteReply &reply = message.vote_reply();
+    const schema::Member *member = findMember(membership(), ReplicaId(message.from()));
+    if (member == nullptr || member->incarnation() != message.from_incarnation())
+        return;
+    if (!reply.granted()) {
+        if (message.term() > hardState_.term())
+            becomeFollower(Term(message.term()), ReplicaId());
+        return;
+    }
+    const bool wantsPreVote = role_ == RaftRole::PreCandidate && reply.pre_vote()
+        && message.term() == hardState_.term() + 1;
+    const bool wantsVote =
+        role_ == RaftRole::Candidate && !reply.pre_vote() && message.term() == hardState_.term();
+    if (!wantsPreVote && !wantsVote)
+        return;
+    votes_.insert(ReplicaId(message.from()));
+    if (!hasQuorum(votes_))
+        return;
+    if (wantsPreVote)
+        startElection(false);
+    else
+        becomeLeader();
+}
+
+void RaftCore::becomeLeader()
+{
+    role_ = RaftRole::Leader;
+    leader_ = options_.self;
+    transferring_ = false;
+    progress_.clear();
+    for (const auto &member : membership().members()) {
+        Progress progress;
+        progress.next = log_.lastIndex().value() + 1;
+        progress.lastHeard = now_;
+        progress_[ReplicaId(member.id())] = progress;
+    }
+    round_ = 0;
+    quorumCheckDue_ = now_ + options_.electionMax;
+    heartbeatDue_ = now_;
+    appendRecord(schema::LogRecord::NOOP, "");
+    termStartIndex_ = log_.lastIndex().value();
+    broadcast(true);
+    advanceCommit();
+}
+
+void RaftCore::checkQuorum()
+{
+    quorumCheckDue_ = now_ + options_.heartbeat;
+    std::set<ReplicaId> heard = { options_.self };
+    for (const auto &[id, progress] : progress_) {
+        if (now_ - progress.lastHeard < options_.electionMax)
+            heard.insert(id);
+    }
+    if (!hasQuorum(heard))
+        becomeFollower(term(), ReplicaId());
+}
+
+} // namespace basilgap::replication
--- /dev/null
+++ b/Source/Basilgap/Replication/RaftReplication.cpp
@@ -0,0 +1,282 @@
+#include <algorithm>
+
+#include "Basilgap/Replication/Membership.h"
+#include "Basilgap/Replication/RaftCore.h"
+
+namespace basilgap::replication {
+
+namespace {
+
+// Heartbeats without progress after which unanswered records are sent again.
+constexpr int ResendHeartbeats = 3;
+
+} // namespace
+
+void RaftCore::appendRecord(schema::LogRecord::Kind kind, std::string data)
+{
+    schema::LogRecord record;
+    record.set_index(log_.lastIndex().value() + 1);
+    record.set_term(hardState_.term());
+    record.set_kind(kind);
+    record.set_data(std::move(data));
+    noteMembership(record);
+    log_.append(record);
+    output_.append.push_back(std::move(record));
+}
+
+void RaftCore::broadcast(bool heartbeat)
+{
+    if (heartbeat) {
+        round_++;
+        heartbeatDue_ = now_ + options_.heartbeat;
+    }
+    for (const auto &member : membership().members()) {
+        if (member.id() != options_.self.value())
+            replicateTo(member, heartbeat);
+    }
+}
+
+void RaftCore::replicateTo(const schema::Member &member, bool heartbeat)
+{
+    auto [entry, isNew] = progress_.try_emplace(ReplicaId(member.id()));
+    Progress &progress = entry->second;
+    if (isNew) {
+        progress.next = log_.lastIndex().value() + 1;
+        progress.lastHeard = now_;
+    }
+    if (heartbeat && ++progress.silentHeartbeats >= ResendHeartbeats) {
+        progress.silentHeartbeats = 0;
+        progress.next = progress.match + 1;
+    }
+    if (progress.next <= log_.baseIndex().value()) {
+        if (heartbeat)
+            sendSnapshotChunk(member, &progress);
+        return;
+    }
+    if (!heartbeat && progress.next > log_.lastIndex().value())
+        return;
+    schema::RaftMessage message = makeMessage(member);
+    schema::AppendRequest *request = message.mutable_append_request();
+    request->set_previous_index(progress.next - 1);
+    request->set_previous_term(log_.termAt(LogIndex(progress.next - 1)).value());
+    request->set_commit_index(commitIndex_.value());
+    request->set_round(round_);
+    size_t bytes = 0;
+    while (progress.next <= log_.lastIndex().value() && bytes < options_.maxBatchBytes) {
+        const schema::LogRecord &record = log_.at(LogIndex(progress.next));
+        bytes += record.ByteSizeLong();
+        *request->add_records() = record;
+        progress.next++;
+    }
+    output_.earlyMessages.push_back(std::move(message));
+}
+
+void RaftCore::sendSnapshotChunk(const schema::Member &member, Progress *progress)
+{
+    if (progress->snapshotIndex != snapshotMeta_.index()) {
+        progress->snapshotIndex = snapshotMeta_.index();
+        progress->snapshotOffset = 0;
+    }
+    schema::RaftMessage message = makeMessage(member);
+    schema::SnapshotChunk *chunk = message.mutable_snapshot_chunk();
+    *chunk->mutable_meta() = snapshotMeta_;
+    chunk->set_offset(progress->snapshotOffset);
+    chunk->set_data(snapshotState_->substr(progress->snapshotOffset, options_.chunkBytes));
+    chunk->set_done(progress->snapshotOffset + chunk->data().size() == snapshotState_->size());
+    chunk->set_round(round_);
+    output_.earlyMessages.push_back(std::move(message));
+}
+
+void RaftCore::handleAppend(const schema::RaftMessage &message)
+{
+    const schema::AppendRequest &request = message.append_request();
+    schema::RaftMessage reply;
+    if (message.term() < hardState_.term()) {
+        reply = makeReply(message);
+        reply.mutable_append_reply()->set_match_index(log_.lastIndex().value());
+        output_.messages.push_back(std::move(reply));
+        return;
+    }
+    becomeFollower(Term(message.term()), ReplicaId(message.from()));
+    leaderHeard_ = now_;
+    reply = makeReply(message);
+    schema::AppendReply *answer = reply.mutable_append_reply();
+    answer->set_round(request.round());
+
+    const LogIndex previous(request.previous_index());
+    const bool covered = previous <= commitIndex_;
+    const bool matches = covered
+        || (log_.holds(previous) && log_.termAt(previous).value() == request.previous_term());
+    if (!matches) {
+        answer->set_match_index(std::min(log_.lastIndex().value(), previous.value() - 1));
+        output_.messages.push_back(std::move(reply));
+        return;
+    }
+    storeRecords(request);
+    const uint64_t last = previous.value() + static_cast<uint64_t>(request.records_size());
+    answer->set_success(true);
+    answer->set_match_index(std::max(last, covered ? commitIndex_.value() : last));
+    commitTo(LogIndex(std::min(request.commit_index(), answer->match_index())));
+    output_.messages.push_back(std::move(reply));
+}
+
+void RaftCore::storeRecords(const schema::AppendRequest &request)
+{
+    for (const schema::LogRecord &record : request.records()) {
+        const LogIndex index(record.index());
+        if (index <= commitIndex_)
+            continue;
+        if (log_.holds(index)) {
+            if (log_.termAt(index).value() == record.term())
+                continue;
+            log_.truncateFrom(index);
+            memberships_.erase(memberships_.lower_bound(index.value()), memberships_.end());
+            while (!output_.append.empty() && output_.append.back().index() >= index.value())
+                output_.append.pop_back();
+            if (!output_.truncateFrom || index < *output_.truncateFrom)
+                output_.truncateFrom = index;
+        }
+        noteMembership(record);
+        log_.append(record);
+        output_.append.push_back(record);
+    }
+}
+
+RaftCore::Progress *RaftCore::progressOf(const schema::RaftMessage &message)
+{
+    if (message.term() > hardState_.term()) {
+        becomeFollower(Term(message.term()), ReplicaId());
+        return nullptr;
+    }
+    if (!isLeader() || message.term() != hardState_.term())
+        return nullptr;
+    const ReplicaId id(message.from());
+    const schema::Member *member = findMember(membership(), id);
+    if (member == nullptr || member->incarnation() != message.from_incarnation())
+        return nullptr;
+    Progress &progress = progress_[id];
+    progress.lastHeard = now_;
+    return &progress;
+}
+
+void RaftCore::handleAppendReply(const schema::RaftMessage &message)
+{
+    const schema::AppendReply &reply = message.append_reply();
+    Progress *progress = progressOf(message);
+    if (progress == nullptr)
+        return;
+    progress->ackedRound = std::max(progress->ackedRound, reply.round());
+    progress->silentHeartbeats = 0;
+    if (!reply.success()) {
+        progress->next =
+            std::max(progress->match, std::min(reply.match_index(), progress->next - 1)) + 1;
+        return;
+    }
+    if (reply.match_index() > progress->match)
+        progress->match = std::min(reply.match_index(), log_.lastIndex().value());
+    progress->next = std::max(progress->next, progress->match + 1);
+    advanceCommit();
+}
+
+void RaftCore::handleSnapshotChunk(const schema::RaftMessage &message)
+{
+    if (message.term() < hardState_.term())
+        return;
+    becomeFollower(Term(message.term()), ReplicaId(message.from()));
+    leaderHeard_ = now_;
+    const schema::SnapshotChunk &chunk = message.snapshot_chunk();
+    schema::RaftMessage reply = makeReply(message);
+    schema::SnapshotReply *answer = reply.mutable_snapshot_reply();
+    answer->set_index(chunk.meta().index());
+    answer->set_round(chunk.round());
+    if (chunk.meta().index() <= commitIndex_.value()) {
+        answer->set_installed(true);
+        output_.messages.push_back(std::move(reply));
+        return;
+    }
+    if (incomingMeta_.index() != chunk.meta().index() || chunk.offset() == 0) {
+        incomingMeta_ = chunk.meta();
+        incomingState_.clear();
+    }
+    if (chunk.offset() == incomingState_.size()) {
+        incomingState_ += chunk.data();
+        if (chunk.done()) {
+            installSnapshot(chunk.meta());
+            answer->set_installed(true);
+        }
+    }
+    answer->set_next_offset(incomingState_.size());
+    output_.messages.push_back(std::move(reply));
+}
+
+void RaftCore::installSnapshot(const schema::SnapshotMeta &meta)
+{
+    schema::Snapshot snapshot;
+    *snapshot.mutable_meta() = meta;
+    snapshot.set_state(std::move(incomingState_));
+    incomingState_.clear();
+    incomingMeta_.Clear();
+    snapshotMeta_ = meta;
+    snapshotState_ = std::make_shared<const std::string>(snapshot.state());
+    log_.reset(LogIndex(meta.index()), Term(meta.term()));
+    memberships_.clear();
+    memberships_[meta.index()] = meta.membership();
+    commitIndex_ = LogIndex(meta.index());
+    persistedIndex_ = commitIndex_;
+    // Whatever was to be written or applied lies before the snapshot.
+    output_.append.clear();
+    output_.committed.clear();
+    output_.truncateFrom.reset();
+    output_.install = std::move(snapshot);
+}
+
+void RaftCore::handleSnapshotReply(const schema::RaftMessage &message)
+{
+    const schema::SnapshotReply &reply = message.snapshot_reply();
+    Progress *progress = progressOf(message);
+    if (progress == nullptr)
+        return;
+    progress->ackedRound = std::max(progress->ackedRound, reply.round());
+    progress->silentHeartbeats = 0;
+    if (reply.installed()) {
+        progress->match = std::max(progress->match, reply.index());
+        progress->next = std::max(progress->next, progress->match + 1);
+        return;
+    }
+    if (reply.index() != progress->snapshotIndex || reply.next_offset() > snapshotState_->size())
+        return;
+    const bool advanced = reply.next_offset() != progress->snapshotOffset;
+    progress->snapshotOffset = reply.next_offset();
+    const schema::Member *member = findMember(membership(), ReplicaId(message.from()));
+    if (advanced)
+        sendSnapshotChunk(*member, progress);
+}
+
+void RaftCore::advanceCommit()
+{
+    std::vector<uint64_t> matches;
+    for (const auto &member : membership().members()) {
+        if (!member.voter())
+            continue;
+        const ReplicaId id(member.id());
+        matches.push_back(id == options_.self ? persistedIndex_.value() : matchOf(id).value());
+    }
+    if (matches.empty())
+        return;
+    std::sort(matches.begin(), matches.end());
+    const LogIndex index(matches[(matches.size() - 1) / 2]);
+    if (index > commitIndex_ && log_.termAt(index).value() == hardState_.term())
+        commitTo(index);
+}
+
+void RaftCore::commitTo(LogIndex index)
+{
+    while (commitIndex_ < index && commitIndex_ < log_.lastIndex()) {
+        commitIndex_ = LogIndex(commitIndex_.value() + 1);
+        output_.committed.push_back(log_.at(commitIndex_));
+    }
+    if (isLeader() && isMembershipCommitted() && !isSelfVoter())
+        becomeFollower(term(), ReplicaId());
+}
+
+} // namespace basilgap::replication
--- /dev/null
+++ b/Source/Basilgap/Scheduling/AllotmentPlan.cpp
@@ -0,0 +1,174 @@
+#include "Basilgap/Scheduling/AllotmentPlan.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include "Basilgap/Scheduling/FairShare.h"
+
+namespace basilgap::scheduling {
+
+namespace {
+
+class TargetPlan
+{
+public:
+    TargetPlan(const std::vector<DivisibleKey> &keys, const EntryAmounts &wanted,
+        const KeyAmounts &current)
+        : wanted_(wanted)
+    {
+        for (const DivisibleKey &key : keys) {
+            free_[key.key] = key.amount;
+            const auto found = current.find(key.key);
+            if (found != current.end())
+                keepCurrent(key, found->second);
+        }
+    }
+
+    KeyAmounts run()
+    {
+        giveFree();
+        uint32_t missing = 0;
+        for (const auto &[entry, amount] : wanted_)
+            missing += amount > held_[entry] ? amount - held_[entry] : 0;
+        takeSurplus(missing);
+        giveFree();
+        return targets_;
+    }
+
+private:
+    void keepCurrent(const DivisibleKey &key, const EntryAmounts &amounts)
+    {
+        for (const auto &[entry, amount] : amounts) {
+            // An entry that is not to get anything, or a key that has shrunk.
+            const uint32_t kept = wanted_.contains(entry) ? std::min(amount, free_[key.key]) : 0;
+            set(key.key, entry, kept);
+        }
+    }
+
+    void set(AllotmentKeyNumber key, EntryNumber entry, uint32_t amount)
+    {
+        uint32_t &target = targets_[key][entry];
+        free_[key] = free_[key] + target - amount;
+        held_[entry] = held_[entry] + amount - target;
+        target = amount;
+    }
+
+    void giveFree()
+    {
+        for (const auto &[entry, amount] : wanted_) {
+            while (held_[entry] < amount) {
+                const auto best = std::max_element(free_.begin(), free_.end(),
+                    [](const auto &a, const auto &b) { return a.second < b.second; });
+                if (best == free_.end() || best->second == 0)
+                    return;
+                const uint32_t step = std::min(best->second, stepOf(amount - held_[entry]));
+                set(best->first, entry, targets_[best->first][entry] + step);
+            }
+        }
+    }
+
+    void takeSurplus(uint32_t missing)
+    {
+        for (const auto &[entry, amount] : wanted_) {
+            while (missing > 0 && held_[entry] > amount) {
+                const AllotmentKeyNumber key = largestOf(entry);
+                const uint32_t held = targets_[key][entry];
+                const uint32_t step = std::min({ held, missing, stepOf(held_[entry] - amount) });
+                set(key, entry, held - step);
+                missing -= step;
+            }
+        }
+    }
+
+    // Moves evenly over the keys without taking a step for each unit of a large limit.
+    uint32_t stepOf(uint32_t distance) const
+    {
+        return std::max<uint32_t>(1, distance / static_cast<uint32_t>(free_.size()));
+    }
+
+    AllotmentKeyNumber largestOf(EntryNumber entry)
+    {
+        AllotmentKeyNumber largest;
+        uint32_t most = 0;
+        for (auto &[key, amounts] : targets_) {
+            const auto found = amounts.find(entry);
+            if (found != amounts.end() && found->second > most) {
+                most = found->second;
+                largest = key;
+            }
+        }
+        return largest;
+    }
+
+    const EntryAmounts &wanted_;
+    KeyAmounts targets_;
+    std::map<AllotmentKeyNumber, uint32_t> free_;
+    std::map<EntryNumber, uint32_t> held_;
+};
+
+} // namespace
+
+uint32_t TeamDemand::total() const
+{
+    return std::accumulate(
+        entries.begin(), entries.end(), 0U, [](uint32_t sum, const EntryDemand &demand) {
+            return sum + demand.running + demand.queued;
+        });
+}
+
+std::vector<double> divideBetweenTeams(const std::vector<TeamDemand> &teams, uint32_t capacity)
+{
+    std::vector<ShareClaim> claims;
+    for (const TeamDemand &team : teams) {
+        const double demand = std::min(team.limit, static_cast<double>(team.total()));
+        claims.push_back({ .weight = team.weight, .demand = demand });
+    }
+    return weightedMaxMin(claims, capacity);
+}
+
+EntryAmounts divideBetweenEntries(const std::vector<TeamDemand> &teams,
+    const std::vector<EntryNumber> &entries, uint32_t capacity)
+{
+    const std::vector<double> amounts = divideBetweenTeams(teams, capacity);
+    std::map<EntryNumber, double> wanted;
+    for (const EntryNumber entry : entries)
+        wanted[entry] = 0;
+    double left = capacity;
+    for (size_t i = 0; i < teams.size(); i++) {
+        const double total = teams[i].total();
+        // What runs goes on, so it counts before what waits.
+        double running = 0;
+        for (const EntryDemand &demand : teams[i].entries)
+            running += demand.running;
+        const double forRunning = std::min(running, amounts[i]);
+        const double forQueued = amounts[i] - forRunning;
+        for (const EntryDemand &demand : teams[i].entries) {
+            if (total <= 0)
+                continue;
+            const double queued = total - running;
+            double part = running > 0 ? forRunning * demand.running / running : 0;
+            part += queued > 0 ? forQueued * demand.queued / queued : 0;
+            wanted[demand.entry] += part;
+            left -= part;
+        }
+    }
+    for (const EntryNumber entry : entries)
+        wanted[entry] += std::max(0.0, left) / static_cast<double>(entries.size());
+    std::vector<double> totals;
+    for (const auto &[entry, amount] : wanted)
+        totals.push_back(amount);
+    const std::vector<uint32_t> rounded = roundKeepingSum(totals);
+    EntryAmounts result;
+    size_t position = 0;
+    for (const auto &[entry, amount] : wanted)
+        result[entry] = rounded[position++];
+    return result;
+}
+
+KeyAmounts planTargets(
+    const std::vector<DivisibleKey> &keys, const EntryAmounts &wanted, const KeyAmounts &current)
+{
+    return TargetPlan(keys, wanted, current).run();
+}
+
+} // namespace basilgap::scheduling
--- /dev/null
+++ b/Source/Basilgap/Scheduling/FairShare.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace basilgap::scheduling {
+
+struct ShareClaim
+{
+    // A claim of weight 0 gets only what the others leave.
+    double weight = 1;
+    double demand = 0;
+};
+
+// Weighted max-min fair division of the capacity: nobody gets more than its demand, and what one
+// leaves goes to the others by weight. One amount for each claim, in the unit of the demand.
+std::vector<double> weightedMaxMin(const std::vector<ShareClaim> &claims, double capacity);
+
+// Rounds to whole numbers whose sum is the rounded-down sum of the amounts.
+std::vector<uint32_t> roundKeepingSum(const std::vector<double> &amounts);
+
+} // namespace basilgap::scheduling
--- /dev/null
+++ b/Source/Basilgap/Scheduling/Preemption.cpp
@@ -0,0 +1,91 @@
+#include <algorithm>
+
+#include "Basilgap/Scheduling/ScheduleRound.h"
+
+namespace basilgap::scheduling {
+
+namespace {
+
+constexpr uint64_t PromiseMs = 15000;
+
+} // namespace
+
+// Batch work of the own team, or of a team that is further above its share, gives way.
+bool ScheduleRound::mayPreempt(const TeamQueue &forTeam, const TaskId &victim) const
+{
+    const state::Job &job = *input_.jobs.find(victim.job);
+    if (job.spec.urgent() || job.spec.job_class() != schema::BATCH)
+        return false;
+    if (input_.stopping.contains(victim) || preempted_.contains(victim))
+        return false;
+    if (job.team == forTeam.name)
+        return true;
+    const schema::TeamConfig *config = input_.config.findTeam(job.team);
+    if (config == nullptr)
+        return true;
+    TeamQueue owner;
+    owner.weight = config->share();
+    owner.usage = input_.jobs.usageOf(job.team);
+    return shareOf(owner) > shareOf(forTeam);
+}
+
+std::vector<TaskId> ScheduleRound::victimsOn(
+    const PoolWorker &worker, const Resources &need, const TeamQueue &team) const
+{
+    std::vector<TaskId> candidates;
+    for (const TaskId &id : input_.jobs.runningOn(worker.number)) {
+        if (mayPreempt(team, id))
+            candidates.push_back(id);
+    }
+    // Work that keeps its progress goes first, then what started last and loses least.
+    std::sort(candidates.begin(), candidates.end(), [this](const TaskId &a, const TaskId &b) {
+        const bool keepsA = input_.jobs.find(a.job)->spec.checkpointable();
+        const bool keepsB = input_.jobs.find(b.job)->spec.checkpointable();
+        if (keepsA != keepsB)
+            return keepsA;
+        return input_.jobs.find(a)->sinceMs > input_.jobs.find(b)->sinceMs;
+    });
+    std::vector<TaskId> victims;
+    Resources room = worker.room();
+    for (const TaskId &id : candidates) {
+        if (need.fitsIn(room))
+            break;
+        room += input_.jobs.find(id.job)->reservation(*input_.jobs.find(id));
+        victims.push_back(id);
+    }
+    if (!need.fitsIn(room))
+        victims.clear();
+    return victims;
+}
+
+void ScheduleRound::preemptFor(TeamQueue *team, const state::Job &job, uint32_t index)
+{
+    const Resources need = job.reservation(job.tasks[index]);
+    if (isHopeless(*team, job, need) || !(team->usage + need).fitsIn(team->limit))
+        return;
+    std::vector<TaskId> best;
+    WorkerNumber bestWorker;
+    for (const auto &[number, tasks] : input_.jobs.byWorker()) {
+        const PoolWorker *worker = input_.pool.find(number);
+        if (worker == nullptr || !need.fitsIn(worker->capacity))
+            continue;
+        std::vector<TaskId> victims = victimsOn(*worker, need, *team);
+        if (victims.empty() || (!best.empty() && victims.size() >= best.size()))
+            continue;
+        best = std::move(victims);
+        bestWorker = number;
+    }
+    if (best.empty())
+        return;
+    for (const TaskId &victim : best) {
+        plan_.preemptions.push_back(victim);
+        preempted_.insert(victim);
+    }
+    const TaskId id{ job.id, index };
+    scheduler_.promises_[id] = { bestWorker, need, input_.nowMs + PromiseMs };
+    planned_.insert(id);
+    team->usage += need;
+    scheduler_.waitReasons_[job.id] = "other work is being checkpointed to make room";
+}
+
+} // namespace basilgap::scheduling
--- /dev/null
+++ b/Source/Basilgap/Scheduling/WorkerHealth.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+
+#include "Basilgap/Common/Ids.h"
+#include "Basilgap/Common/Millis.h"
+#include "Basilgap/State/JobTable.h"
+
+namespace basilgap::scheduling {
+
+// Tells workers that fail whatever they are given from jobs that fail wherever they run. A worker
+// on which several jobs failed in a row is quarantined, for longer each time, and then tried with
+// one task.
+class WorkerHealth
+{
+public:
+    enum class Verdict {
+        // The failure speaks against the job.
+        BlameJob,
+        // The worker has failed other jobs before: the failure says nothing about the job.
+        BlameWorker,
+    };
+
+    Verdict taskFailed(state::WorkerNumber worker, JobId job, Millis now);
+    void taskSucceeded(state::WorkerNumber worker);
+
+    // Whether the worker may be given another task, when it runs that many already.
+    bool mayStart(state::WorkerNumber worker, size_t running, Millis now) const;
+    bool isQuarantined(state::WorkerNumber worker, Millis now) const;
+    // Quarantined before, and not proved sound since.
+    bool isOnProbation(state::WorkerNumber worker) const;
+
+    // Workers on which the jobs failed.
+    const std::map<JobId, std::set<state::WorkerNumber>> &failedOn() const { return failedOn_; }
+    void keepJobs(const std::function<bool(JobId)> &isNeeded);
+
+private:
+    struct Record
+    {
+        std::set<JobId> failedJobs;
+        int quarantines = 0;
+        Millis until;
+        bool probing = false;
+    };
+
+    std::map<state::WorkerNumber, Record> records_;
+    std::map<JobId, std::set<state::WorkerNumber>> failedOn_;
+};
+
+} // namespace basilgap::scheduling
--- /dev/null
+++ b/Source/Basilgap/State/AllotmentTable.cpp
@@ -0,0 +1,109 @@
+#include "Basilgap/State/AllotmentTable.h"
+
+namespace basilgap::state {
+
+schema::CommandOutcome AllotmentTable::apply(const schema::AllotmentBatch &command, uint64_t index)
+{
+    for (const auto &key : command.keys()) {
+        keys_[AllotmentKeyNumber(key.key())] = key.name();
+        names_[key.name()] = AllotmentKeyNumber(key.key());
+    }
+    for (const auto &change : command.changes()) {
+        const AllotmentKeyNumber key(change.key());
+        const EntryNumber entry(change.entry());
+        ByEntry &byEntry = held_[key];
+        const bool held = byEntry.contains(entry);
+        if (change.amount() == 0) {
+            byEntry.erase(entry);
+            if (held && --keysOfEntry_[entry] == 0)
+                keysOfEntry_.erase(entry);
+            continue;
+        }
+        byEntry[entry] = Allotment{ .amount = change.amount(), .epoch = index };
+        if (!held)
+            keysOfEntry_[entry]++;
+    }
+    for (const uint32_t dropped : command.dropped_keys()) {
+        const AllotmentKeyNumber key(dropped);
+        if (!of(key).empty())
+            continue;
+        held_.erase(key);
+        names_.erase(keys_[key]);
+        keys_.erase(key);
+    }
+    return {};
+}
+
+const AllotmentTable::ByEntry &AllotmentTable::of(AllotmentKeyNumber key) const
+{
+    static const ByEntry none;
+    const auto found = held_.find(key);
+    return found == held_.end() ? none : found->second;
+}
+
+Allotment AllotmentTable::of(AllotmentKeyNumber key, EntryNumber entry) const
+{
+    const ByEntry &byEntry = of(key);
+    const auto found = byEntry.find(entry);
+    return found == byEntry.end() ? Allotment{} : found->second;
+}
+
+uint32_t AllotmentTable::sumOf(AllotmentKeyNumber key) const
+{
+    uint32_t sum = 0;
+    for (const auto &[entry, allotment] : of(key))
+        sum += allotment.amount;
+    return sum;
+}
+
+bool AllotmentTable::holdsAnything(EntryNumber entry) const
+{
+    return keysOfEntry_.contains(entry);
+}
+
+AllotmentKeyNumber AllotmentTable::findKey(const std::string &name) const
+{
+    const auto found = names_.find(name);
+    return found == names_.end() ? AllotmentKeyNumber() : found->second;
+}
+
+uint32_t AllotmentTable::nextKey() const
+{
+    return keys_.empty() ? 1 : keys_.rbegin()->first.value() + 1;
+}
+
+schema::AllotmentSnapshot AllotmentTable::save() const
+{
+    schema::AllotmentSnapshot snapshot;
+    for (const auto &[key, name] : keys_) {
+        auto *saved = snapshot.add_keys();
+        saved->set_key(key.value());
+        saved->set_name(name);
+    }
+    for (const auto &[key, byEntry] : held_) {
+        for (const auto &[entry, allotment] : byEntry) {
+            auto *saved = snapshot.add_held();
+            saved->set_key(key.value());
+            saved->set_entry(entry.value());
+            saved->set_amount(allotment.amount);
+            saved->set_epoch(allotment.epoch);
+        }
+    }
+    return snapshot;
+}
+
+void AllotmentTable::restore(const schema::AllotmentSnapshot &snapshot)
+{
+    *this = AllotmentTable();
+    for (const auto &key : snapshot.keys()) {
+        keys_[AllotmentKeyNumber(key.key())] = key.name();
+        names_[key.name()] = AllotmentKeyNumber(key.key());
+    }
+    for (const auto &held : snapshot.held()) {
+        const EntryNumber entry(held.entry());
+        held_[AllotmentKeyNumber(held.key())][entry] = { held.amount(), held.epoch() };
+        keysOfEntry_[entry]++;
+    }
+}
+
+} // namespace basilgap::state
--- /dev/null
+++ b/Source/Basilgap/State/CellState.cpp
@@ -0,0 +1,111 @@
+#include "Basilgap/State/CellState.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace basilgap::state {
+
+schema::CommandOutcome CellState::apply(LogIndex index, const schema::Command &command)
+{
+    // Leaders' clocks differ; the state's never goes back.
+    clockMs_ = std::max(clockMs_, command.stamp_ms());
+    switch (command.body_case()) {
+    case schema::Command::kApplyCell:
+        return config_.apply(command.apply_cell());
+    case schema::Command::kZone:
+        return config_.apply(command.zone(), clockMs_);
+    case schema::Command::kOpenSession:
+        return sessions_.apply(command.open_session(), clockMs_);
+    case schema::Command::kCloseSession: {
+        const schema::CommandOutcome outcome = sessions_.apply(command.close_session(), clockMs_);
+        forgetIdleSessions();
+        return outcome;
+    }
+    case schema::Command::kAllotments: {
+        const schema::CommandOutcome outcome =
+            allotments_.apply(command.allotments(), index.value());
+        forgetIdleSessions();
+        return outcome;
+    }
+    case schema::Command::kClaimOpen:
+        return claims_.apply(command.claim_open(), sessions_, clockMs_);
+    case schema::Command::kClaimEnd:
+        return claims_.apply(command.claim_end(), clockMs_);
+    case schema::Command::kSubmitJob:
+        return submit(command.submit_job());
+    case schema::Command::kCancelJobs:
+        jobs_.cancel(command.cancel_jobs(), clockMs_);
+        return {};
+    case schema::Command::kTasks:
+        return jobs_.apply(command.tasks(), clockMs_);
+    case schema::Command::kExpire:
+        expire();
+        return {};
+    case schema::Command::BODY_NOT_SET:
+        return {};
+    }
+    return {};
+}
+
+schema::CommandOutcome CellState::submit(const schema::SubmitJob &command)
+{
+    const schema::CommandOutcome outcome =
+        claims_.claimJob(command, jobs_.nextJob().value(), clockMs_);
+    if (outcome.code() == schema::ACCEPTED && !outcome.again())
+        jobs_.submit(command, clockMs_);
+    return outcome;
+}
+
+void CellState::forgetIdleSessions()
+{
+    std::vector<EntryNumber> idle;
+    for (const auto &[number, session] : sessions_.all()) {
+        if (session.closed() && !allotments_.holdsAnything(number))
+            idle.push_back(number);
+    }
+    for (const EntryNumber number : idle)
+        sessions_.forget(number);
+}
+
+void CellState::expire()
+{
+    config_.expire(clockMs_);
+    claims_.expire(clockMs_, config_.retention().claim_ms());
+    jobs_.expire(clockMs_, config_.retention().job_ms());
+}
+
+bool CellState::hasExpired(uint64_t nowMs) const
+{
+    const uint64_t claim = claims_.oldestStamp();
+    const uint64_t job = jobs_.oldestFinish();
+    return (claim != 0 && claim + config_.retention().claim_ms() < nowMs)
+        || (job != 0 && job + config_.retention().job_ms() < nowMs);
+}
+
+std::string CellState::save() const
+{
+    schema::CellSnapshot snapshot;
+    *snapshot.mutable_config() = config_.save();
+    *snapshot.mutable_sessions() = sessions_.save();
+    *snapshot.mutable_allotments() = allotments_.save();
+    *snapshot.mutable_claims() = claims_.save();
+    *snapshot.mutable_jobs() = jobs_.save();
+    snapshot.set_clock_ms(clockMs_);
+    return snapshot.SerializeAsString();
+}
+
+bool CellState::restore(const std::string &bytes)
+{
+    schema::CellSnapshot snapshot;
+    if (!snapshot.ParseFromString(bytes))
+        return false;
+    config_.restore(snapshot.config());
+    sessions_.restore(snapshot.sessions());
+    allotments_.restore(snapshot.allotments());
+    claims_.restore(snapshot.claims());
+    jobs_.restore(snapshot.jobs());
+    clockMs_ = snapshot.clock_ms();
+    return true;
+}
+
+} // namespace basilgap::state
--- /dev/null
+++ b/Source/Basilgap/State/CellState.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <string>
+
+#include "Basilgap/State/AllotmentTable.h"
+#include "Basilgap/State/ClaimTable.h"
+#include "Basilgap/State/ConfigState.h"
+#include "Basilgap/State/JobTable.h"
+#include "Basilgap/State/SessionTable.h"
+#include "State.pb.h"
+
+namespace basilgap::state {
+
+// Everything that the replicas of a cell agree on. Applying the same commands in the same order
+// gives the same state on every replica.
+class CellState
+{
+public:
+    // Applies a committed command; index is the one of its record.
+    schema::CommandOutcome apply(LogIndex index, const schema::Command &command);
+
+    const ConfigState &config() const { return config_; }
+    const SessionTable &sessions() const { return sessions_; }
+    const AllotmentTable &allotments() const { return allotments_; }
+    const ClaimTable &claims() const { return claims_; }
+    const JobTable &jobs() const { return jobs_; }
+
+    // Highest stamp of any applied command, in milliseconds since 1970.
+    uint64_t clockMs() const { return clockMs_; }
+
+    // True when an Expire command at that time would drop something.
+    bool hasExpired(uint64_t nowMs) const;
+
+    std::string save() const;
+    bool restore(const std::string &bytes);
+
+private:
+    schema::CommandOutcome submit(const schema::SubmitJob &command);
+    void forgetIdleSessions();
+    void expire();
+
+    ConfigState config_;
+    SessionTable sessions_;
+    AllotmentTable allotments_;
+    ClaimTable claims_;
+    JobTable jobs_;
+    uint64_t clockMs_ = 0;
+};
+
+} // namespace basilgap::state
--- /dev/null
+++ b/Source/Basilgap/State/JobTable.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "Basilgap/Common/Ids.h"
+#include "Basilgap/State/Resources.h"
+#include "State.pb.h"
+
+namespace basilgap::state {
+
+// Small number of a worker, used in task records.
+using WorkerNumber = StrongType<struct WorkerNumberTag, uint32_t>;
+
+struct Task
+{
+    schema::TaskState::Phase phase = schema::TaskState::WAITING;
+    WorkerNumber worker;
+    // Raised by every start of the task.
+    uint32_t epoch = 0;
+    uint32_t tries = 0;
+    uint64_t sinceMs = 0;
+    // Observed need of an earlier try that was larger than the declared one; 0: none.
+    uint64_t memoryFloorMb = 0;
+    std::string reason;
+};
+
+struct Job
+{
+    JobId id;
+    TeamName team;
+    schema::JobSpec spec;
+    schema::JobState::Phase phase = schema::JobState::WAITING;
+    std::string reason;
+    uint64_t submittedMs = 0;
+    uint64_t finishedMs = 0;
+    std::vector<Task> tasks;
+    uint32_t waitingTasks = 0;
+    uint32_t runningTasks = 0;
+
+    bool isFinished() const { return phase >= schema::JobState::DONE; }
+    bool isGang() const { return spec.job_class() == schema::GANG; }
+    bool isService() const { return spec.job_class() == schema::SERVICE; }
+    // What one task is given, including what earlier tries showed.
+    Resources reservation(const Task &task) const;
+};
+
+// Jobs, their tasks and where those run, with the indexes that scheduling reads.
+class JobTable
+{
+public:
+    // Adds a job under the next number.
+    JobId submit(const schema::SubmitJob &command, uint64_t stampMs);
+    void cancel(const schema::CancelJobs &command, uint64_t stampMs);
+    schema::CommandOutcome apply(const schema::TaskBatch &command, uint64_t stampMs);
+    void expire(uint64_t nowMs, uint64_t retentionMs);
+
+    JobId nextJob() const { return JobId(nextJob_); }
+    const Job *find(JobId job) const;
+    const Task *find(const TaskId &task) const;
+    const std::map<JobId, Job> &jobs() const { return jobs_; }
+
+    // Unfinished jobs of a team with tasks that wait, oldest first.
+    const std::map<TeamName, std::set<JobId>> &waiting() const { return waiting_; }
+    // The urgent ones among them, of all teams.
+    const std::set<JobId> &waitingUrgent() const { return waitingUrgent_; }
+    size_t waitingTasks() const { return waitingTasks_; }
+
+    // Running tasks of a worker.
+    const std::set<TaskId> &runningOn(WorkerNumber worker) const;
+    Resources reservedOn(WorkerNumber worker) const;
+    Resources usageOf(const TeamName &team) const;
+    const std::map<WorkerNumber, std::set<TaskId>> &byWorker() const { return byWorker_; }
+    size_t runningTasks() const { return running_; }
+
+    WorkerNumber numberOf(const WorkerId &worker) const;
+    const WorkerId *workerOf(WorkerNumber number) const;
+    const std::map<WorkerNumber, WorkerId> &workers() const { return workerIds_; }
+    uint32_t nextWorker() const { return static_cast<uint32_t>(workerIds_.size()) + 1; }
+
+    // Time at which the first finished job ended; 0 when there is none.
+    uint64_t oldestFinish() const;
+
+    schema::JobSnapshot save() const;
+    void restore(const schema::JobSnapshot &snapshot);
+
+private:
+    void startTask(const TaskId &id, WorkerNumber worker, uint64_t stampMs);
+    void endTask(const TaskId &id, schema::TaskEnd end, const std::string &reason,
+        uint64_t peakMemoryMb, uint64_t stampMs);
+    void settleEndedTask(Job *job, Task *task, schema::TaskEnd end);
+    void failJob(Job *job, const std::string &reason, uint64_t stampMs);
+    void finishIfOver(Job *job, uint64_t stampMs);
+    void setPhase(Job *job, schema::JobState::Phase phase, uint64_t stampMs);
+    void dropWaitingTasks(Job *job, schema::TaskState::Phase phase);
+    void indexJob(const Job &job);
+    void addRunning(const Job &job, const TaskId &id, const Task &task);
+    void removeRunning(const Job &job, const TaskId &id, const Task &task);
+    void registerWorker(WorkerNumber number, const WorkerId &worker);
+
+    std::map<JobId, Job> jobs_;
+    uint64_t nextJob_ = 1;
+    std::map<WorkerNumber, WorkerId> workerIds_;
+    std::unordered_map<WorkerId, WorkerNumber> workerNumbers_;
+    std::map<TeamName, std::set<JobId>> waiting_;
+    std::set<JobId> waitingUrgent_;
+    std::map<JobId, uint32_t> countedWaiting_;
+    size_t waitingTasks_ = 0;
+    std::map<WorkerNumber, std::set<TaskId>> byWorker_;
+    std::map<WorkerNumber, Resources> reserved_;
+    std::map<TeamName, Resources> usage_;
+    std::multimap<uint64_t, JobId> finished_;
+    size_t running_ = 0;
+};
+
+// A job as it is saved and shown.
+schema::JobState toSchema(const Job &job);
+
+} // namespace basilgap::state
--- /dev/null
+++ b/Source/Basilgap/State/Resources.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+#include "State.pb.h"
+
+namespace basilgap::state {
+
+// Processor in thousandths of a core, memory in MB, accelerators by number.
+struct Resources
+{
+    int64_t millicores = 0;
+    int64_t memoryMb = 0;
+    int64_t accelerators = 0;
+
+    bool operator==(const Resources &) const = default;
+
+    Resources &operator+=(const Resources &other)
+    {
+        millicores += other.millicores;
+        memoryMb += other.memoryMb;
+        accelerators += other.accelerators;
+        return *this;
+    }
+
+    Resources &operator-=(const Resources &other)
+    {
+        millicores -= other.millicores;
+        memoryMb -= other.memoryMb;
+        accelerators -= other.accelerators;
+        return *this;
+    }
+
+    Resources operator+(const Resources &other) const { return Resources(*this) += other; }
+    Resources operator-(const Resources &other) const { return Resources(*this) -= other; }
+    Resources operator*(int64_t factor) const
+    {
+        return { millicores * factor, memoryMb * factor, accelerators * factor };
+    }
+
+    bool fitsIn(const Resources &room) const
+    {
+        return millicores <= room.millicores && memoryMb <= room.memoryMb
+            && accelerators <= room.accelerators;
+    }
+
+    // Largest part that this takes of any resource of the whole, 0 to 1 and above.
+    double dominantShareOf(const Resources &whole) const
+    {
+        return std::max({ part(millicores, whole.millicores), part(memoryMb, whole.memoryMb),
+            part(accelerators, whole.accelerators) });
+    }
+
+private:
+    static double part(int64_t used, int64_t all)
+    {
+        return all <= 0 ? 0.0 : static_cast<double>(used) / static_cast<double>(all);
+    }
+};
+
+inline Resources fromSchema(const schema::Resources &resources)
+{
+    return { static_cast<int64_t>(resources.millicores()),
+        static_cast<int64_t>(resources.memory_mb()),
+        static_cast<int64_t>(resources.accelerators()) };
+}
+
+inline schema::Resources toSchema(const Resources &resources)
+{
+    schema::Resources out;
+    out.set_millicores(static_cast<uint64_t>(resources.millicores));
+    out.set_memory_mb(static_cast<uint64_t>(resources.memoryMb));
+    out.set_accelerators(static_cast<uint64_t>(resources.accelerators));
+    return out;
+}
+
+} // namespace basilgap::state
--- /dev/null
+++ b/Source/CommandLine/Commands.cpp
@@ -0,0 +1,98 @@
+#include "CommandLine/Commands.h"
+
+#include <iostream>
+
+#include "Basilgap/Common/Hash.h"
+#include "Basilgap/Settings/CellFile.h"
+#include "Basilgap/Settings/YamlReader.h"
+
+namespace basilgap::commandline {
+
+namespace {
+
+ExitStatus complain(const Error &error)
+{
+    std::cerr << error.text() << '\n';
+    return error.code == ErrorCode::Invalid ? ExitStatus::BadInput : ExitStatus::Failed;
+}
+
+ExitStatus sendAndPrint(const AdminClient &client, network::HttpRequest request)
+{
+    const auto response = client.send(std::move(request));
+    if (!response)
+        return complain(response.error());
+    const bool good = response->status < 300;
+    (good ? std::cout : std::cerr) << response->body << '\n';
+    return good ? ExitStatus::Done : ExitStatus::Refused;
+}
+
+Result<std::string> readCell(const std::string &file)
+{
+    const auto text = settings::readTextFile(file);
+    if (!text)
+        return fail({ ErrorCode::Invalid, text.error().step, file, text.error().message });
+    const auto config = settings::readCellFile(*text, file);
+    if (!config)
+        return fail(config.error());
+    return *text;
+}
+
+} // namespace
+
+ExitStatus checkFile(const std::string &file)
+{
+    const auto text = readCell(file);
+    if (!text) {
+        std::cerr << text.error().peer << ": " << text.error().message << '\n';
+        return ExitStatus::BadInput;
+    }
+    std::cout << file << ": ok\n";
+    return ExitStatus::Done;
+}
+
+ExitStatus applyFile(const AdminClient &client, const std::string &file)
+{
+    const auto text = readCell(file);
+    if (!text) {
+        std::cerr << text.error().peer << ": " << text.error().message << '\n';
+        return ExitStatus::BadInput;
+    }
+    network::HttpRequest request{ .method = "PUT", .target = "/v1/cell" };
+    request.body = *text;
+    return sendAndPrint(client, std::move(request));
+}
+
+ExitStatus changeZone(const AdminClient &client, const std::string &zone, const std::string &action,
+    const std::string &operationId)
+{
+    network::HttpRequest request{ .method = "POST", .target = "/v1/zones/" + zone + "/" + action };
+    request.headers.push_back({ "Operation-Id", operationId.empty() ? randomKey() : operationId });
+    return sendAndPrint(client, std::move(request));
+}
+
+ExitStatus show(const AdminClient &client, const std::string &path)
+{
+    return sendAndPrint(client, { .method = "GET", .target = path });
+}
+
+ExitStatus newKey()
+{
+    const std::string key = randomKey();
+    std::cout << "key: " << key << "\nsha256: " << sha256Hex(key) << '\n';
+    return ExitStatus::Done;
+}
+
+ExitStatus submitJob(
+    const AdminClient &client, const std::string &file, const std::string &idempotencyKey)
+{
+    const auto text = settings::readTextFile(file);
+    if (!text)
+        return complain(text.error());
+    network::HttpRequest request{ .method = "POST", .target = "/v1/jobs" };
+    request.body = *text;
+    request.headers.push_back(
+        { "Idempotency-Key", idempotencyKey.empty() ? randomKey() : idempotencyKey });
+    return sendAndPrint(client, std::move(request));
+}
+
+} // namespace basilgap::commandline
--- /dev/null
+++ b/Source/CommandLine/Commands.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+
+#include "CommandLine/AdminClient.h"
+
+namespace basilgap::commandline {
+
+// Exit statuses of the program.
+enum class ExitStatus { Done = 0, Failed = 1, BadInput = 2, Refused = 3 };
+
+// Checks a cell file without applying it.
+ExitStatus checkFile(const std::string &file);
+
+ExitStatus applyFile(const AdminClient &client, const std::string &file);
+
+// Takes a zone out of service or back; `action` is "out" or "in".
+ExitStatus changeZone(const AdminClient &client, const std::string &zone, const std::string &action,
+    const std::string &operationId);
+
+// Prints what a path of the operators' interface answers.
+ExitStatus show(const AdminClient &client, const std::string &path);
+
+// Prints a new key and what to write into the cell file for it.
+ExitStatus newKey();
+
+// Submits a job file in JSON with a team's key.
+ExitStatus submitJob(
+    const AdminClient &client, const std::string &file, const std::string &idempotencyKey);
+
+} // namespace basilgap::commandline
--- /dev/null
+++ b/Source/CommandLine/Main.cpp
@@ -0,0 +1,109 @@
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+#include <docopt/docopt.h>
+
+#include "Basilgap/Settings/SettingsReference.h"
+#include "Basilgap/Settings/YamlReader.h"
+#include "CommandLine/Commands.h"
+
+namespace {
+
+constexpr const char *Usage = R"(basilgapctl: operates a basilgap cell.
+
+Usage:
+  basilgapctl check FILE
+  basilgapctl apply FILE [options]
+  basilgapctl zone (out | in) ZONE [--operation=ID] [options]
+  basilgapctl (status | teams | jobs | hosts) [options]
+  basilgapctl dump ADDRESS [options]
+  basilgapctl key new
+  basilgapctl job submit FILE [--idempotency-key=KEY] [options]
+  basilgapctl settings
+  basilgapctl (-h | --help)
+  basilgapctl --version
+
+Options:
+  --admin=LIST            Admin listeners of any processes, separated by commas; also from the
+                          environment variable BASILGAP_ADMIN.
+  --key-file=FILE         File with the operators' key; also from BASILGAP_KEY_FILE.
+  --public=LIST           Public listeners of entries, for job submit; also from BASILGAP_PUBLIC.
+  --team-key-file=FILE    File with a team's key, for job submit; also from BASILGAP_TEAM_KEY_FILE.
+  --operation=ID          Name of the zone command; a repeat under the same name does nothing.
+  --idempotency-key=KEY   Name of the job; a repeat under the same name makes no second job.
+
+Exit status: 0 done, 1 not reachable, 2 bad input, 3 refused.
+)";
+
+using Arguments = std::map<std::string, docopt::value>;
+
+std::string option(const Arguments &arguments, const char *name, const char *variable)
+{
+    const docopt::value &value = arguments.at(name);
+    if (value)
+        return value.asString();
+    const char *fromEnvironment = variable == nullptr ? nullptr : std::getenv(variable);
+    return fromEnvironment == nullptr ? "" : fromEnvironment;
+}
+
+std::vector<std::string> splitAddresses(const std::string &text)
+{
+    std::vector<std::string> addresses;
+    std::istringstream stream(text);
+    std::string address;
+    while (std::getline(stream, address, ','))
+        addresses.push_back(address);
+    return addresses;
+}
+
+basilgap::commandline::ExitStatus run(const Arguments &arguments)
+{
+    using namespace basilgap::commandline;
+    namespace settings = basilgap::settings;
+    const auto chosen = [&](const char *name) { return arguments.at(name).asBool(); };
+    const auto text = [&](const char *name) { return arguments.at(name).asString(); };
+    if (chosen("check"))
+        return checkFile(text("FILE"));
+    if (chosen("key"))
+        return newKey();
+    if (chosen("settings")) {
+        std::cout << settings::settingsReference();
+        return ExitStatus::Done;
+    }
+    const bool job = chosen("job");
+    const std::string keyFile = job ? option(arguments, "--team-key-file", "BASILGAP_TEAM_KEY_FILE")
+                                    : option(arguments, "--key-file", "BASILGAP_KEY_FILE");
+    const auto key = settings::readKeyFile(keyFile);
+    if (!key) {
+        std::cerr << key.error().text() << '\n';
+        return ExitStatus::BadInput;
+    }
+    std::string addresses = job ? option(arguments, "--public", "BASILGAP_PUBLIC")
+                                : option(arguments, "--admin", "BASILGAP_ADMIN");
+    if (chosen("dump"))
+        addresses = text("ADDRESS");
+    const AdminClient client(splitAddresses(addresses), *key);
+    if (job)
+        return submitJob(client, text("FILE"), option(arguments, "--idempotency-key", nullptr));
+    if (chosen("apply"))
+        return applyFile(client, text("FILE"));
+    if (chosen("zone"))
+        return changeZone(client, text("ZONE"), chosen("out") ? "out" : "in",
+            option(arguments, "--operation", nullptr));
+    for (const char *page : { "status", "teams", "jobs", "hosts" }) {
+        if (chosen(page))
+            return show(client, std::string("/v1/") + page);
+    }
+    return show(client, "/v1/state");
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto arguments =
+        docopt::docopt(Usage, { argv + 1, argv + argc }, true, "basilgapctl " BASILGAP_VERSION);
+    return static_cast<int>(run(arguments));
+}
--- /dev/null
+++ b/Source/StandIns/FakeWorker.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Basilgap/Network/HttpConnection.h"
+#include "Basilgap/Network/HttpServer.h"
+#include "Http.pb.h"
+
+namespace basilgap::standins {
+
+// A worker for tests and measurements. It runs nothing: a task's command says what it pretends.
+// {"sleep", MS} ends after the time, {"forever"} never, {"fail"} fails at once, {"memory", MB, MS}
+// uses that much memory. Usage is reported one poll late.
+class FakeWorker
+{
+public:
+    struct Options
+    {
+        std::string id;
+        uint64_t incarnation = 1;
+        std::string zone;
+        std::string rack;
+        int64_t millicores = 64000;
+        int64_t memoryMb = 262144;
+        int64_t accelerators = 0;
+        // Service listeners of entries, asked in turn.
+        std::vector<std::string> entries;
+        // Fails whatever it starts.
+        bool failAll = false;
+    };
+
+    struct Start
+    {
+        std::string task;
+        uint32_t epoch = 0;
+        Millis at;
+    };
+
+    FakeWorker(network::EventLoop &loop, Options options);
+
+    // Every start of a task so far.
+    const std::vector<Start> &starts() const { return starts_; }
+    size_t runningTasks() const;
+    // What the running tasks reserve together.
+    schema::ResourcesBody reserved() const;
+    // Whether more was ever started than the worker holds.
+    bool wasOvercommitted() const { return overcommitted_; }
+
+    // JSON of the starts and the running tasks.
+    std::string stateJson() const;
+
+private:
+    struct Task
+    {
+        uint32_t epoch = 0;
+        std::string state = "running";
+        std::string reason;
+        schema::ResourcesBody reserved;
+        schema::ResourcesBody usage;
+        schema::ResourcesBody shownUsage;
+        Millis endsAt;
+        bool ends = false;
+    };
+
+    void poll();
+    void answered(const network::ExchangeResult &result, Millis sentAt);
+    void obey(const schema::WorkerReplyBody &reply);
+    void start(const schema::StartBody &order);
+    void stop(const schema::OrderBody &order, const std::string &state);
+    void tick();
+    std::string report();
+
+    network::EventLoop &loop_;
+    Options options_;
+    std::unique_ptr<network::HttpConnection> connection_;
+    std::string connectedTo_;
+    size_t nextEntry_ = 0;
+    uint64_t sequence_ = 0;
+    std::map<std::string, Task> tasks_;
+    std::map<std::string, uint32_t> seenEpochs_;
+    std::vector<Start> starts_;
+    bool overcommitted_ = false;
+    bool polling_ = false;
+    Millis leaseEnd_;
+    network::Timer poller_;
+    network::Timer ticker_;
+};
+
+} // namespace basilgap::standins
--- /dev/null
+++ b/Source/StandIns/LoadRun.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "Basilgap/Common/LatencyHistogram.h"
+#include "Basilgap/Network/HttpConnection.h"
+
+namespace basilgap::standins {
+
+struct LoadTeam
+{
+    std::string name;
+    std::string key;
+    // Part of the requests, relative to the other teams.
+    double weight = 1;
+};
+
+struct LoadOptions
+{
+    std::vector<std::string> targets;
+    std::vector<LoadTeam> teams;
+    std::string method = "POST";
+    std::string path = "/desk/check";
+    std::string body = "check";
+    std::string fake;
+    double requestsPerSecond = 100;
+    Millis duration{ 10000 };
+    Millis timeout{ 5000 };
+    uint64_t seed = 1;
+    size_t maxConnections = 2000;
+};
+
+struct LoadTeamResult
+{
+    LatencyHistogram latency;
+    uint64_t sent = 0;
+    uint64_t ok = 0;
+    uint64_t refused = 0;
+    uint64_t unknown = 0;
+    uint64_t failed = 0;
+    // Answered after its time limit.
+    uint64_t late = 0;
+};
+
+// Sends requests at times that do not depend on the answers. The latency counts from the intended
+// time, so that a stall of the sender or the target is not hidden.
+class LoadRun
+{
+public:
+    LoadRun(network::EventLoop &loop, LoadOptions options, std::function<void()> done);
+
+    const std::map<std::string, LoadTeamResult> &results() const { return results_; }
+    Millis elapsed() const { return steadyNow() - start_; }
+    size_t outstanding() const { return outstanding_; }
+
+private:
+    void tick();
+    void sendOne(Millis intended);
+    void answered(const std::string &team, const std::string &target, Millis intended,
+        std::shared_ptr<network::HttpConnection> connection, const network::ExchangeResult &result);
+
+    network::EventLoop &loop_;
+    LoadOptions options_;
+    std::function<void()> done_;
+    std::mt19937_64 random_;
+    std::map<std::string, LoadTeamResult> results_;
+    std::map<std::string, std::vector<std::shared_ptr<network::HttpConnection>>> idle_;
+    Millis start_;
+    double nextArrivalMs_ = 0;
+    size_t outstanding_ = 0;
+    uint64_t sent_ = 0;
+    bool finished_ = false;
+    network::Timer ticker_;
+};
+
+} // namespace basilgap::standins
