Test settings, cell state and scheduling against naive versions

Cause: none of these had a test. Found on the way: a record that can't be parsed was reported as accepted, and a header value outside ASCII made a peer message unreadable (protobuf strings).

--- a/Source/Basilgap/Admin/AdminServer.cpp
+++ b/Source/Basilgap/Admin/AdminServer.cpp
@@ -5,6 +5,7 @@
 #include "Basilgap/Common/Hash.h"
 #include "Basilgap/Network/Json.h"
 #include "Basilgap/Settings/CellFile.h"
+#include "Basilgap/Settings/FieldCheck.h"
 #include "Basilgap/Settings/YamlReader.h"
 
 namespace basilgap::admin {
@@ -156,9 +157,11 @@
     const size_t slash = path.rfind('/');
     const std::string action = slash == std::string::npos ? "" : path.substr(slash + 1);
     const auto operation = network::findHeader(request.headers, "Operation-Id");
-    if (action != "out" && action != "in")
+    const bool isName =
+        slash != std::string::npos && !settings::checkFormat(path.substr(0, slash), schema::NAME);
+    if (!isName || (action != "out" && action != "in"))
         return responder->answer(errorResponse({ .status = 404, .error = "no such path" }));
-    if (!operation || operation->empty() || operation->size() > MaxOperationIdLength)
+    if (!operation || !network::isVisibleText(*operation, MaxOperationIdLength))
         return responder->answer(errorResponse({ .status = 400,
             .error = "the header Operation-Id is missing or "
                      "too long",
--- a/Source/Basilgap/Control/ReplicaTask.cpp
+++ b/Source/Basilgap/Control/ReplicaTask.cpp
@@ -262,8 +262,11 @@
         updateLinks();
     schema::CommandOutcome outcome;
     schema::Command command;
-    if (record.kind() == schema::LogRecord::COMMAND && command.ParseFromString(record.data())) {
-        outcome = state_.apply(applied_, command);
+    if (record.kind() == schema::LogRecord::COMMAND) {
+        // What can't be read has no effect on any replica.
+        outcome.set_code(schema::INVALID);
+        if (command.ParseFromString(record.data()))
+            outcome = state_.apply(applied_, command);
         options_.onApplied(command, outcome);
     }
     const auto waiting = waiting_.find(record.index());
--- a/Source/Basilgap/Entry/CallerApi.cpp
+++ b/Source/Basilgap/Entry/CallerApi.cpp
@@ -27,11 +27,6 @@
         || method == "DELETE";
 }
 
-bool isVisibleText(const std::string &text)
-{
-    return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 127; });
-}
-
 // The caller's own time limit; false when the header can't be read.
 bool readTimeout(const HttpRequest &request, Millis *timeout)
 {
@@ -129,7 +124,7 @@
             .field = "Basilgap-Timeout-Ms",
             .step = "accept" }));
     const auto key = network::findHeader(http.headers, "Idempotency-Key");
-    if (key && (key->empty() || key->size() > MaxIdempotencyKeyLength || !isVisibleText(*key)))
+    if (key && !network::isVisibleText(*key, MaxIdempotencyKeyLength))
         return responder->answer(errorResponse({ .status = 400,
             .error = "must have 1 to 255 visible characters",
             .field = "Idempotency-Key",
--- a/Source/Basilgap/Entry/JobApi.cpp
+++ b/Source/Basilgap/Entry/JobApi.cpp
@@ -69,7 +69,7 @@
             .field = spec.error().peer,
             .step = spec.error().step }));
     const auto key = network::findHeader(request.headers, "Idempotency-Key");
-    if (key && (key->empty() || key->size() > MaxIdempotencyKeyLength))
+    if (key && !network::isVisibleText(*key, MaxIdempotencyKeyLength))
         return responder->answer(errorResponse({ .status = 400,
             .error = "must have 1 to 255 visible characters",
             .field = "Idempotency-Key",
--- a/Source/Basilgap/Network/HttpMessage.cpp
+++ b/Source/Basilgap/Network/HttpMessage.cpp
@@ -44,6 +44,12 @@
         [name](std::string_view known) { return equalsIgnoringCase(name, known); });
 }
 
+bool isVisibleText(std::string_view text, size_t maxLength)
+{
+    return !text.empty() && text.size() <= maxLength
+        && std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 127; });
+}
+
 std::string HttpRequest::path() const
 {
     return target.substr(0, target.find('?'));
--- a/Source/Basilgap/Network/HttpMessage.h
+++ b/Source/Basilgap/Network/HttpMessage.h
@@ -21,6 +21,9 @@
 // True for headers that concern one connection only (RFC 9110, 7.6.1), or its framing.
 bool isHopByHop(std::string_view name);
 
+// True for 1 to maxLength printable ASCII characters without spaces.
+bool isVisibleText(std::string_view text, size_t maxLength);
+
 struct HttpRequest
 {
     std::string method;
--- /dev/null
+++ b/Source/UnitTests/Scheduling/NaiveScheduler.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <vector>
+
+#include "Basilgap/Scheduling/JobScheduler.h"
+
+namespace basilgap::scheduling {
+
+// The same decisions by plain loops: no index, everything counted again for every placement.
+class NaiveScheduler
+{
+public:
+    explicit NaiveScheduler(std::vector<PoolWorker> workers)
+        : workers_(std::move(workers))
+    {}
+
+    // Starts tasks one by one: the team furthest below its share, its oldest job that fits, the
+    // fullest worker with room.
+    std::vector<PlannedStart> plan(
+        const state::JobTable &jobs, const state::ConfigState &config, size_t maxStarts);
+
+private:
+    Resources freeOn(const PoolWorker &worker, const state::JobTable &jobs) const;
+    Resources usageOf(const TeamName &team, const state::JobTable &jobs) const;
+    bool startNext(const state::JobTable &jobs, const state::ConfigState &config);
+    bool startTaskOf(const state::Job &job, const state::JobTable &jobs);
+    bool isStarted(const TaskId &task) const;
+
+    std::vector<PoolWorker> workers_;
+    std::vector<PlannedStart> starts_;
+};
+
+} // namespace basilgap::scheduling
--- /dev/null
+++ b/Source/UnitTests/Scheduling/SchedulerFixture.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Basilgap/Scheduling/JobScheduler.h"
+#include "Basilgap/State/CellState.h"
+
+namespace basilgap::scheduling {
+
+// A cell state with workers, to which plans are applied at once.
+class SchedulerFixture
+{
+public:
+    struct Team
+    {
+        std::string name;
+        uint32_t share = 1;
+        Resources limit{ 1'000'000'000, 1'000'000'000, 1'000'000 };
+    };
+
+    explicit SchedulerFixture(const std::vector<Team> &teams);
+
+    void addWorker(const Resources &capacity, const std::string &zone = "z1",
+        const std::string &rack = "z1-r1");
+    JobId submit(const std::string &team, schema::JobClass jobClass, uint32_t tasks,
+        const Resources &need, bool urgent = false, bool checkpointable = false);
+
+    // Plans and applies the starts; the preemptions are noted as stopping.
+    SchedulePlan plan();
+    // Ends a running task.
+    void end(const TaskId &task, schema::TaskEnd end);
+    // Ends every task that was told to stop.
+    void endStopping();
+
+    // First broken rule of the whole state: capacity, limits, gangs; empty when all hold.
+    std::string brokenRule() const;
+
+    const state::CellState &state() const { return state_; }
+    const std::vector<PoolWorker> &workers() const { return workers_; }
+    std::set<TaskId> &stopping() { return stopping_; }
+    uint64_t nowMs = 1'000'000;
+    JobScheduler scheduler;
+
+private:
+    void apply(schema::Command command);
+
+    state::CellState state_;
+    std::vector<PoolWorker> workers_;
+    std::set<TaskId> stopping_;
+    uint64_t index_ = 0;
+};
+
+} // namespace basilgap::scheduling
--- /dev/null
+++ b/Source/UnitTests/Scheduling/SharesTest.cpp
@@ -0,0 +1,138 @@
+#include <numeric>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "Basilgap/Scheduling/AllotmentPlan.h"
+#include "Basilgap/Scheduling/FairShare.h"
+#include "Basilgap/Scheduling/WorkerHealth.h"
+
+namespace basilgap::scheduling {
+
+namespace {
+
+// Gives away one small piece at a time to whoever is furthest below its share.
+std::vector<double> naiveMaxMin(const std::vector<ShareClaim> &claims, double capacity)
+{
+    constexpr double Piece = 0.01;
+    std::vector<double> amounts(claims.size(), 0);
+    for (double left = capacity; left > Piece / 2; left -= Piece) {
+        int best = -1;
+        for (size_t i = 0; i < claims.size(); i++) {
+            if (amounts[i] + Piece > claims[i].demand + Piece / 2)
+                continue;
+            if (best < 0
+                || amounts[i] / claims[i].weight
+                    < amounts[static_cast<size_t>(best)] / claims[static_cast<size_t>(best)].weight)
+                best = static_cast<int>(i);
+        }
+        if (best < 0)
+            break;
+        amounts[static_cast<size_t>(best)] += Piece;
+    }
+    return amounts;
+}
+
+} // namespace
+
+RC_GTEST_PROP(FairShareDifferential, matchesGivingAwaySmallPieces, ())
+{
+    std::vector<ShareClaim> claims;
+    const int count = *rc::gen::inRange(1, 7);
+    for (int i = 0; i < count; i++)
+        claims.push_back({ static_cast<double>(*rc::gen::inRange(1, 9)),
+            static_cast<double>(*rc::gen::inRange(0, 20)) });
+    const double capacity = *rc::gen::inRange(0, 40);
+    const auto fast = weightedMaxMin(claims, capacity);
+    const auto naive = naiveMaxMin(claims, capacity);
+    for (size_t i = 0; i < claims.size(); i++)
+        RC_ASSERT(std::abs(fast[i] - naive[i]) < 0.1);
+}
+
+RC_GTEST_PROP(AllotmentPlanProperty, neverGivesMoreThanThereIs, ())
+{
+    std::vector<DivisibleKey> keys;
+    KeyAmounts current;
+    EntryAmounts wanted;
+    const auto entries = *rc::gen::inRange<uint32_t>(1, 6);
+    uint32_t total = 0;
+    for (uint32_t key = 1; key <= *rc::gen::inRange<uint32_t>(1, 6); key++) {
+        const auto amount = *rc::gen::inRange<uint32_t>(0, 9);
+        keys.push_back({ AllotmentKeyNumber(key), amount });
+        total += amount;
+        uint32_t left = amount;
+        for (uint32_t entry = 1; entry <= entries; entry++) {
+            const auto held = *rc::gen::inRange<uint32_t>(0, left + 1);
+            left -= held;
+            if (held > 0)
+                current[AllotmentKeyNumber(key)][EntryNumber(entry)] = held;
+        }
+    }
+    uint32_t left = total;
+    for (uint32_t entry = 1; entry <= entries; entry++) {
+        wanted[EntryNumber(entry)] = *rc::gen::inRange<uint32_t>(0, left + 1);
+        left -= wanted[EntryNumber(entry)];
+    }
+    const KeyAmounts targets = planTargets(keys, wanted, current);
+    EntryAmounts got;
+    for (const DivisibleKey &key : keys) {
+        uint32_t sum = 0;
+        const auto byEntry = targets.find(key.key);
+        if (byEntry == targets.end())
+            continue;
+        for (const auto &[entry, amount] : byEntry->second) {
+            sum += amount;
+            got[entry] += amount;
+        }
+        RC_ASSERT(sum <= key.amount);
+    }
+    // Whoever wants something gets it, as the wants together are not more than there is.
+    for (const auto &[entry, amount] : wanted)
+        RC_ASSERT(got[entry] >= amount);
+}
+
+TEST(AllotmentPlan, followsDemandAndSpreadsTheRest)
+{
+    const std::vector<EntryNumber> entries = { EntryNumber(1), EntryNumber(2) };
+    const EntryAmounts idle = divideBetweenEntries({}, entries, 10);
+    EXPECT_EQ(idle.at(EntryNumber(1)), 5U);
+    const TeamDemand team{ .weight = 1, .limit = 1000, .entries = { { EntryNumber(1), 0, 30 } } };
+    const EntryAmounts busy = divideBetweenEntries({ team }, entries, 10);
+    EXPECT_EQ(busy.at(EntryNumber(1)), 10U);
+}
+
+TEST(AllotmentPlan, largeAmountsTakeFewSteps)
+{
+    const std::vector<DivisibleKey> keys = { { AllotmentKeyNumber(1), 999'999 } };
+    const EntryAmounts wanted = { { EntryNumber(1), 500'000 }, { EntryNumber(2), 499'999 } };
+    const KeyAmounts targets = planTargets(keys, wanted, {});
+    EXPECT_EQ(targets.at(AllotmentKeyNumber(1)).at(EntryNumber(2)), 499'999U);
+}
+
+TEST(WorkerHealth, tellsBadWorkersFromBadJobs)
+{
+    using Verdict = WorkerHealth::Verdict;
+    WorkerHealth health;
+    const Millis now(1000);
+    const state::WorkerNumber bad(1);
+    EXPECT_EQ(health.taskFailed(bad, JobId(1), now), Verdict::BlameJob);
+    EXPECT_EQ(health.taskFailed(bad, JobId(2), now), Verdict::BlameWorker);
+    EXPECT_TRUE(health.mayStart(bad, 0, now));
+    EXPECT_EQ(health.taskFailed(bad, JobId(3), now), Verdict::BlameWorker);
+    EXPECT_TRUE(health.isQuarantined(bad, now));
+    EXPECT_FALSE(health.mayStart(bad, 0, now));
+    // After the quarantine it gets one task; a failure sends it back for longer.
+    const Millis later = now + Millis(31'000);
+    EXPECT_TRUE(health.mayStart(bad, 0, later));
+    EXPECT_FALSE(health.mayStart(bad, 1, later));
+    health.taskFailed(bad, JobId(4), later);
+    EXPECT_TRUE(health.isQuarantined(bad, later + Millis(50'000)));
+    health.taskSucceeded(bad);
+    EXPECT_TRUE(health.mayStart(bad, 5, later));
+    // A job that fails everywhere is blamed each time, and no worker is.
+    for (uint32_t worker = 10; worker < 20; worker++)
+        EXPECT_EQ(health.taskFailed(state::WorkerNumber(worker), JobId(9), now), Verdict::BlameJob);
+    EXPECT_FALSE(health.isQuarantined(state::WorkerNumber(12), now));
+}
+
+} // namespace basilgap::scheduling
--- /dev/null
+++ b/Source/UnitTests/State/CellStateTest.cpp
@@ -0,0 +1,202 @@
+#include <google/protobuf/stubs/logging.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "Basilgap/State/CellState.h"
+#include "Basilgap/State/ConfigDelta.h"
+#include "UnitTests/State/Commands.h"
+
+namespace basilgap::state {
+
+namespace {
+
+schema::CommandOutcome applyFile(CellState &state, uint64_t version, const std::string &hash)
+{
+    return state.apply(LogIndex(version), applyCellCommand(version, hash));
+}
+
+} // namespace
+
+TEST(ConfigState, comparesNumberAndContent)
+{
+    CellState state;
+    EXPECT_EQ(applyFile(state, 1, "a").code(), schema::ACCEPTED);
+    EXPECT_EQ(applyFile(state, 5, "b").code(), schema::ACCEPTED);
+    const auto again = applyFile(state, 5, "b");
+    EXPECT_EQ(again.code(), schema::ACCEPTED);
+    EXPECT_TRUE(again.again());
+    const auto racing = applyFile(state, 5, "c");
+    EXPECT_EQ(racing.code(), schema::CONFLICT);
+    EXPECT_EQ(racing.hash(), "b");
+    EXPECT_EQ(applyFile(state, 4, "d").code(), schema::STALE);
+    EXPECT_EQ(state.config().config().version(), 5U);
+}
+
+TEST(ConfigState, lateResendOfAZoneCommandDoesNotUndoALaterOne)
+{
+    CellState state;
+    applyFile(state, 1, "a");
+    state.apply(LogIndex(2), zoneCommand("z1", true, "first"));
+    state.apply(LogIndex(3), zoneCommand("z1", false, "second"));
+    const auto resent = state.apply(LogIndex(4), zoneCommand("z1", true, "first"));
+    EXPECT_EQ(resent.code(), schema::ACCEPTED);
+    EXPECT_TRUE(resent.again());
+    EXPECT_FALSE(state.config().isZoneOut(ZoneName("z1")));
+    EXPECT_EQ(state.apply(LogIndex(5), zoneCommand("z9", true, "third")).code(), schema::NOT_FOUND);
+    EXPECT_EQ(state.apply(LogIndex(6), zoneCommand("z2", true, "first")).code(), schema::CONFLICT);
+}
+
+TEST(ClaimTable, oneOwnerForOneKey)
+{
+    CellState state;
+    state.apply(LogIndex(1), openSessionCommand("e1", 11));
+    EXPECT_EQ(
+        state.apply(LogIndex(2), claimCommand("key", "body", "e1", 11)).code(), schema::ACCEPTED);
+    const auto second = state.apply(LogIndex(3), claimCommand("key", "body", "e2", 22));
+    EXPECT_EQ(second.code(), schema::CLAIMED);
+    EXPECT_EQ(second.owner(), "e1");
+    EXPECT_EQ(
+        state.apply(LogIndex(4), claimCommand("key", "other", "e2", 22)).code(), schema::CONFLICT);
+    // Another life of the owner does not know what became of the request.
+    state.apply(LogIndex(5), openSessionCommand("e1", 12));
+    EXPECT_EQ(state.apply(LogIndex(6), claimCommand("key", "body", "e1", 12)).code(),
+        schema::OUTCOME_UNKNOWN);
+}
+
+TEST(ClaimTable, jobUnderOneKeyIsSubmittedOnce)
+{
+    CellState state;
+    const auto first = state.apply(LogIndex(1), submitCommand("ghat", 3, "key"));
+    const auto second = state.apply(LogIndex(2), submitCommand("ghat", 3, "key"));
+    EXPECT_EQ(first.job(), second.job());
+    EXPECT_EQ(state.jobs().jobs().size(), 1U);
+    EXPECT_EQ(state.apply(LogIndex(3), submitCommand("ghat", 4, "key")).code(), schema::CONFLICT);
+}
+
+TEST(JobTable, countsTriesAndEndsAFailingJob)
+{
+    CellState state;
+    state.apply(LogIndex(1), submitCommand("ghat", 2, "key"));
+    for (int attempt = 0; attempt < 3; attempt++) {
+        state.apply(LogIndex(2), startCommand(1, 0, 1));
+        state.apply(LogIndex(3), endCommand(1, 0, schema::TASK_FAILED));
+    }
+    const Job &job = *state.jobs().find(JobId(1));
+    EXPECT_EQ(job.phase, schema::JobState::FAILED);
+    EXPECT_EQ(job.tasks[0].epoch, 3U);
+    EXPECT_EQ(state.jobs().waitingTasks(), 0U);
+}
+
+TEST(JobTable, lostTaskWaitsAgainWithoutATry)
+{
+    CellState state;
+    state.apply(LogIndex(1), submitCommand("ghat", 1, "key"));
+    state.apply(LogIndex(2), startCommand(1, 0, 1));
+    state.apply(LogIndex(3), endCommand(1, 0, schema::TASK_LOST));
+    const Task &task = state.jobs().find(JobId(1))->tasks[0];
+    EXPECT_EQ(task.phase, schema::TaskState::WAITING);
+    EXPECT_EQ(task.tries, 0U);
+    EXPECT_EQ(state.jobs().reservedOn(WorkerNumber(1)), Resources{});
+}
+
+RC_GTEST_PROP(CellStateProperty, restoresWhatItSaved, ())
+{
+    CellState state;
+    CellState other;
+    const int count = *rc::gen::inRange(1, 120);
+    for (int i = 1; i <= count; i++) {
+        const schema::Command command = randomCommand();
+        state.apply(LogIndex(static_cast<uint64_t>(i)), command);
+        other.apply(LogIndex(static_cast<uint64_t>(i)), command);
+        // A replica that was restored on the way must stay equal to one that was not.
+        if (i % 17 == 0) {
+            CellState restored;
+            RC_ASSERT(restored.restore(other.save()));
+            other = restored;
+        }
+        RC_ASSERT(other.save() == state.save());
+    }
+}
+
+RC_GTEST_PROP(CellStateProperty, indexesMatchAPlainCount, ())
+{
+    CellState state;
+    const int count = *rc::gen::inRange(1, 200);
+    for (int i = 1; i <= count; i++)
+        state.apply(LogIndex(static_cast<uint64_t>(i)), randomCommand());
+    std::map<WorkerNumber, Resources> reserved;
+    std::map<TeamName, Resources> usage;
+    size_t waiting = 0;
+    for (const auto &[id, job] : state.jobs().jobs()) {
+        for (const Task &task : job.tasks) {
+            waiting += task.phase == schema::TaskState::WAITING ? 1 : 0;
+            if (task.phase != schema::TaskState::RUNNING)
+                continue;
+            reserved[task.worker] += job.reservation(task);
+            usage[job.team] += job.reservation(task);
+        }
+    }
+    RC_ASSERT(state.jobs().waitingTasks() == waiting);
+    for (const auto &[worker, sum] : reserved)
+        RC_ASSERT(state.jobs().reservedOn(worker) == sum);
+    for (const auto &[team, sum] : usage)
+        RC_ASSERT(state.jobs().usageOf(team) == sum);
+}
+
+RC_GTEST_PROP(CellStateProperty, survivesRandomSnapshots, (const std::string &bytes))
+{
+    google::protobuf::SetLogHandler(nullptr);
+    CellState state;
+    state.restore(bytes);
+    schema::Command command;
+    if (command.ParseFromString(bytes))
+        state.apply(LogIndex(1), command);
+    RC_SUCCEED("no crash");
+}
+
+RC_GTEST_PROP(CellStateProperty, survivesMutatedSnapshots, ())
+{
+    google::protobuf::SetLogHandler(nullptr);
+    CellState state;
+    for (int i = 1; i <= 60; i++)
+        state.apply(LogIndex(static_cast<uint64_t>(i)), randomCommand());
+    std::string bytes = state.save();
+    for (int i = 0; i < 8; i++)
+        bytes[*rc::gen::inRange<size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+    CellState restored;
+    if (restored.restore(bytes))
+        restored.apply(LogIndex(100), randomCommand());
+    RC_SUCCEED("no crash");
+}
+
+RC_GTEST_PROP(ConfigDeltaProperty, turnsTheBaseIntoTheTarget, ())
+{
+    const auto randomConfig = [] {
+        schema::CellConfig config;
+        config.set_version(*rc::gen::inRange<uint64_t>(1, 100));
+        for (int name = 0; name < 12; name++) {
+            if (*rc::gen::arbitrary<bool>())
+                continue;
+            schema::TeamConfig *team = config.add_teams();
+            team->set_name("team" + std::to_string(name));
+            team->set_share(*rc::gen::inRange<uint32_t>(0, 3));
+        }
+        return config;
+    };
+    const schema::CellConfig base = randomConfig();
+    const schema::CellConfig target = randomConfig();
+    schema::View view;
+    fillConfigDelta(base, target, &view);
+    const auto merged = applyConfigDelta(base, view);
+    RC_ASSERT(merged.has_value());
+    std::map<std::string, uint32_t> expected;
+    std::map<std::string, uint32_t> got;
+    for (const auto &team : target.teams())
+        expected[team.name()] = team.share();
+    for (const auto &team : merged->teams())
+        got[team.name()] = team.share();
+    RC_ASSERT(got == expected);
+    RC_ASSERT(merged->version() == target.version());
+}
+
+} // namespace basilgap::state
