--- a/Source/Basilgap/Control/ReplicaTask.cpp
+++ b/Source/Basilgap/Control/ReplicaTask.cpp
@@ -68,11 +68,12 @@
 
 void ReplicaTask::updateLinks()
 {
+    // The addresses of the settings go first: this host may reach a replica on a way of its own.
     std::map<ReplicaId, std::string> wanted;
-    for (const auto &peer : options_.settings.peers())
-        wanted[ReplicaId(peer.id())] = peer.address();
     for (const auto &member : core_->membership().members())
         wanted[ReplicaId(member.id())] = member.address();
+    for (const auto &peer : options_.settings.peers())
+        wanted[ReplicaId(peer.id())] = peer.address();
     wanted.erase(self_);
     std::erase_if(links_, [&wanted](const auto &entry) {
         const auto found = wanted.find(entry.first);
--- a/Source/Basilgap/Entry/CallerApi.cpp
+++ b/Source/Basilgap/Entry/CallerApi.cpp
@@ -63,19 +63,23 @@
             .error = "no current view of the configuration",
             .step = "accept",
             .retryAfterSeconds = 1 }));
-    parked_.push_back({ std::move(request), std::move(responder), now });
+    Millis longest = LongestParked;
+    readTimeout(request, &longest);
+    parked_.push_back({ std::move(request), std::move(responder), now, now + longest });
 }
 
 void CallerApi::tick()
 {
     const Millis now = steadyNow();
-    while (!parked_.empty()) {
-        const bool valid = options_.view.isValid(now);
-        const bool expired = now - parked_.front().arrived >= LongestParked;
-        if (!valid && !expired)
-            return;
-        Parked parked = std::move(parked_.front());
-        parked_.pop_front();
+    const bool valid = options_.view.isValid(now);
+    std::deque<Parked> due;
+    std::erase_if(parked_, [&](Parked &parked) {
+        if (!valid && now < parked.until)
+            return false;
+        due.push_back(std::move(parked));
+        return true;
+    });
+    for (Parked &parked : due) {
         if (valid) {
             route(std::move(parked.request), std::move(parked.responder), parked.arrived);
             continue;
--- a/Source/Basilgap/Entry/CallerApi.h
+++ b/Source/Basilgap/Entry/CallerApi.h
@@ -39,6 +39,7 @@
         network::HttpRequest request;
         network::ResponderPointer responder;
         Millis arrived;
+        Millis until;
     };
 
     void tick();
--- a/Source/Basilgap/Entry/ControlClient.cpp
+++ b/Source/Basilgap/Entry/ControlClient.cpp
@@ -66,14 +66,15 @@
 
 void ControlClient::setReplicas(const schema::CellConfig &config)
 {
+    // The addresses of the settings go first: this host may reach a replica on a way of its own.
     std::set<ReplicaId> wanted;
-    for (const auto &replica : config.replicas()) {
-        addLink(ReplicaId(replica.id()), replica.address());
-        wanted.insert(ReplicaId(replica.id()));
-    }
-    // The settings stay a way back when the configuration lists replicas that can't be reached.
     for (const auto &control : options_.settings.controls())
         wanted.insert(ReplicaId(control.id()));
+    for (const auto &replica : config.replicas()) {
+        const ReplicaId id(replica.id());
+        if (wanted.insert(id).second)
+            addLink(id, replica.address());
+    }
     std::erase_if(links_, [&wanted](const auto &entry) { return !wanted.contains(entry.first); });
     if (!links_.contains(target_))
         turnToNext();
--- a/Source/Basilgap/Network/EventLoop.cpp
+++ b/Source/Basilgap/Network/EventLoop.cpp
@@ -9,6 +9,8 @@
 {
     // A peer that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    // A file size limit is met as a full disk.
+    std::signal(SIGXFSZ, SIG_IGN);
 }
 
 EventLoop::~EventLoop()
--- /dev/null
+++ b/Source/FailureTests/ReplicasFailureTest.cpp
@@ -0,0 +1,188 @@
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "FailureTests/TestCell.h"
+
+namespace basilgap::failuretests {
+
+namespace {
+
+class ReplicasFailure : public CellTest
+{
+protected:
+    LocalCell::Host &control(size_t index) { return cell_->controls()[index]; }
+
+    std::string dumpOf(size_t index)
+    {
+        return cell_->admin(control(index), "GET", "/v1/state").response.body;
+    }
+
+    bool isVoter(size_t leader, const std::string &id)
+    {
+        const std::string dump = dumpOf(leader);
+        return dump.find("{\"id\":\"" + id + "\",\"voter\":true") != std::string::npos;
+    }
+
+    std::string readLog(size_t index)
+    {
+        std::ifstream file(cell_->logFile(control(index).id));
+        std::ostringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }
+};
+
+} // namespace
+
+TEST_F(ReplicasFailure, wipedReplicaReturnsAndASecondLossIsSurvived)
+{
+    startCell({ .controls = 5, .entries = 1 });
+    ASSERT_EQ(cell_->applyNext().response.status, 200);
+    const auto leader = static_cast<size_t>(cell_->waitForLeader(Patience));
+    const size_t wiped = (leader + 1) % 5;
+    control(wiped).process.kill();
+    std::filesystem::remove_all(control(wiped).dataFolder);
+    cell_->startControl(wiped);
+    // The dump shows the old content as a voter until the leader hears of the loss.
+    ASSERT_TRUE(waitUntil(Patience, [&] {
+        const std::string promoted = "event=learner-promoted peer=" + control(wiped).id;
+        return readLog(leader).find(promoted) != std::string::npos
+            && isVoter(leader, control(wiped).id);
+    }));
+    control((leader + 2) % 5).process.kill();
+    control((leader + 3) % 5).process.kill();
+    EXPECT_EQ(cell_->applyNext().response.status, 200);
+    EXPECT_EQ(cell_->waitForLeader(Patience), static_cast<int>(leader));
+}
+
+TEST_F(ReplicasFailure, wipedReplicaDoesNotMakeAQuorum)
+{
+    startCell({ .controls = 3, .entries = 1 });
+    const auto leader = static_cast<size_t>(cell_->waitForLeader(Patience));
+    const size_t wiped = (leader + 1) % 3;
+    const size_t behind = (leader + 2) % 3;
+    control(behind).process.kill();
+    ASSERT_EQ(cell_->applyNext().response.status, 200);
+    control(leader).process.kill();
+    control(wiped).process.kill();
+    std::filesystem::remove_all(control(wiped).dataFolder);
+    // The one behind and the wiped one would be two of three and know nothing of the last file.
+    cell_->startControl(wiped);
+    cell_->startControl(behind);
+    EXPECT_FALSE(waitUntil(Millis(4000), [&] { return cell_->leader() >= 0; }));
+    cell_->startControl(leader);
+    ASSERT_GE(cell_->waitForLeader(Patience), 0);
+    EXPECT_TRUE(waitUntil(Patience, [&] {
+        return standins::jsonNumber(
+                   cell_->admin(control(behind), "GET", "/v1/status").response.body, "version")
+            == 2;
+    }));
+}
+
+TEST_F(ReplicasFailure, blankReplicasFormNoSecondCell)
+{
+    startCell({ .controls = 3, .entries = 1 });
+    const auto leader = static_cast<size_t>(cell_->waitForLeader(Patience));
+    for (size_t i = 0; i < 3; i++)
+        control(i).process.kill();
+    // Two of three are blank and the one with the cell's state is down.
+    for (size_t i = 0; i < 3; i++) {
+        if (i == leader)
+            continue;
+        std::filesystem::remove_all(control(i).dataFolder);
+        cell_->startControl(i);
+    }
+    EXPECT_FALSE(waitUntil(Millis(4000), [&] { return cell_->leader() >= 0; }));
+    for (size_t i = 0; i < 3; i++) {
+        const std::string log = readLog(i);
+        EXPECT_EQ(log.find("event=cell-formed"), log.rfind("event=cell-formed"));
+    }
+}
+
+TEST_F(ReplicasFailure, killedReplicasKeepEveryAcknowledgedFile)
+{
+    startCell({ .controls = 3, .entries = 1 });
+    for (int round = 0; round < 5; round++) {
+        ASSERT_EQ(cell_->applyNext(false).response.status, 200);
+        for (size_t i = 0; i < 3; i++)
+            control(i).process.kill();
+        for (size_t i = 0; i < 3; i++)
+            cell_->startControl(i);
+        const int leader = cell_->waitForLeader(Patience);
+        ASSERT_GE(leader, 0);
+        const auto status = cell_->admin(control(static_cast<size_t>(leader)), "GET", "/v1/status");
+        EXPECT_EQ(standins::jsonNumber(status.response.body, "version"),
+                  static_cast<int64_t>(cell_->version()));
+    }
+}
+
+TEST_F(ReplicasFailure, damagedRecordStopsTheStartWithFileAndOffset)
+{
+    startCell({ .controls = 3, .entries = 1 });
+    ASSERT_EQ(cell_->applyNext().response.status, 200);
+    const size_t damaged = (static_cast<size_t>(cell_->waitForLeader(Patience)) + 1) % 3;
+    control(damaged).process.kill();
+    const std::string path = control(damaged).dataFolder + "/log";
+    {
+        std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
+        file.seekp(100);
+        file.put('\x7f');
+    }
+    cell_->startControl(damaged);
+    EXPECT_EQ(control(damaged).process.wait(Patience), 1);
+    const std::string log = readLog(damaged);
+    EXPECT_NE(log.find("peer=" + path), std::string::npos);
+    EXPECT_NE(log.find("damaged record at offset"), std::string::npos);
+}
+
+TEST_F(ReplicasFailure, fullDiskMakesALeaderStepDownAndSayWhy)
+{
+    startCell({ .controls = 3, .entries = 1 });
+    const auto leader = static_cast<size_t>(cell_->waitForLeader(Patience));
+    const std::string program = standins::programPath("ControlDaemon/basilgap-control");
+    // A limit on file sizes stands in for a full disk: the log can grow by a few kilobytes.
+    for (size_t i = 0; i < 3; i++) {
+        control(i).process.kill();
+        const std::string limit = i == leader ? "ulimit -f 16; " : "";
+        control(i).process = standins::ChildProcess::start(
+            { "/bin/bash", "-c", limit + "exec " + program + " " + control(i).settingsFile },
+            cell_->logFile(control(i).id));
+    }
+    ASSERT_GE(cell_->waitForLeader(Patience), 0);
+    const bool full = waitUntil(Millis(60000), [&] {
+        cell_->applyNext(false);
+        return readLog(leader).find("event=disk-full") != std::string::npos;
+    });
+    ASSERT_TRUE(full);
+    EXPECT_NE(dumpOf(leader).find("File too large"), std::string::npos);
+    const int other = cell_->waitForLeader(Patience);
+    ASSERT_GE(other, 0);
+    EXPECT_NE(other, static_cast<int>(leader));
+    EXPECT_EQ(cell_->applyNext().response.status, 200);
+}
+
+TEST_F(ReplicasFailure, stoppedLeaderHandsOver)
+{
+    startCell({ .controls = 3, .entries = 1 });
+    const auto leader = static_cast<size_t>(cell_->waitForLeader(Patience));
+    control(leader).process.signal(SIGTERM);
+    EXPECT_EQ(control(leader).process.wait(Patience), 0);
+    EXPECT_NE(readLog(leader).find("event=not-leading"), std::string::npos);
+    const int next = cell_->waitForLeader(Millis(2000));
+    EXPECT_GE(next, 0);
+}
+
+TEST_F(ReplicasFailure, leaderInAZoneTakenOutHandsOver)
+{
+    startCell({ .controls = 3, .entries = 1 });
+    const auto leader = static_cast<size_t>(cell_->waitForLeader(Patience));
+    ASSERT_EQ(cell_->zone(control(leader).zone, "out", "out").response.status, 200);
+    EXPECT_TRUE(waitUntil(Patience, [&] {
+        const int now = cell_->leader();
+        return now >= 0 && now != static_cast<int>(leader);
+    }));
+}
+
+} // namespace basilgap::failuretests
--- a/Source/StandIns/LocalCell.cpp
+++ b/Source/StandIns/LocalCell.cpp
@@ -109,9 +109,16 @@
     const std::string operatorKeyFile = options_.folder + "/operator.key";
     writeFile(cellKeyFile, "key-shared-by-the-cell\n");
     writeFile(operatorKeyFile, operatorKey_ + "\n");
-    std::ostringstream peers;
-    for (const Host &host : controls_)
-        peers << "  - {id: " << host.id << ", address: '" << host.addresses.at("peer") << "'}\n";
+    const auto peersOf = [&](const Host &from) {
+        std::ostringstream peers;
+        for (const Host &host : controls_) {
+            const std::string &own = host.addresses.at("peer");
+            const bool routed = options_.route && host.id != from.id;
+            peers << "  - {id: " << host.id << ", address: '"
+                  << (routed ? options_.route(from.id, host.id, own) : own) << "'}\n";
+        }
+        return peers.str();
+    };
     const auto common = [&](const Host &host) {
         std::ostringstream text;
         text << "id: " << host.id << "\nzone: " << host.zone << "\nadminAddress: '"
@@ -122,12 +129,12 @@
     };
     for (const Host &host : controls_)
         writeFile(host.settingsFile,
-            common(host) + "dataFolder: " + host.dataFolder + "\npeers:\n" + peers.str()
+            common(host) + "dataFolder: " + host.dataFolder + "\npeers:\n" + peersOf(host)
                 + options_.controlExtra);
     for (const Host &host : entries_)
         writeFile(host.settingsFile,
             common(host) + "publicAddress: '" + host.addresses.at("public") + "'\nserviceAddress: '"
-                + host.addresses.at("service") + "'\ndrainMs: 200\ncontrols:\n" + peers.str()
+                + host.addresses.at("service") + "'\ndrainMs: 200\ncontrols:\n" + peersOf(host)
                 + options_.entryExtra);
 }
 
