Mend claims of an earlier life, memory overuse and late dispatches

Cause: ClaimsFailure.entryKilledBeforeTheAnswer...: an entry took a claim of its own name for its own repeated proposal, so a restarted entry, or one whose kept answer had been dropped, could have run the request again. JobsFailure.taskThatNeedsMoreMemory...: reports without a change did not count as reports. RequestsFailure.killedLeader...: 8 of 2400 requests were sent to a backend server with less time left than one takes, and ended unknown. Change: a nonce tells a repeated proposal; every report counts; a request is dispatched only while its time left covers the likely service time (mean + 4 deviations). Also: a response that never came no longer looks like status 200 in tests; tests lock their ports.

--- a/Source/Basilgap/Control/WorkerRegistry.cpp
+++ b/Source/Basilgap/Control/WorkerRegistry.cpp
@@ -78,6 +78,7 @@
         worker.capacity = state::fromSchema(report.capacity());
         takeTasks(report, &worker);
     }
+    noteOveruse(&worker);
     noteMissing(&worker);
     return &worker;
 }
@@ -96,13 +97,20 @@
         task.reason = reported.reason();
         task.usage = state::fromSchema(reported.usage());
         task.peakMemoryMb = std::max(task.peakMemoryMb, task.usage.memoryMb);
+    }
+    worker->tasks = std::move(tasks);
+}
+
+// Counts every report, also those that say that nothing changed.
+void WorkerRegistry::noteOveruse(Worker *worker)
+{
+    for (auto &[id, task] : worker->tasks) {
         const state::Job *job = state_.jobs().find(id.job);
         const state::Task *known = state_.jobs().find(id);
         const bool over =
             known != nullptr && task.usage.memoryMb > job->reservation(*known).memoryMb;
         task.overMemory = over ? task.overMemory + 1 : 0;
     }
-    worker->tasks = std::move(tasks);
 }
 
 void WorkerRegistry::noteMissing(Worker *worker)
--- a/Source/Basilgap/Control/WorkerRegistry.h
+++ b/Source/Basilgap/Control/WorkerRegistry.h
@@ -106,6 +106,7 @@
 
 private:
     void takeTasks(const schema::WorkerReport &report, Worker *worker);
+    void noteOveruse(Worker *worker);
     void noteMissing(Worker *worker);
     void endOfTask(const TaskId &id, WorkerNumber number, const std::set<TaskId> &stopping,
         scheduling::WorkerHealth *health, Millis now, TaskEndWriter *ends);
--- a/Source/Basilgap/Entry/ClaimService.cpp
+++ b/Source/Basilgap/Entry/ClaimService.cpp
@@ -113,6 +113,7 @@
     open->set_body_hash(bodyHash);
     open->set_entry(options_.entry.value());
     open->set_entry_incarnation(options_.incarnation.value());
+    open->set_nonce(randomNumber());
     const Millis left = request->deadline - steadyNow();
     auto held = std::make_shared<RequestPointer>(std::move(request));
     options_.rpc.call(std::move(rpc), left,
@@ -133,15 +134,14 @@
                 .retryAfterSeconds = 1 });
     }
     const schema::CommandOutcome &outcome = reply->outcome();
-    const bool isOwn =
-        outcome.code() == schema::CLAIMED && outcome.owner() == options_.entry.value();
-    // Our own earlier proposal whose answer was lost: nothing was run under it.
-    if (outcome.code() == schema::ACCEPTED || isOwn)
+    if (outcome.code() == schema::ACCEPTED)
         return options_.run(std::move(request));
     book_.finish(key, { .outcome = "not-run", .answer = {} }, steadyNow());
     if (outcome.code() == schema::CONFLICT)
         return answerOtherBody(*request);
-    if (outcome.code() == schema::CLAIMED)
+    // Under our own name it is a claim of an earlier life, or one whose answer is not kept any more.
+    const bool isOwn = outcome.owner() == options_.entry.value();
+    if (outcome.code() == schema::CLAIMED && !isOwn)
         return joinAt(EntryId(outcome.owner()), std::move(request));
     answerUnknown(*request);
 }
--- a/Source/Basilgap/Entry/Dispatcher.cpp
+++ b/Source/Basilgap/Entry/Dispatcher.cpp
@@ -34,10 +34,10 @@
     ticker_.startRepeating(TickInterval);
 }
 
-double Dispatcher::serviceMsOf(const Flow &flow) const
+ServiceTime Dispatcher::serviceTimeOf(const Flow &flow) const
 {
-    const auto found = serviceMs_.find(flow);
-    return found == serviceMs_.end() ? 0 : found->second;
+    const auto found = serviceTimes_.find(flow);
+    return found == serviceTimes_.end() ? ServiceTime() : found->second;
 }
 
 // Teams that the leader has not seen waiting yet get the part that their share would give them.
@@ -67,7 +67,7 @@
 // held here; 0 while too little is known.
 double Dispatcher::expectedWaitMs(const Flow &flow) const
 {
-    const double service = serviceMsOf(flow);
+    const double service = serviceTimeOf(flow).mean();
     const uint32_t held = backends_.heldOf(flow.pool);
     if (service <= 0 || held == 0)
         return 0;
@@ -102,7 +102,7 @@
     const double wait = expectedWaitMs(request->flow);
     const double left = static_cast<double>((request->deadline - now).count());
     const bool full = queue_.size() >= options_.maxQueue;
-    if (full || wait + serviceMsOf(request->flow) > left) {
+    if (full || wait + serviceTimeOf(request->flow).likelyMost() > left) {
         counters_.refused++;
         const auto retryAfter = static_cast<int>(std::clamp(std::ceil(wait / 1000), 1.0, 60.0));
         auto response = network::errorResponse({ .status = 503,
@@ -166,7 +166,7 @@
         if (!view_.isValid(now))
             break;
         const auto item = queue_.pop([&](const Flow &flow) { return mayStart(flow, now); },
-            [&](const Flow &flow) { return 1 + serviceMsOf(flow); });
+            [&](const Flow &flow) { return 1 + serviceTimeOf(flow).mean(); });
         if (!item)
             break;
         RequestPointer request = std::move(waitingRequests_[item->id]);
@@ -176,7 +176,7 @@
             continue;
         }
         const double left = static_cast<double>((request->deadline - now).count());
-        if (left <= 0 || left < serviceMsOf(request->flow) / 2) {
+        if (left <= 0 || left < serviceTimeOf(request->flow).likelyMost()) {
             counters_.expired++;
             answerError(std::move(request), request->maybeRan ? 504 : 503,
                 "the deadline can't be met any more", "dispatch");
--- a/Source/Basilgap/Entry/Dispatcher.h
+++ b/Source/Basilgap/Entry/Dispatcher.h
@@ -13,6 +13,7 @@
 #include "Basilgap/Entry/HoldingTable.h"
 #include "Basilgap/Entry/Request.h"
 #include "Basilgap/Entry/RetryBudget.h"
+#include "Basilgap/Entry/ServiceTime.h"
 #include "Basilgap/Entry/ViewStore.h"
 
 namespace basilgap::entry {
@@ -69,7 +70,7 @@
     bool hasTeamRoom(const TeamName &team) const;
     double queueWeight(const TeamName &team) const;
     double expectedWaitMs(const Flow &flow) const;
-    double serviceMsOf(const Flow &flow) const;
+    ServiceTime serviceTimeOf(const Flow &flow) const;
     void enqueue(RequestPointer request, bool front);
     void watchCaller(Request &request);
     void tick();
@@ -99,7 +100,7 @@
     std::map<RequestId, RequestPointer> waitingRequests_;
     std::map<RequestId, RequestPointer> running_;
     std::map<Flow, uint32_t> runningByFlow_;
-    std::map<Flow, double> serviceMs_;
+    std::map<Flow, ServiceTime> serviceTimes_;
     std::map<TeamName, uint32_t> leaderWeights_;
     std::map<TeamName, RetryBudget> budgets_;
     uint64_t nextRequest_ = 1;
--- a/Source/Basilgap/Entry/Exchange.cpp
+++ b/Source/Basilgap/Entry/Exchange.cpp
@@ -12,8 +12,6 @@
 using network::ExchangeEnd;
 using network::ExchangeResult;
 
-constexpr double ServiceSmoothing = 0.1;
-
 const char *toText(ExchangeEnd end)
 {
     switch (end) {
@@ -116,9 +114,8 @@
         const auto spent = static_cast<double>((now - request.sentAt).count());
         backends_.answered(request.backend, spent);
         holdings_.release(teamHolding(request.caller.team));
-        double &average = serviceMs_[request.flow];
         if (!fenced)
-            average = average == 0 ? spent : average + ServiceSmoothing * (spent - average);
+            serviceTimes_[request.flow].add(spent);
         return;
     }
     LogEvent("exchange-failed", LogLevel::Warning)
--- a/Source/Basilgap/Network/HttpMessage.h
+++ b/Source/Basilgap/Network/HttpMessage.h
@@ -41,7 +41,8 @@
 
 struct HttpResponse
 {
-    int status = 200;
+    // 0 when there is no response.
+    int status = 0;
     Headers headers;
     std::string body;
 };
--- a/Source/Basilgap/State/ClaimTable.cpp
+++ b/Source/Basilgap/State/ClaimTable.cpp
@@ -15,11 +15,16 @@
         claim.set_body_hash(command.body_hash());
         claim.set_entry(command.entry());
         claim.set_entry_incarnation(command.entry_incarnation());
+        claim.set_nonce(command.nonce());
         claim.set_stamp_ms(stampMs);
         insert(key, std::move(claim));
         return outcome;
     }
     const schema::ClaimState &claim = found->second;
+    if (command.nonce() != 0 && claim.nonce() == command.nonce()) {
+        outcome.set_again(true);
+        return outcome;
+    }
     if (claim.body_hash() != command.body_hash() || claim.job() != 0) {
         outcome.set_code(schema::CONFLICT);
         outcome.set_message("the Idempotency-Key was used with another request");
--- a/Source/StandIns/LocalCell.cpp
+++ b/Source/StandIns/LocalCell.cpp
@@ -7,6 +7,8 @@
 #include <thread>
 
 #include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,18 +23,48 @@
 constexpr Millis AdminTimeout{ 15000 };
 constexpr Millis PollInterval{ 20 };
 
-// A port that was free a moment ago. Settings name their ports, so port 0 is of no use there.
-std::string freeAddress()
+// Ports below those that the kernel hands out by itself, in blocks that one process locks for as
+// long as it lives: tests that run side by side never take each other's.
+constexpr uint16_t FirstPort = 12000;
+constexpr uint16_t PortsInBlock = 64;
+constexpr uint16_t PortBlocks = 300;
+
+uint16_t lockPortBlock()
+{
+    const std::string folder = std::filesystem::temp_directory_path().string();
+    for (uint16_t block = 0; block < PortBlocks; block++) {
+        const std::string path = folder + "/basilgap-ports-" + std::to_string(block);
+        const int file = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+        if (file >= 0 && ::flock(file, LOCK_EX | LOCK_NB) == 0)
+            return static_cast<uint16_t>(FirstPort + block * PortsInBlock);
+        if (file >= 0)
+            ::close(file);
+    }
+    return 0;
+}
+
+bool isFree(uint16_t port)
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof address);
-    socklen_t length = sizeof address;
-    getsockname(socket, reinterpret_cast<sockaddr *>(&address), &length);
+    address.sin_port = htons(port);
+    const int on = 1;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    const bool free = bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
     ::close(socket);
-    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    return free;
+}
+
+// Settings name their ports, so port 0 is of no use there.
+std::string freeAddress()
+{
+    static const uint16_t block = lockPortBlock();
+    static uint16_t next = 0;
+    while (!isFree(static_cast<uint16_t>(block + next % PortsInBlock)))
+        next++;
+    return "127.0.0.1:" + std::to_string(block + next++ % PortsInBlock);
 }
 
 void writeFile(const std::string &path, const std::string &text)
--- a/Source/UnitTests/State/CellStateTest.cpp
+++ b/Source/UnitTests/State/CellStateTest.cpp
@@ -63,6 +63,19 @@
         schema::OUTCOME_UNKNOWN);
 }
 
+TEST(ClaimTable, repeatedProposalIsToldFromAnotherRequest)
+{
+    CellState state;
+    state.apply(LogIndex(1), openSessionCommand("e1", 11));
+    schema::Command claim = claimCommand("key", "body", "e1", 11);
+    claim.mutable_claim_open()->set_nonce(77);
+    EXPECT_EQ(state.apply(LogIndex(2), claim).code(), schema::ACCEPTED);
+    EXPECT_EQ(state.apply(LogIndex(3), claim).code(), schema::ACCEPTED);
+    // The same entry asks for another request: the first may have run.
+    claim.mutable_claim_open()->set_nonce(78);
+    EXPECT_EQ(state.apply(LogIndex(4), claim).code(), schema::CLAIMED);
+}
+
 TEST(ClaimTable, jobUnderOneKeyIsSubmittedOnce)
 {
     CellState state;
