Add measurements; mend a histogram that never ended its percentile

Cause: Tools/bench log printed one figure and hung: iterating Boost.Histogram's indexed range with the outer buckets did not end.

--- a/Source/Basilgap/Common/LatencyHistogram.cpp
+++ b/Source/Basilgap/Common/LatencyHistogram.cpp
@@ -12,6 +12,9 @@
 constexpr double SmallestMs = 0.01;
 constexpr double LargestMs = 600000;
 
+// What is smaller than the first bucket is counted in one before it.
+constexpr int FirstBucket = -1;
+
 using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
 
 auto makeBuckets()
@@ -56,14 +59,15 @@
 double LatencyHistogram::percentile(double fraction) const
 {
     const double wanted = fraction * static_cast<double>(data_->count);
+    const auto &axis = data_->buckets.axis(0);
     double seen = 0;
     double upper = 0;
-    for (auto &&bucket :
-        boost::histogram::indexed(data_->buckets, boost::histogram::coverage::all)) {
-        if (*bucket == 0)
+    for (int i = FirstBucket; i <= axis.size(); i++) {
+        const double count = data_->buckets.at(i);
+        if (count == 0)
             continue;
-        seen += *bucket;
-        upper = std::min(bucket.bin().upper(), LargestMs);
+        seen += count;
+        upper = std::min(axis.value(i + 1), LargestMs);
         if (seen >= wanted)
             return upper;
     }
@@ -73,14 +77,15 @@
 std::string LatencyHistogram::metricText(const std::string &name) const
 {
     std::ostringstream text;
+    const auto &axis = data_->buckets.axis(0);
     text << "# TYPE " << name << " histogram\n";
     double seen = 0;
-    for (auto &&bucket :
-        boost::histogram::indexed(data_->buckets, boost::histogram::coverage::all)) {
-        if (*bucket == 0 || bucket.index() >= static_cast<int>(BucketCount))
+    for (int i = FirstBucket; i < axis.size(); i++) {
+        const double count = data_->buckets.at(i);
+        if (count == 0)
             continue;
-        seen += *bucket;
-        text << name << "_bucket{le=\"" << bucket.bin().upper() << "\"} " << seen << '\n';
+        seen += count;
+        text << name << "_bucket{le=\"" << axis.value(i + 1) << "\"} " << seen << '\n';
     }
     text << name << "_bucket{le=\"+Inf\"} " << data_->count << '\n';
     text << name << "_sum " << data_->sum << '\n' << name << "_count " << data_->count << '\n';
--- a/Source/StandIns/LoadRun.h
+++ b/Source/StandIns/LoadRun.h
@@ -55,6 +55,7 @@
     LoadRun(network::EventLoop &loop, LoadOptions options, std::function<void()> done);
 
     const std::map<std::string, LoadTeamResult> &results() const { return results_; }
+    std::map<std::string, LoadTeamResult> takeResults() { return std::move(results_); }
     Millis elapsed() const { return steadyNow() - start_; }
     size_t outstanding() const { return outstanding_; }
 
