--- a/Source/Basilgap/Common/LeaseTimes.h
+++ b/Source/Basilgap/Common/LeaseTimes.h
@@ -10,9 +10,10 @@
 // How long a worker may run its tasks after it sent the poll that was answered.
 constexpr Millis WorkerLease{ 10000 };
 
-// Added wherever one host waits for the end of another's lease: covers clocks that run at
+// Added where one host waits for the end of another's lease: a tenth of it, for clocks that run at
 // different speeds.
-constexpr Millis LeaseDriftMargin{ 200 };
+constexpr Millis ViewLeaseMargin{ 200 };
+constexpr Millis WorkerLeaseMargin{ 1000 };
 
 // Time between two renewals of an entry.
 constexpr Millis RenewInterval{ 500 };
--- a/Source/Basilgap/Control/AllotmentManager.cpp
+++ b/Source/Basilgap/Control/AllotmentManager.cpp
@@ -221,7 +221,7 @@
     const Millis leaseEnd = sessions_.leaseEnd(EntryNumber(session.number()));
     if (now < leaseEnd)
         return false;
-    if (now >= leaseEnd + Millis(static_cast<int64_t>(longestTimeoutMs())) + LeaseDriftMargin)
+    if (now >= leaseEnd + Millis(static_cast<int64_t>(longestTimeoutMs())) + ViewLeaseMargin)
         return true;
     // Another life of the entry makes the counts ambiguous.
     if (state_.sessions().find(EntryId(session.entry())) != nullptr)
--- a/Source/Basilgap/Control/EntrySessions.cpp
+++ b/Source/Basilgap/Control/EntrySessions.cpp
@@ -39,7 +39,7 @@
 
 void EntrySessions::confirmed(EntryNumber number, Revision revision, Millis received)
 {
-    const Millis end = received + ViewLease + LeaseDriftMargin;
+    const Millis end = received + ViewLease + ViewLeaseMargin;
     std::vector<Lease> &leases = leases_[number];
     std::erase_if(leases,
         [&](const Lease &lease) { return lease.end <= received || lease.revision == revision; });
@@ -57,7 +57,7 @@
 bool EntrySessions::isInForce(Revision revision, Millis now) const
 {
     // Leases of entries whose sessions are closed or unknown by now are covered by this wait too.
-    const bool earlierLeaderCovers = now < start_ + ViewLease + LeaseDriftMargin;
+    const bool earlierLeaderCovers = now < start_ + ViewLease + ViewLeaseMargin;
     for (const auto &[number, session] : sessions_.all()) {
         const auto link = links_.find(number);
         if (link != links_.end() && link->second.reported >= revision)
@@ -77,7 +77,7 @@
 
 Millis EntrySessions::leaseEnd(EntryNumber number) const
 {
-    Millis end = start_ + ViewLease + LeaseDriftMargin;
+    Millis end = start_ + ViewLease + ViewLeaseMargin;
     const auto leases = leases_.find(number);
     if (leases == leases_.end())
         return end;
--- a/Source/Basilgap/Control/WorkerRegistry.cpp
+++ b/Source/Basilgap/Control/WorkerRegistry.cpp
@@ -64,7 +64,7 @@
         worker.id = id;
         worker.incarnation = incarnation;
         // An earlier leader may have extended a lease of this worker.
-        worker.leaseEnd = start_ + WorkerLease + LeaseDriftMargin;
+        worker.leaseEnd = start_ + WorkerLease + WorkerLeaseMargin;
     } else if (report.sequence() <= worker.sequence) {
         return fail(
             { ErrorCode::Conflict, "worker-report", report.id(), "a later report arrived" });
@@ -130,7 +130,7 @@
     const auto found = workers_.find(worker);
     if (found != workers_.end())
         found->second.leaseEnd =
-            std::max(found->second.leaseEnd, received + WorkerLease + LeaseDriftMargin);
+            std::max(found->second.leaseEnd, received + WorkerLease + WorkerLeaseMargin);
 }
 
 void WorkerRegistry::streamClosed(const network::PeerStream *stream)
@@ -216,7 +216,7 @@
     const WorkerId *workerId = state_.jobs().workerOf(number);
     const auto found = workerId == nullptr ? workers_.end() : workers_.find(*workerId);
     if (found == workers_.end()) {
-        if (now >= start_ + WorkerLease + LeaseDriftMargin)
+        if (now >= start_ + WorkerLease + WorkerLeaseMargin)
             ends->add(id, schema::TASK_LOST, "the worker did not return", 0);
         return;
     }
--- a/Source/Basilgap/Entry/ClaimService.cpp
+++ b/Source/Basilgap/Entry/ClaimService.cpp
@@ -139,7 +139,8 @@
     book_.finish(key, { .outcome = "not-run", .answer = {} }, steadyNow());
     if (outcome.code() == schema::CONFLICT)
         return answerOtherBody(*request);
-    // Under our own name it is a claim of an earlier life, or one whose answer is not kept any more.
+    // Under our own name it is a claim of an earlier life, or one whose answer is not kept any
+    // more.
     const bool isOwn = outcome.owner() == options_.entry.value();
     if (outcome.code() == schema::CLAIMED && !isOwn)
         return joinAt(EntryId(outcome.owner()), std::move(request));
--- a/Source/Basilgap/Entry/Dispatcher.cpp
+++ b/Source/Basilgap/Entry/Dispatcher.cpp
@@ -157,6 +157,11 @@
     return hasTeamRoom(flow.team) && backends_.hasFree(flow.pool, now);
 }
 
+double Dispatcher::costOf(const Flow &flow) const
+{
+    return 1 + serviceTimeOf(flow).mean();
+}
+
 void Dispatcher::pump()
 {
     std::vector<RequestPointer> unplaced;
@@ -166,34 +171,47 @@
         if (!view_.isValid(now))
             break;
         const auto item = queue_.pop([&](const Flow &flow) { return mayStart(flow, now); },
-            [&](const Flow &flow) { return 1 + serviceTimeOf(flow).mean(); });
+            [&](const Flow &flow) { return costOf(flow); });
         if (!item)
             break;
         RequestPointer request = std::move(waitingRequests_[item->id]);
         waitingRequests_.erase(item->id);
-        if (!view_.isKeyValid(request->caller)) {
-            answerError(std::move(request), 401, "the key was withdrawn", "dispatch");
-            continue;
-        }
-        const double left = static_cast<double>((request->deadline - now).count());
-        if (left <= 0 || left < serviceTimeOf(request->flow).likelyMost()) {
-            counters_.expired++;
-            answerError(std::move(request), request->maybeRan ? 504 : 503,
-                "the deadline can't be met any more", "dispatch");
+        const Flow flow = request->flow;
+        if (dispatch(&request, now))
             continue;
-        }
-        if (backends_.wereAllTried(request->flow.pool, request->tried))
-            request->tried.clear();
-        const auto backend = backends_.choose(request->flow.pool, request->tried, now);
-        if (backend)
-            start(std::move(request), *backend);
-        else
+        queue_.refund(flow.team, costOf(flow));
+        if (request)
             unplaced.push_back(std::move(request));
     }
     for (RequestPointer &request : unplaced)
         enqueue(std::move(request), true);
 }
 
+// Starts the request, or refuses it, or leaves it to the caller when no backend server is free for
+// it; true when it was started.
+bool Dispatcher::dispatch(RequestPointer *request, Millis now)
+{
+    const Request &waiting = **request;
+    if (!view_.isKeyValid(waiting.caller)) {
+        answerError(std::move(*request), 401, "the key was withdrawn", "dispatch");
+        return false;
+    }
+    const double left = static_cast<double>((waiting.deadline - now).count());
+    if (left <= 0 || left < serviceTimeOf(waiting.flow).likelyMost()) {
+        counters_.expired++;
+        answerExpired(std::move(*request), "the deadline can't be met any more", "dispatch");
+        return false;
+    }
+    // Once all were tried, any may be tried again.
+    if (backends_.wereAllTried(waiting.flow.pool, waiting.tried))
+        (*request)->tried.clear();
+    const auto backend = backends_.choose(waiting.flow.pool, waiting.tried, now);
+    if (!backend)
+        return false;
+    start(std::move(*request), *backend);
+    return true;
+}
+
 void Dispatcher::schedulePump()
 {
     if (!pumper_.isPending())
@@ -219,7 +237,7 @@
         RequestPointer request = std::move(waitingRequests_[item.id]);
         waitingRequests_.erase(item.id);
         counters_.expired++;
-        answerError(std::move(request), request->maybeRan ? 504 : 503,
+        answerExpired(std::move(request),
             view_.isValid(now) ? "the deadline passed while the request waited"
                                : "no current view of the configuration",
             "wait");
--- a/Source/Basilgap/Entry/Dispatcher.h
+++ b/Source/Basilgap/Entry/Dispatcher.h
@@ -69,6 +69,8 @@
     bool mayStart(const Flow &flow, Millis now);
     bool hasTeamRoom(const TeamName &team) const;
     double queueWeight(const TeamName &team) const;
+    double costOf(const Flow &flow) const;
+    bool dispatch(RequestPointer *request, Millis now);
     double expectedWaitMs(const Flow &flow) const;
     ServiceTime serviceTimeOf(const Flow &flow) const;
     void enqueue(RequestPointer request, bool front);
--- a/Source/Basilgap/Entry/FairQueue.cpp
+++ b/Source/Basilgap/Entry/FairQueue.cpp
@@ -59,6 +59,13 @@
     return std::nullopt;
 }
 
+void FairQueue::refund(const TeamName &team, double cost)
+{
+    const auto found = shares_.find(team);
+    if (found != shares_.end())
+        found->second.start -= cost / found->second.weight;
+}
+
 bool FairQueue::remove(const Flow &flow, RequestId id)
 {
     const auto lane = lanes_.find(flow);
--- a/Source/Basilgap/Entry/FairQueue.h
+++ b/Source/Basilgap/Entry/FairQueue.h
@@ -47,6 +47,9 @@
     using CostOf = std::function<double(const Flow &)>;
     std::optional<Item> pop(const MayStart &mayStart, const CostOf &costOf);
 
+    // Gives back the cost of a request that was taken and did not start.
+    void refund(const TeamName &team, double cost);
+
     // Takes out a request wherever it waits; false when it does not.
     bool remove(const Flow &flow, RequestId id);
 
--- a/Source/Basilgap/Network/HttpServer.cpp
+++ b/Source/Basilgap/Network/HttpServer.cpp
@@ -122,23 +122,51 @@
         evhttp_send_reply(request, 503, nullptr, nullptr);
     }
 
-    bool isCallerGone() const override { return request_ == nullptr; }
+    bool isCallerGone() const override { return request_ == nullptr || hungUp_; }
 
-    void onCallerGone(std::function<void()> callback) override { gone_ = std::move(callback); }
+    // evhttp does not read while a request is being answered, so it does not see the end of the
+    // connection by itself.
+    void onCallerGone(std::function<void()> callback) override
+    {
+        gone_ = std::move(callback);
+        if (request_ == nullptr || !*alive_)
+            return;
+        bufferevent *buffer =
+            evhttp_connection_get_bufferevent(evhttp_request_get_connection(request_));
+        hangUpWatch_.reset(event_new(
+            bufferevent_get_base(buffer), bufferevent_getfd(buffer), EV_CLOSED, onHangUp, this));
+        event_add(hangUpWatch_.get(), nullptr);
+    }
 
 private:
     static void onClose(evhttp_connection *, void *self)
     {
         auto *responder = static_cast<EvhttpResponder *>(self);
         responder->release();
-        if (responder->gone_)
-            responder->gone_();
+        responder->tellGone();
+    }
+
+    static void onHangUp(evutil_socket_t, short, void *self)
+    {
+        static_cast<EvhttpResponder *>(self)->tellGone();
+    }
+
+    // The callback may drop the last reference to this object.
+    void tellGone()
+    {
+        hungUp_ = true;
+        hangUpWatch_.reset();
+        const std::function<void()> callback = std::move(gone_);
+        gone_ = nullptr;
+        if (callback)
+            callback();
     }
 
     evhttp_request *release()
     {
         evhttp_request *request = request_;
         request_ = nullptr;
+        hangUpWatch_.reset();
         if (*alive_)
             server_->pending_--;
         return request;
@@ -148,6 +176,8 @@
     std::shared_ptr<bool> alive_;
     evhttp_request *request_;
     std::function<void()> gone_;
+    bool hungUp_ = false;
+    std::unique_ptr<event, EventDeleter> hangUpWatch_;
 };
 
 HttpServer::HttpServer(EventLoop &loop, HttpServerOptions options, RequestHandler handler)
--- a/Source/Benchmarks/Bench.cpp
+++ b/Source/Benchmarks/Bench.cpp
@@ -39,7 +39,7 @@
 void BenchCell::start(const std::string &program, const std::vector<std::string> &options)
 {
     std::vector<std::string> command = { standins::programPath("StandIns/" + program),
-                                         "--entries=" + cell_->serviceAddresses() };
+        "--entries=" + cell_->serviceAddresses() };
     command.insert(command.end(), options.begin(), options.end());
     standIns_.push_back(standins::ChildProcess::start(command, cell_->logFile(program)));
 }
--- a/Source/Benchmarks/ConfigBench.cpp
+++ b/Source/Benchmarks/ConfigBench.cpp
@@ -61,9 +61,9 @@
     std::thread load([&] {
         while (!done) {
             const auto result = sumOf(bench.load({ .teams = { { "ghat", cell.keyOf("ghat"), 1 } },
-                                                   .method = "GET",
-                                                   .requestsPerSecond = 200,
-                                                   .duration = Millis(3000) }));
+                .method = "GET",
+                .requestsPerSecond = 200,
+                .duration = Millis(3000) }));
             sum.sent += result.sent;
             sum.ok += result.ok;
         }
@@ -72,7 +72,8 @@
         const auto leader = static_cast<size_t>(cell.waitForLeader(Millis(20000)));
         cell.controls()[leader].process.kill();
         const Millis killed = steadyNow();
-        while (cell.applyNext(false).response.status != 200) { }
+        while (cell.applyNext(false).response.status != 200) {
+        }
         gaps.push_back(static_cast<double>((steadyNow() - killed).count()));
         cell.startControl(leader);
         standins::waitUntil(Millis(1500), [] { return false; });
--- a/Source/Benchmarks/ControlCostBench.cpp
+++ b/Source/Benchmarks/ControlCostBench.cpp
@@ -22,8 +22,8 @@
     double residentMb = 0;
 };
 
-double metric(const standins::LocalCell &cell, const standins::LocalCell::Host &host,
-              const std::string &name)
+double metric(
+    const standins::LocalCell &cell, const standins::LocalCell::Host &host, const std::string &name)
 {
     const std::string text = cell.admin(host, "GET", "/metrics").response.body;
     const size_t found = text.find(name + " ");
@@ -33,16 +33,16 @@
 Sample sampleOf(const standins::LocalCell &cell, const standins::LocalCell::Host &host)
 {
     return { .cpuMs = processorMs(host.process.pid()),
-             .bytes = metric(cell, host, "basilgap_control_sent_bytes"),
-             .residentMb = residentMb(host.process.pid()) };
+        .bytes = metric(cell, host, "basilgap_control_sent_bytes"),
+        .residentMb = residentMb(host.process.pid()) };
 }
 
 Usage usageBetween(const Sample &from, const Sample &to, Millis time)
 {
     const auto ms = static_cast<double>(time.count());
     return { .cpuPct = (to.cpuMs - from.cpuMs) * 100 / ms,
-             .kbPerS = (to.bytes - from.bytes) / 1.024 / ms,
-             .residentMb = to.residentMb };
+        .kbPerS = (to.bytes - from.bytes) / 1.024 / ms,
+        .residentMb = to.residentMb };
 }
 
 // Measures all processes over the time; the worst of each role is printed.
@@ -61,8 +61,8 @@
     standins::waitUntil(time, [] { return false; });
     std::map<std::string, Usage> worst;
     for (size_t i = 0; i < hosts.size(); i++) {
-        const Usage usage = usageBetween(before[i], sampleOf(cell, *hosts[i].second),
-                                         steadyNow() - start);
+        const Usage usage =
+            usageBetween(before[i], sampleOf(cell, *hosts[i].second), steadyNow() - start);
         Usage &role = worst[hosts[i].first];
         role.cpuPct = std::max(role.cpuPct, usage.cpuPct);
         role.kbPerS = std::max(role.kbPerS, usage.kbPerS);
@@ -77,8 +77,8 @@
 
 void submitAtRate(standins::LocalCell &cell, int jobsPerSecond, int tasks, Millis time)
 {
-    const std::string body = "{\"name\": \"cost\", \"class\": \"batch\", \"tasks\": "
-        + std::to_string(tasks)
+    const std::string body =
+        "{\"name\": \"cost\", \"class\": \"batch\", \"tasks\": " + std::to_string(tasks)
         + ", \"perTask\": {\"millicores\": 500, \"memoryMb\": 500}, "
           "\"command\": [\"sleep\", \"2000\"]}";
     const Millis end = steadyNow() + time;
--- a/Source/Benchmarks/FairnessBench.cpp
+++ b/Source/Benchmarks/FairnessBench.cpp
@@ -26,8 +26,8 @@
     std::mt19937 random(7);
     std::vector<SchedulerFixture::Team> teams;
     for (int i = 0; i < teamCount; i++)
-        teams.push_back({ .name = "team" + std::to_string(i),
-                          .share = static_cast<uint32_t>(i % 5 + 1) });
+        teams.push_back(
+            { .name = "team" + std::to_string(i), .share = static_cast<uint32_t>(i % 5 + 1) });
     // One team has a limit below its share.
     teams[0].limit = { 50'000, 1'000'000'000, 0 };
     SchedulerFixture cell(teams);
@@ -46,8 +46,8 @@
             const bool isActive = (i + phase) % 3 != 0;
             active.push_back(isActive);
             const double limit = i == 0 ? 50 : static_cast<double>(slots);
-            claims.push_back({ static_cast<double>(teams[static_cast<size_t>(i)].share),
-                               isActive ? limit : 0 });
+            claims.push_back(
+                { static_cast<double>(teams[static_cast<size_t>(i)].share), isActive ? limit : 0 });
         }
         const auto fair = scheduling::weightedMaxMin(claims, static_cast<double>(slots));
         std::vector<double> used(static_cast<size_t>(teamCount), 0);
@@ -66,8 +66,7 @@
                 const bool hasWork = waiting != cell.state().jobs().waiting().end();
                 if (active[static_cast<size_t>(i)] && !hasWork)
                     cell.submit(name, schema::BATCH,
-                                static_cast<uint32_t>(slots / teamCount * 4 + 50),
-                                { 1000, 1000, 0 });
+                        static_cast<uint32_t>(slots / teamCount * 4 + 50), { 1000, 1000, 0 });
             }
             for (int round = 0; round < 20; round++) {
                 const auto plan = cell.plan();
@@ -81,10 +80,11 @@
                 continue;
             samples++;
             for (int i = 0; i < teamCount; i++)
-                used[static_cast<size_t>(i)]
-                    += static_cast<double>(
-                           cell.state().jobs().usageOf(TeamName(teams[static_cast<size_t>(i)].name))
-                               .millicores)
+                used[static_cast<size_t>(i)] +=
+                    static_cast<double>(cell.state()
+                                            .jobs()
+                                            .usageOf(TeamName(teams[static_cast<size_t>(i)].name))
+                                            .millicores)
                     / 1000;
         }
         for (size_t i = 0; i < used.size(); i++) {
@@ -101,9 +101,9 @@
 void measureRequests()
 {
     BenchCell bench({ .controls = 3,
-                      .entries = 3,
-                      .teams = { { "ghat", 3, 0 }, { "b", 2, 0 }, { "c", 1, 0 }, { "d", 1, 0 },
-                                 { "e", 2, 0 }, { "f", 3, 0 } } });
+        .entries = 3,
+        .teams = { { "ghat", 3, 0 }, { "b", 2, 0 }, { "c", 1, 0 }, { "d", 1, 0 }, { "e", 2, 0 },
+            { "f", 3, 0 } } });
     bench.startBackends({ "--count=6", "--zones=z1,z2,z3", "--delay-ms=50" });
     bench.waitUntilServing("ghat");
     standins::LoadOptions options{ .requestsPerSecond = 2400, .duration = Millis(10000) };
--- a/Source/Benchmarks/LogBench.cpp
+++ b/Source/Benchmarks/LogBench.cpp
@@ -12,17 +12,19 @@
 constexpr int Writers = 64;
 constexpr Millis RunTime{ 5000 };
 
-// Keeps a number of claims under way at the leader and measures each from its sending to its answer.
+// Keeps a number of claims under way at the leader and measures each from its sending to its
+// answer.
 class WriterLoad
 {
 public:
     WriterLoad(const standins::LocalCell::Host &leader)
-        : link_(loop_, { .address = leader.addresses.at("peer"),
-                         .cellKey = "key-shared-by-the-cell",
-                         .hello = {},
-                         .onMessage = [this](schema::PeerMessage message) { answered(message); },
-                         .onUp = [this] { start(); },
-                         .onDown = [] {} })
+        : link_(loop_,
+            { .address = leader.addresses.at("peer"),
+                .cellKey = "key-shared-by-the-cell",
+                .hello = {},
+                .onMessage = [this](schema::PeerMessage message) { answered(message); },
+                .onUp = [this] { start(); },
+                .onDown = [] {} })
         , end_(loop_, [this] { loop_.stop(); })
     {
         end_.startOnce(RunTime);
--- a/Source/Benchmarks/Main.cpp
+++ b/Source/Benchmarks/Main.cpp
@@ -8,11 +8,16 @@
 {
     using namespace basilgap::benchmarks;
     const std::map<std::string, void (*)()> benches = {
-        { "log", benchLog },           { "config", benchConfig },
-        { "failover", benchFailover }, { "placement", benchPlacement },
-        { "fairness", benchFairness }, { "entry", benchEntry },
-        { "overload", benchOverload }, { "zone", benchZone },
-        { "waiting", benchWaiting },   { "control-cost", benchControlCost },
+        { "log", benchLog },
+        { "config", benchConfig },
+        { "failover", benchFailover },
+        { "placement", benchPlacement },
+        { "fairness", benchFairness },
+        { "entry", benchEntry },
+        { "overload", benchOverload },
+        { "zone", benchZone },
+        { "waiting", benchWaiting },
+        { "control-cost", benchControlCost },
     };
     const std::string name = argc > 1 ? argv[1] : "list";
     if (name == "list") {
--- a/Source/Benchmarks/PlacementBench.cpp
+++ b/Source/Benchmarks/PlacementBench.cpp
@@ -32,14 +32,14 @@
 {
     std::vector<SchedulerFixture::Team> teams;
     for (int i = 0; i < Teams; i++)
-        teams.push_back({ .name = "team" + std::to_string(i),
-                          .share = static_cast<uint32_t>(i % 7 + 1) });
+        teams.push_back(
+            { .name = "team" + std::to_string(i), .share = static_cast<uint32_t>(i % 7 + 1) });
     SchedulerFixture cell(teams);
     for (int i = 0; i < Workers; i++) {
         const int accelerators = Accelerators / Workers + (i % Workers < Accelerators % Workers);
         const std::string zone = "z" + std::to_string(i % 7 + 1);
-        cell.addWorker({ 64000, 262144, accelerators }, zone,
-                       zone + "-r" + std::to_string(i / 7 / 8));
+        cell.addWorker(
+            { 64000, 262144, accelerators }, zone, zone + "-r" + std::to_string(i / 7 / 8));
     }
     return cell;
 }
@@ -50,8 +50,7 @@
     for (uint32_t submitted = 0; submitted < count;) {
         const uint32_t tasks = std::min<uint32_t>(count - submitted, 1 + (*random)() % 8);
         const Resources need{ static_cast<int64_t>(500 + (*random)() % 16 * 500),
-                              static_cast<int64_t>(1000 + (*random)() % 16 * 2000),
-                              (*random)() % 20 == 0 ? 1 : 0 };
+            static_cast<int64_t>(1000 + (*random)() % 16 * 2000), (*random)() % 20 == 0 ? 1 : 0 };
         cell.submit("team" + std::to_string((*random)() % Teams), schema::BATCH, tasks, need);
         submitted += tasks;
     }
@@ -95,11 +94,12 @@
             cell.addWorker({ 32000, 65536, 0 });
         for (int i = 0; i < 120; i++)
             cell.submit("team" + std::to_string(i % 2), schema::BATCH, 1 + (*random)() % 4,
-                        { static_cast<int64_t>(500 + (*random)() % 16 * 500),
-                          static_cast<int64_t>(1000 + (*random)() % 16 * 1000), 0 });
+                { static_cast<int64_t>(500 + (*random)() % 16 * 500),
+                    static_cast<int64_t>(1000 + (*random)() % 16 * 1000), 0 });
         scheduling::NaiveScheduler plain(cell.workers());
         naive += packingOfNaive(cell, &plain);
-        while (!cell.plan().starts.empty()) { }
+        while (!cell.plan().starts.empty()) {
+        }
         ours += packingOf(cell);
     }
     report("packing", ours / 5);
@@ -113,7 +113,8 @@
     std::mt19937 random(20261204);
     SchedulerFixture cell = makeCell();
     submitTasks(cell, Running, &random);
-    while (!cell.plan().starts.empty()) { }
+    while (!cell.plan().starts.empty()) {
+    }
     submitTasks(cell, Waiting, &random);
     report("workers", Workers);
     report("running_tasks", static_cast<double>(cell.state().jobs().runningTasks()));
--- a/Source/Benchmarks/RequestBench.cpp
+++ b/Source/Benchmarks/RequestBench.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 standins::LoadOptions loadOf(const BenchCell &, const std::string &team, const std::string &key,
-                             double rate, Millis duration)
+    double rate, Millis duration)
 {
     standins::LoadOptions options;
     options.teams = { { team, key, 1 } };
@@ -19,9 +19,9 @@
 // The same load straight to the backend servers, without an entry in between.
 double directP99(const std::string &logFile, double rate)
 {
-    standins::LoadOptions options{ .teams = { { "ghat", "-", 1 } },
-                                   .requestsPerSecond = rate,
-                                   .duration = Millis(6000) };
+    standins::LoadOptions options{
+        .teams = { { "ghat", "-", 1 } }, .requestsPerSecond = rate, .duration = Millis(6000)
+    };
     std::ifstream log(logFile);
     std::string line;
     while (std::getline(log, line)) {
@@ -49,8 +49,7 @@
     report("direct_p99_ms", direct);
     report("entry_p99_ms", through);
     report("added_p99_ms", through - direct);
-    report("steady_failed",
-           static_cast<double>(steady.at("ghat").sent - steady.at("ghat").ok));
+    report("steady_failed", static_cast<double>(steady.at("ghat").sent - steady.at("ghat").ok));
     double best = 0;
     for (const double rate : { 2000.0, 4000.0, 6000.0, 8000.0, 12000.0 }) {
         const double before = processorMs(cell.entries()[0].process.pid());
@@ -67,16 +66,15 @@
 
 void benchOverload()
 {
-    BenchCell bench({ .controls = 3,
-                      .entries = 3,
-                      .teams = { { "ghat", 1, 0 }, { "heavy", 1, 0 } } });
+    BenchCell bench(
+        { .controls = 3, .entries = 3, .teams = { { "ghat", 1, 0 }, { "heavy", 1, 0 } } });
     standins::LocalCell &cell = bench.cell();
     // 6 backend servers of 4 slots and 20 ms each serve 1200 requests a second at most.
     bench.startBackends({ "--count=6", "--zones=z1,z2,z3", "--slots=4", "--delay-ms=20" });
     bench.waitUntilServing("ghat");
     constexpr double Peak = 1200;
-    standins::LoadOptions options
-        = loadOf(bench, "heavy", cell.keyOf("heavy"), Peak * 0.9, Millis(6000));
+    standins::LoadOptions options =
+        loadOf(bench, "heavy", cell.keyOf("heavy"), Peak * 0.9, Millis(6000));
     options.timeout = Millis(1000);
     const auto unloaded = sumOf(bench.load(options));
     const double peakPerSecond = static_cast<double>(unloaded.ok) / 6;
@@ -86,7 +84,8 @@
     const auto alone = bench.load(light);
     const double aloneP99 = alone.at("ghat").latency.percentile(0.99);
 
-    options.teams = { { "heavy", cell.keyOf("heavy"), Peak * 2 }, { "ghat", cell.keyOf("ghat"), 60 } };
+    options.teams = { { "heavy", cell.keyOf("heavy"), Peak * 2 },
+        { "ghat", cell.keyOf("ghat"), 60 } };
     options.requestsPerSecond = Peak * 2 + 60;
     options.duration = Millis(10000);
     const auto over = bench.load(options);
@@ -95,8 +94,8 @@
     report("peak_per_s", peakPerSecond);
     report("goodput_per_s", static_cast<double>(sum.ok) / 10);
     report("goodput_ratio", static_cast<double>(sum.ok) / 10 / peakPerSecond);
-    report("late_pct", static_cast<double>(sum.late + sum.unknown) * 100
-               / static_cast<double>(sum.sent));
+    report("late_pct",
+        static_cast<double>(sum.late + sum.unknown) * 100 / static_cast<double>(sum.sent));
     report("light_alone_p99_ms", aloneP99);
     report("light_loaded_p99_ms", loadedP99);
     report("light_p99_ratio", loadedP99 / aloneP99);
--- a/Source/Benchmarks/WaitingBench.cpp
+++ b/Source/Benchmarks/WaitingBench.cpp
@@ -12,8 +12,8 @@
 
 std::string jobBody(const std::string &jobClass, bool urgent)
 {
-    return "{\"name\": \"bench\", \"class\": \"" + jobClass + "\", \"urgent\": "
-        + (urgent ? "true" : "false")
+    return "{\"name\": \"bench\", \"class\": \"" + jobClass
+        + "\", \"urgent\": " + (urgent ? "true" : "false")
         + ", \"tasks\": 4, \"checkpointable\": true, \"perTask\": {\"millicores\": 2000, "
           "\"memoryMb\": 1000}, \"command\": [\"sleep\", \"300\"]}";
 }
@@ -58,8 +58,7 @@
             if (open1 == std::string::npos)
                 continue;
             const size_t close = answer.response.body.find('"', open1 + 1);
-            open[answer.response.body.substr(open1 + 1, close - open1 - 1)]
-                = { kind, steadyNow() };
+            open[answer.response.body.substr(open1 + 1, close - open1 - 1)] = { kind, steadyNow() };
         }
         collect();
     }
@@ -69,11 +68,10 @@
     });
     for (const auto &[kind, histogram] : waits)
         print("jobs_" + kind, histogram);
-    const auto results
-        = bench.load({ .teams = { { "ghat", cell.keyOf("ghat"), 2 },
-                                  { "boatyard", cell.keyOf("boatyard"), 1 } },
-                       .requestsPerSecond = 600,
-                       .duration = Millis(6000) });
+    const auto results = bench.load(
+        { .teams = { { "ghat", cell.keyOf("ghat"), 2 }, { "boatyard", cell.keyOf("boatyard"), 1 } },
+            .requestsPerSecond = 600,
+            .duration = Millis(6000) });
     for (const auto &[team, result] : results)
         print("requests_" + team, result.latency);
 }
--- a/Source/Benchmarks/ZoneBench.cpp
+++ b/Source/Benchmarks/ZoneBench.cpp
@@ -12,18 +12,18 @@
 
 int64_t servedBy(const std::string &address)
 {
-    const auto counts = network::fetchAndWait(address, { .method = "GET", .target = "/fake/counts" },
-                                              Millis(3000));
+    const auto counts =
+        network::fetchAndWait(address, { .method = "GET", .target = "/fake/counts" }, Millis(3000));
     return standins::jsonNumber(counts.response.body, "served");
 }
 
 std::string startBackend(standins::LocalCell &cell, const std::string &zone,
-                         std::vector<standins::ChildProcess> *processes)
+    std::vector<standins::ChildProcess> *processes)
 {
     const std::string log = cell.logFile("backend-" + zone);
     processes->push_back(standins::ChildProcess::start(
         { standins::programPath("StandIns/fake-backend"), "--entries=" + cell.serviceAddresses(),
-          "--id=b-" + zone, "--zones=" + zone, "--slots=8", "--delay-ms=20" },
+            "--id=b-" + zone, "--zones=" + zone, "--slots=8", "--delay-ms=20" },
         log));
     std::string address;
     standins::waitUntil(Millis(5000), [&] {
@@ -52,8 +52,8 @@
     // Three backend servers do 400 a second each; two can carry this load at their limit.
     const auto load = [&](Millis duration) {
         standins::LoadOptions options{ .teams = { { "ghat", cell.keyOf("ghat"), 1 } },
-                                       .requestsPerSecond = 760,
-                                       .duration = duration };
+            .requestsPerSecond = 760,
+            .duration = duration };
         options.timeout = Millis(1500);
         return sumOf(bench.load(options));
     };
@@ -73,7 +73,8 @@
     standins::waitUntil(Millis(10000), [&] { return servedBy(out) > servedAfter; });
     const Millis recovered = steadyNow();
     after.join();
-    report("before_ok_pct", static_cast<double>(before.ok) * 100 / static_cast<double>(before.sent));
+    report(
+        "before_ok_pct", static_cast<double>(before.ok) * 100 / static_cast<double>(before.sent));
     report("starts_after", static_cast<double>(servedAfter - servedAtBound));
     report("work_during", static_cast<double>(during.ok) / static_cast<double>(during.sent));
     report("unknown_during", static_cast<double>(during.unknown + during.failed));
--- a/Source/FailureTests/ClaimsFailureTest.cpp
+++ b/Source/FailureTests/ClaimsFailureTest.cpp
@@ -11,10 +11,10 @@
 {
 protected:
     network::ExchangeResult send(size_t entry, const std::string &key, const std::string &fake,
-                                 const std::string &body = "body")
+        const std::string &body = "body")
     {
         return cell_->call(entry, "ghat", "POST", "/once/x", body,
-                           { { "Idempotency-Key", key }, { "X-Fake", fake }, { "X-Fake-Id", key } });
+            { { "Idempotency-Key", key }, { "X-Fake", fake }, { "X-Fake-Id", key } });
     }
 };
 
@@ -60,7 +60,8 @@
     }
     // Also once the entry is back under its name, and once its session was closed.
     cell_->startEntry(0);
-    waitUntil(Patience, [&] { return cell_->call(0, "", "GET", "/healthz").response.status == 200; });
+    waitUntil(
+        Patience, [&] { return cell_->call(0, "", "GET", "/healthz").response.status == 200; });
     EXPECT_EQ(send(0, "k1", "").response.status, 409);
     EXPECT_EQ(backend.runsOf("k1"), 1);
 }
@@ -87,7 +88,7 @@
     startCell({ .controls = 1, .entries = 2 });
     // No backend server: the request waits until its time is up and has not run.
     network::Headers headers = { { "Idempotency-Key", "k1" }, { "X-Fake-Id", "k1" },
-                                 { "Basilgap-Timeout-Ms", "300" } };
+        { "Basilgap-Timeout-Ms", "300" } };
     const auto refused = cell_->call(0, "ghat", "POST", "/once/x", "body", headers);
     EXPECT_EQ(refused.response.status, 503);
     EXPECT_EQ(outcomeOf(refused), "not-run");
@@ -107,8 +108,8 @@
     const std::string id = submit("ghat", body, { { "Idempotency-Key", "j" } });
     cell_->controls()[static_cast<size_t>(cell_->waitForLeader(Patience))].process.kill();
     for (size_t entry = 0; entry < 3; entry++) {
-        const auto again = cell_->call(entry, "ghat", "POST", "/v1/jobs", body,
-                                       { { "Idempotency-Key", "j" } });
+        const auto again =
+            cell_->call(entry, "ghat", "POST", "/v1/jobs", body, { { "Idempotency-Key", "j" } });
         EXPECT_EQ(again.response.status, 202) << again.response.body;
         EXPECT_EQ(jsonText(again.response.body, "id"), id);
     }
--- a/Source/FailureTests/ConfigurationFailureTest.cpp
+++ b/Source/FailureTests/ConfigurationFailureTest.cpp
@@ -43,9 +43,8 @@
         EXPECT_TRUE(everyEntryHas(cell_->version()));
         cell_->startControl(static_cast<size_t>(leader));
         const auto &host = cell_->controls()[static_cast<size_t>(leader)];
-        EXPECT_TRUE(waitUntil(Patience, [&] {
-            return versionAt(host) == static_cast<int64_t>(cell_->version());
-        }));
+        EXPECT_TRUE(waitUntil(
+            Patience, [&] { return versionAt(host) == static_cast<int64_t>(cell_->version()); }));
     }
 }
 
@@ -74,12 +73,10 @@
         std::string other = one;
         other.replace(other.find("share: 2"), 8, "share: 7");
         network::ExchangeResult answers[2];
-        std::thread first([&] {
-            answers[0] = cell_->admin(cell_->entries()[0], "PUT", "/v1/cell", one);
-        });
-        std::thread second([&] {
-            answers[1] = cell_->admin(cell_->entries()[1], "PUT", "/v1/cell", other);
-        });
+        std::thread first(
+            [&] { answers[0] = cell_->admin(cell_->entries()[0], "PUT", "/v1/cell", one); });
+        std::thread second(
+            [&] { answers[1] = cell_->admin(cell_->entries()[1], "PUT", "/v1/cell", other); });
         first.join();
         second.join();
         const bool firstWon = answers[0].response.status == 200;
@@ -90,7 +87,7 @@
         EXPECT_EQ(jsonText(lost.body, "winner"), jsonText(won.body, "hash"));
         for (const auto &host : cell_->entries())
             EXPECT_EQ(jsonText(cell_->admin(host, "GET", "/v1/status").response.body, "hash"),
-                      jsonText(won.body, "hash"));
+                jsonText(won.body, "hash"));
     }
 }
 
@@ -118,10 +115,11 @@
 TEST_F(ConfigurationFailure, withdrawnKeyIsDeadAtAnEntryThatIsCutOff)
 {
     CutRelay relay;
-    startCell({ .controls = 3, .entries = 2,
-                .route = [&](const auto &from, const auto &to, const auto &address) {
-                    return relay.route(from, to, address);
-                } });
+    startCell({ .controls = 3,
+        .entries = 2,
+        .route = [&](const auto &from, const auto &to, const auto &address) {
+            return relay.route(from, to, address);
+        } });
     BackendProcess backend(*cell_, "b1");
     ASSERT_NO_FATAL_FAILURE(waitUntilServing(1));
     relay.isolate("e2", true);
@@ -130,14 +128,13 @@
     ASSERT_EQ(cell_->applyNext().response.status, 200);
     // The answer says that the file is in force everywhere, the cut off entry included.
     EXPECT_LE(steadyNow() - applied, InForceBound);
-    const auto answer = cell_->call(1, "ghat", "GET", "/desk/after", "",
-                                    { { "Basilgap-Timeout-Ms", "300" } });
+    const auto answer =
+        cell_->call(1, "ghat", "GET", "/desk/after", "", { { "Basilgap-Timeout-Ms", "300" } });
     EXPECT_NE(answer.response.status, 200);
     EXPECT_EQ(outcomeOf(answer), "not-run");
     relay.isolate("e2", false);
-    EXPECT_TRUE(waitUntil(Patience, [&] {
-        return cell_->call(1, "ghat", "GET", "/desk/after").response.status == 401;
-    }));
+    EXPECT_TRUE(waitUntil(Patience,
+        [&] { return cell_->call(1, "ghat", "GET", "/desk/after").response.status == 401; }));
 }
 
 TEST_F(ConfigurationFailure, withdrawnKeyIsDeadAtAnEntryThatWasFrozen)
@@ -149,8 +146,7 @@
     // The request waits in the socket of the frozen entry.
     network::ExchangeResult answer;
     std::thread caller([&] {
-        answer = cell_->call(1, "ghat", "POST", "/desk/frozen", "",
-                             { { "X-Fake-Id", "frozen" } });
+        answer = cell_->call(1, "ghat", "POST", "/desk/frozen", "", { { "X-Fake-Id", "frozen" } });
     });
     cell_->setKeyGranted("ghat", false);
     ASSERT_EQ(cell_->applyNext().response.status, 200);
@@ -163,10 +159,11 @@
 TEST_F(ConfigurationFailure, cutOffLeaderConfirmsNothing)
 {
     CutRelay relay;
-    startCell({ .controls = 3, .entries = 2,
-                .route = [&](const auto &from, const auto &to, const auto &address) {
-                    return relay.route(from, to, address);
-                } });
+    startCell({ .controls = 3,
+        .entries = 2,
+        .route = [&](const auto &from, const auto &to, const auto &address) {
+            return relay.route(from, to, address);
+        } });
     BackendProcess backend(*cell_, "b1");
     ASSERT_NO_FATAL_FAILURE(waitUntilServing(1));
     const auto old = static_cast<size_t>(cell_->waitForLeader(Patience));
@@ -180,8 +177,8 @@
     const Millis applied = steadyNow();
     ASSERT_EQ(cell_->applyNext().response.status, 200);
     EXPECT_LE(steadyNow() - applied, InForceBound + Millis(2000)) << "with the election";
-    const auto answer = cell_->call(1, "ghat", "GET", "/desk/after", "",
-                                    { { "Basilgap-Timeout-Ms", "300" } });
+    const auto answer =
+        cell_->call(1, "ghat", "GET", "/desk/after", "", { { "Basilgap-Timeout-Ms", "300" } });
     EXPECT_NE(answer.response.status, 200);
 }
 
--- a/Source/FailureTests/CutRelay.cpp
+++ b/Source/FailureTests/CutRelay.cpp
@@ -19,8 +19,7 @@
 
 CutRelay::CutRelay()
     : thread_([this] { run(); })
-{
-}
+{}
 
 CutRelay::~CutRelay()
 {
@@ -34,8 +33,8 @@
     }
 }
 
-std::string CutRelay::route(const std::string &from, const std::string &to,
-                            const std::string &target)
+std::string CutRelay::route(
+    const std::string &from, const std::string &to, const std::string &target)
 {
     auto route = std::make_unique<Route>();
     route->from = from;
--- a/Source/FailureTests/JobsFailureTest.cpp
+++ b/Source/FailureTests/JobsFailureTest.cpp
@@ -10,7 +10,7 @@
 {
 protected:
     static std::string job(const std::string &jobClass, int tasks, int millicores,
-                           const std::string &command, const std::string &more = "")
+        const std::string &command, const std::string &more = "")
     {
         return "{\"name\": \"test\", \"class\": \"" + jobClass
             + "\", \"tasks\": " + std::to_string(tasks) + ", \"perTask\": {\"millicores\": "
@@ -50,15 +50,15 @@
     EXPECT_EQ(fieldOf(job("batch", 1, 1000, Short, "\"retryLimit\": -1")), "retryLimit");
     EXPECT_EQ(fieldOf("{\"name\": \"" + std::string(300, 'n') + "\"}"), "name");
     EXPECT_TRUE(waitUntil(Patience, [&] {
-        const auto answer = cell_->call(0, "ghat", "POST", "/v1/jobs",
-                                        job("batch", 1, 999'000, Short));
+        const auto answer =
+            cell_->call(0, "ghat", "POST", "/v1/jobs", job("batch", 1, 999'000, Short));
         return answer.response.status == 422
             && jsonText(answer.response.body, "field") == "perTask";
     }));
     EXPECT_EQ(cell_->call(0, "ghat", "POST", "/v1/jobs", "{\"colour\": 1}").response.status, 400);
-    EXPECT_EQ(cell_->call(0, "ghat", "POST", "/v1/jobs", "{\"name\": \"\xff\xfe\"}")
-                  .response.status,
-              400);
+    EXPECT_EQ(
+        cell_->call(0, "ghat", "POST", "/v1/jobs", "{\"name\": \"\xff\xfe\"}").response.status,
+        400);
 }
 
 TEST_F(JobsFailure, killedWorkerLosesItsTasksAfterItsLeaseAndNotBefore)
@@ -114,8 +114,8 @@
     std::vector<std::string> jobs;
     for (int i = 0; i < 8; i++)
         jobs.push_back(submit("ghat", job("batch", 2, 1000, Short, "\"retryLimit\": 3")));
-    const std::string failing = submit("ghat", job("batch", 1, 1000, "\"fail\"",
-                                                   "\"retryLimit\": 2"));
+    const std::string failing =
+        submit("ghat", job("batch", 1, 1000, "\"fail\"", "\"retryLimit\": 2"));
     for (const std::string &id : jobs)
         EXPECT_TRUE(waitForJob("ghat", id, "done")) << describe("ghat", id);
     EXPECT_TRUE(waitForJob("ghat", failing, "failed")) << describe("ghat", failing);
@@ -123,7 +123,7 @@
     const std::string hosts = cell_->admin(cell_->entries()[0], "GET", "/v1/hosts").response.body;
     EXPECT_NE(hosts.find("{\"id\":\"bad\",\"kind\":\"worker\",\"zone\":\"z1\",\"state\":"
                          "\"quarantined\"}"),
-              std::string::npos)
+        std::string::npos)
         << hosts;
 }
 
@@ -131,8 +131,8 @@
 {
     startCell({ .controls = 3, .entries = 2 });
     WorkerProcess workers(*cell_, "w", { "--count=2", "--millicores=8000" });
-    const std::string batch = submit("boatyard", job("batch", 16, 1000, Forever,
-                                                     "\"checkpointable\": true"));
+    const std::string batch =
+        submit("boatyard", job("batch", 16, 1000, Forever, "\"checkpointable\": true"));
     ASSERT_TRUE(waitUntil(Patience, [&] { return runningTasks("boatyard", batch) == 16; }));
     const Millis asked = steadyNow();
     const std::string urgent = submit("ghat", job("batch", 2, 4000, Forever, "\"urgent\": true"));
--- a/Source/FailureTests/ReplicasFailureTest.cpp
+++ b/Source/FailureTests/ReplicasFailureTest.cpp
@@ -114,7 +114,7 @@
         ASSERT_GE(leader, 0);
         const auto status = cell_->admin(control(static_cast<size_t>(leader)), "GET", "/v1/status");
         EXPECT_EQ(standins::jsonNumber(status.response.body, "version"),
-                  static_cast<int64_t>(cell_->version()));
+            static_cast<int64_t>(cell_->version()));
     }
 }
 
--- a/Source/FailureTests/RequestsFailureTest.cpp
+++ b/Source/FailureTests/RequestsFailureTest.cpp
@@ -54,9 +54,9 @@
     standins::LoadOptions loadOf(const std::string &team, double rate, Millis duration) const
     {
         return { .targets = {},
-                 .teams = { { team, cell_->keyOf(team), 1 } },
-                 .requestsPerSecond = rate,
-                 .duration = duration };
+            .teams = { { team, cell_->keyOf(team), 1 } },
+            .requestsPerSecond = rate,
+            .duration = duration };
     }
 };
 
@@ -70,8 +70,8 @@
     const int64_t served = backend.count("served");
     network::HttpRequest unknownKey{ .method = "POST", .target = "/desk/x" };
     unknownKey.headers = { { "Authorization", "Bearer nonsense" } };
-    const auto unknown = network::fetchAndWait(cell_->entries()[0].addresses.at("public"),
-                                               unknownKey, Millis(5000));
+    const auto unknown =
+        network::fetchAndWait(cell_->entries()[0].addresses.at("public"), unknownKey, Millis(5000));
     EXPECT_EQ(unknown.response.status, 401);
     EXPECT_EQ(outcomeOf(unknown), "not-run");
     EXPECT_EQ(cell_->call(0, "", "POST", "/desk/x").response.status, 401);
@@ -83,8 +83,8 @@
     EXPECT_EQ(outcomeOf(large), "not-run");
     EXPECT_EQ(cell_->call(0, "ghat", "GET", "/nowhere").response.status, 404);
     EXPECT_EQ(cell_->call(0, "ghat", "GET", "/desktop").response.status, 404);
-    const auto badTimeout = cell_->call(0, "ghat", "GET", "/desk/x", "",
-                                        { { "Basilgap-Timeout-Ms", "soon" } });
+    const auto badTimeout =
+        cell_->call(0, "ghat", "GET", "/desk/x", "", { { "Basilgap-Timeout-Ms", "soon" } });
     EXPECT_EQ(badTimeout.response.status, 400);
     const auto badJson = cell_->call(0, "ghat", "POST", "/v1/jobs", "{\"tasks\": \"many\"}");
     EXPECT_EQ(badJson.response.status, 400);
@@ -101,8 +101,8 @@
     const auto announce = [&](const std::string &body) {
         network::HttpRequest request{ .method = "POST", .target = "/v1/announce" };
         request.body = body;
-        return network::fetchAndWait(cell_->entries()[0].addresses.at("service"), request,
-                                     Millis(5000));
+        return network::fetchAndWait(
+            cell_->entries()[0].addresses.at("service"), request, Millis(5000));
     };
     const std::string rest = "\"address\": \"127.0.0.1:9\", \"zone\": \"z1\", \"pool\": \"desk\", "
                              "\"connections\": 5";
@@ -122,17 +122,17 @@
     BackendProcess two(*cell_, "b2");
     ASSERT_NO_FATAL_FAILURE(waitUntilServing());
     for (const char *fault : { "truncate", "reset", "mismatch" }) {
-        const auto answer = cell_->call(0, "ghat", "POST", "/once/x", "body",
-                                        { { "X-Fake", fault }, { "X-Fake-Id", fault } });
+        const auto answer = cell_->call(
+            0, "ghat", "POST", "/once/x", "body", { { "X-Fake", fault }, { "X-Fake-Id", fault } });
         EXPECT_EQ(answer.response.status, 502) << fault << answer.response.body;
         EXPECT_EQ(outcomeOf(answer), "unknown") << fault;
         // What may not be repeated ran once.
-        EXPECT_EQ(std::max<int64_t>(0, one.runsOf(fault)) + std::max<int64_t>(0, two.runsOf(fault)),
-                  1)
+        EXPECT_EQ(
+            std::max<int64_t>(0, one.runsOf(fault)) + std::max<int64_t>(0, two.runsOf(fault)), 1)
             << fault;
     }
     const auto late = cell_->call(0, "ghat", "POST", "/once/x", "body",
-                                  { { "X-Fake", "delay=1500" }, { "Basilgap-Timeout-Ms", "300" } });
+        { { "X-Fake", "delay=1500" }, { "Basilgap-Timeout-Ms", "300" } });
     EXPECT_EQ(late.response.status, 504);
     EXPECT_EQ(outcomeOf(late), "unknown");
     // The late answer is not given to the next request.
@@ -211,8 +211,8 @@
     EXPECT_LE(backend.count("mostRunning"), 6);
     // What the dead entry held comes back.
     EXPECT_TRUE(waitUntil(Patience, [&] {
-        const std::string dump = cell_->admin(cell_->controls()[0], "GET", "/v1/state")
-                                     .response.body;
+        const std::string dump =
+            cell_->admin(cell_->controls()[0], "GET", "/v1/state").response.body;
         return standins::jsonNumber(dump.substr(dump.find("\"backends\"")), "held") == 6
             && dump.find("\"closed\":true") == std::string::npos;
     }));
@@ -229,9 +229,8 @@
     Load load(*cell_, options);
     load.finish();
     EXPECT_LE(backend.count("mostRunning"), 2);
-    EXPECT_TRUE(waitUntil(Patience, [&] {
-        return cell_->call(0, "ghat", "GET", "/desk/after").response.status == 200;
-    }));
+    EXPECT_TRUE(waitUntil(Patience,
+        [&] { return cell_->call(0, "ghat", "GET", "/desk/after").response.status == 200; }));
 }
 
 TEST_F(RequestsFailure, teamStaysBelowItsLimitOverAllEntries)
@@ -257,15 +256,14 @@
     std::vector<std::thread> callers;
     for (int i = 0; i < 8; i++)
         callers.emplace_back([&] {
-            const auto answer = cell_->call(0, "ghat", "POST", "/once/x", "",
-                                            { { "X-Fake", "delay=1200" } });
+            const auto answer =
+                cell_->call(0, "ghat", "POST", "/once/x", "", { { "X-Fake", "delay=1200" } });
             good += answer.response.status == 200 ? 1 : 0;
         });
     ASSERT_TRUE(waitUntil(Patience, [&] { return backend.count("running") == 8; }));
     cell_->entries()[0].process.signal(SIGTERM);
-    EXPECT_TRUE(waitUntil(Millis(150), [&] {
-        return cell_->call(0, "", "GET", "/healthz").response.status == 503;
-    }));
+    EXPECT_TRUE(waitUntil(
+        Millis(150), [&] { return cell_->call(0, "", "GET", "/healthz").response.status == 503; }));
     for (std::thread &caller : callers)
         caller.join();
     EXPECT_EQ(good, 8);
@@ -280,8 +278,8 @@
     ASSERT_NO_FATAL_FAILURE(waitUntilServing());
     Load load(*cell_, loadOf("ghat", 200, Millis(6000)));
     waitUntil(Millis(1000), [] { return false; });
-    network::fetchAndWait(leaving.address(), { .method = "POST", .target = "/fake/leave" },
-                          Millis(2000));
+    network::fetchAndWait(
+        leaving.address(), { .method = "POST", .target = "/fake/leave" }, Millis(2000));
     waitUntil(InForceBound, [] { return false; });
     const int64_t served = leaving.count("served");
     EXPECT_GT(served, 0);
--- a/Source/FailureTests/TestCell.cpp
+++ b/Source/FailureTests/TestCell.cpp
@@ -32,11 +32,11 @@
 
 } // namespace
 
-BackendProcess::BackendProcess(const LocalCell &cell, const std::string &id,
-                               const std::vector<std::string> &options)
+BackendProcess::BackendProcess(
+    const LocalCell &cell, const std::string &id, const std::vector<std::string> &options)
 {
     std::vector<std::string> command = { standins::programPath("StandIns/fake-backend"),
-                                         "--id=" + id, "--entries=" + cell.serviceAddresses() };
+        "--id=" + id, "--entries=" + cell.serviceAddresses() };
     command.insert(command.end(), options.begin(), options.end());
     const std::string log = cell.logFile(id + "-" + std::to_string(steadyNow().count()));
     process_ = standins::ChildProcess::start(command, log);
@@ -48,11 +48,11 @@
     return standins::jsonNumber(fetch(address_, "/fake/counts"), name);
 }
 
-WorkerProcess::WorkerProcess(const LocalCell &cell, const std::string &id,
-                             const std::vector<std::string> &options)
+WorkerProcess::WorkerProcess(
+    const LocalCell &cell, const std::string &id, const std::vector<std::string> &options)
 {
     std::vector<std::string> command = { standins::programPath("StandIns/fake-worker"),
-                                         "--id=" + id, "--entries=" + cell.serviceAddresses() };
+        "--id=" + id, "--entries=" + cell.serviceAddresses() };
     command.insert(command.end(), options.begin(), options.end());
     const std::string log = cell.logFile(id + "-" + std::to_string(steadyNow().count()));
     process_ = standins::ChildProcess::start(command, log);
@@ -101,13 +101,12 @@
 
 void CellTest::waitUntilServing(size_t entry)
 {
-    ASSERT_TRUE(waitUntil(Patience, [&] {
-        return cell_->call(entry, "ghat", "GET", "/desk/ready").response.status == 200;
-    }));
+    ASSERT_TRUE(waitUntil(Patience,
+        [&] { return cell_->call(entry, "ghat", "GET", "/desk/ready").response.status == 200; }));
 }
 
-std::string CellTest::submit(const std::string &team, const std::string &body,
-                             const network::Headers &headers)
+std::string CellTest::submit(
+    const std::string &team, const std::string &body, const network::Headers &headers)
 {
     const auto answer = cell_->call(0, team, "POST", "/v1/jobs", body, headers);
     EXPECT_EQ(answer.response.status, 202) << answer.response.body;
@@ -119,8 +118,8 @@
     return jsonText(cell_->call(0, team, "GET", "/v1/jobs/" + id).response.body, "state");
 }
 
-bool CellTest::waitForJob(const std::string &team, const std::string &id,
-                          const std::string &state, Millis timeout)
+bool CellTest::waitForJob(
+    const std::string &team, const std::string &id, const std::string &state, Millis timeout)
 {
     return waitUntil(timeout, [&] { return jobState(team, id) == state; });
 }
--- a/Source/FailureTests/TestCell.h
+++ b/Source/FailureTests/TestCell.h
@@ -21,8 +21,8 @@
 class BackendProcess
 {
 public:
-    BackendProcess(const LocalCell &cell, const std::string &id,
-                   const std::vector<std::string> &options = {});
+    BackendProcess(
+        const LocalCell &cell, const std::string &id, const std::vector<std::string> &options = {});
 
     // The number after the name in its counts; -1 when it does not answer.
     int64_t count(const std::string &name) const;
@@ -39,8 +39,8 @@
 class WorkerProcess
 {
 public:
-    WorkerProcess(const LocalCell &cell, const std::string &id,
-                  const std::vector<std::string> &options = {});
+    WorkerProcess(
+        const LocalCell &cell, const std::string &id, const std::vector<std::string> &options = {});
 
     // JSON of all its workers.
     std::string state() const;
@@ -66,12 +66,12 @@
     // Sends until the cell answers 200, which takes a moment after a backend server has come.
     void waitUntilServing(size_t entry = 0);
 
-    std::string submit(const std::string &team, const std::string &body,
-                       const network::Headers &headers = {});
+    std::string submit(
+        const std::string &team, const std::string &body, const network::Headers &headers = {});
     // The job's state text: "waiting", "running", "done", "failed", "cancelled".
     std::string jobState(const std::string &team, const std::string &id);
     bool waitForJob(const std::string &team, const std::string &id, const std::string &state,
-                    Millis timeout = Patience);
+        Millis timeout = Patience);
 
     std::unique_ptr<LocalCell> cell_;
 };
--- a/Source/StandIns/FakeBackend.cpp
+++ b/Source/StandIns/FakeBackend.cpp
@@ -84,6 +84,8 @@
     body.set_connections(options_.connections);
     body.set_leaving(leaving_);
     for (const auto &[entry, count] : runningByEntry_) {
+        if (entry.empty())
+            continue;
         schema::RunningBody *row = body.add_running();
         row->set_entry(entry);
         row->set_count(count);
--- a/Source/StandIns/LocalCell.h
+++ b/Source/StandIns/LocalCell.h
@@ -59,8 +59,8 @@
         std::vector<LocalTeam> teams = { { "ghat", 2, 0 }, { "boatyard", 1, 0 } };
         uint32_t routeTimeoutMs = 5000;
         // The address under which one process reaches a control, when it is not the control's own.
-        std::function<std::string(const std::string &from, const std::string &to,
-                                  const std::string &address)>
+        std::function<std::string(
+            const std::string &from, const std::string &to, const std::string &address)>
             route;
         // More lines for control.yaml and entry.yaml.
         std::string controlExtra;
--- a/Source/UnitTests/Common/CommonTest.cpp
+++ b/Source/UnitTests/Common/CommonTest.cpp
@@ -42,8 +42,7 @@
 
 TEST(Hash, matchesPublishedValues)
 {
-    EXPECT_EQ(sha256Hex("abc"),
-              "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+    EXPECT_EQ(sha256Hex("abc"), "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
     EXPECT_TRUE(equalConstantTime("same", "same"));
     EXPECT_FALSE(equalConstantTime("same", "sane"));
     EXPECT_EQ(randomKey().size(), 43U);
--- /dev/null
+++ b/Source/UnitTests/Entry/EntryPartsTest.cpp
@@ -0,0 +1,285 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "Basilgap/Common/Hash.h"
+#include "Basilgap/Common/LeaseTimes.h"
+#include "Basilgap/Entry/BackendTable.h"
+#include "Basilgap/Entry/ClaimBook.h"
+#include "Basilgap/Entry/HoldingTable.h"
+#include "Basilgap/Entry/RetryBudget.h"
+#include "Basilgap/Entry/ServiceTime.h"
+#include "Basilgap/Entry/ViewStore.h"
+
+namespace basilgap::entry {
+
+namespace {
+
+schema::AllotmentView allotment(
+    uint32_t key, const std::string &name, uint32_t amount, uint32_t target, uint64_t epoch)
+{
+    schema::AllotmentView view;
+    view.set_key(key);
+    view.set_name(name);
+    view.set_amount(amount);
+    view.set_target(target);
+    view.set_epoch(epoch);
+    return view;
+}
+
+schema::RenewReply replyWith(const std::vector<schema::AllotmentView> &views, uint32_t session = 1)
+{
+    schema::RenewReply reply;
+    reply.set_session(session);
+    for (const auto &view : views)
+        *reply.add_allotments() = view;
+    return reply;
+}
+
+schema::View viewWith(uint64_t revision, const std::string &key)
+{
+    schema::CellConfig config;
+    config.set_version(revision);
+    config.add_teams()->set_name("ghat");
+    if (!key.empty()) {
+        config.mutable_teams(0)->add_keys()->set_id("k");
+        config.mutable_teams(0)->mutable_keys(0)->set_sha256(sha256Hex(key));
+    }
+    schema::View view;
+    view.set_revision(revision);
+    view.set_config(config.SerializePartialAsString());
+    return view;
+}
+
+void addBackend(BackendTable *table, HoldingTable *holdings, uint32_t key, const std::string &id,
+    const std::string &zone, uint32_t slots)
+{
+    schema::RenewReply reply = replyWith({ allotment(key, "backend/" + id, slots, slots, key) });
+    schema::BackendView *view = reply.add_backends();
+    view->set_key(key);
+    view->set_id(id);
+    view->set_zone(zone);
+    view->set_pool("desk");
+    view->set_slots(slots);
+    view->set_connections(60);
+    holdings->update(reply);
+    table->update(reply);
+}
+
+const PoolName Desk("desk");
+
+} // namespace
+
+TEST(HoldingTable, shrinksAtOnceAndReportsUnderItsEpoch)
+{
+    HoldingTable table;
+    table.update(replyWith({ allotment(1, "backend/b1", 5, 5, 10) }));
+    table.report(false);
+    for (int i = 0; i < 4; i++)
+        table.take("backend/b1");
+    table.update(replyWith({ allotment(1, "backend/b1", 5, 2, 10) }));
+    EXPECT_EQ(table.find("backend/b1")->held, 4U);
+    EXPECT_EQ(table.freeOf("backend/b1"), 0U);
+    const auto report = table.report(false);
+    ASSERT_EQ(report.size(), 1U);
+    EXPECT_EQ(report[0].amount(), 4U);
+    EXPECT_EQ(report[0].epoch(), 10U);
+    table.release("backend/b1");
+    table.release("backend/b1");
+    table.release("backend/b1");
+    EXPECT_EQ(table.find("backend/b1")->held, 2U);
+    EXPECT_EQ(table.freeOf("backend/b1"), 1U);
+}
+
+TEST(HoldingTable, oldEpochDoesNotBringBackWhatWasReturned)
+{
+    HoldingTable table;
+    table.update(replyWith({ allotment(1, "backend/b1", 5, 1, 10) }));
+    EXPECT_EQ(table.find("backend/b1")->held, 1U);
+    table.update(replyWith({ allotment(1, "backend/b1", 5, 5, 10) }));
+    EXPECT_EQ(table.find("backend/b1")->held, 1U);
+    table.update(replyWith({ allotment(1, "backend/b1", 3, 3, 11) }));
+    EXPECT_EQ(table.find("backend/b1")->held, 3U);
+}
+
+TEST(HoldingTable, anotherSessionVoidsEverything)
+{
+    HoldingTable table;
+    table.update(replyWith({ allotment(1, "backend/b1", 5, 5, 10) }, 1));
+    table.take("backend/b1");
+    table.update(replyWith({}, 2));
+    EXPECT_EQ(table.freeOf("backend/b1"), 0U);
+}
+
+RC_GTEST_PROP(HoldingTableProperty, neverUsesMoreThanTheLeaderLogged, ())
+{
+    // The leader's side of the protocol, as the plainest possible model.
+    HoldingTable table;
+    uint32_t logged = 0;
+    uint64_t epoch = 0;
+    for (int step = 0; step < 60; step++) {
+        const int action = *rc::gen::inRange(0, 5);
+        if (action == 0) {
+            logged += *rc::gen::inRange<uint32_t>(1, 4);
+            table.update(replyWith({ allotment(1, "b", logged, logged, ++epoch) }));
+        } else if (action == 1) {
+            const uint32_t target = *rc::gen::inRange<uint32_t>(0, logged + 1);
+            table.update(replyWith({ allotment(1, "b", logged, target, epoch) }));
+        } else if (action == 2 && table.freeOf("b") > 0) {
+            table.take("b");
+        } else if (action == 3) {
+            table.release("b");
+        } else {
+            for (const auto &holding : table.report(false)) {
+                if (holding.epoch() == epoch && holding.amount() < logged) {
+                    logged = holding.amount();
+                    table.update(replyWith({ allotment(1, "b", logged, logged, ++epoch) }));
+                }
+            }
+        }
+        const HoldingTable::Holding *holding = table.find("b");
+        if (holding != nullptr)
+            RC_ASSERT(holding->inUse <= logged);
+    }
+}
+
+TEST(ViewStore, leaseRunsFromTheSendingAndForTheRevisionInForceOnly)
+{
+    ViewStore store;
+    ASSERT_TRUE(store.install(viewWith(3, "secret")).has_value());
+    EXPECT_FALSE(store.isValid(Millis(1000)));
+    store.confirmed(Revision(3), Millis(1000));
+    EXPECT_TRUE(store.isValid(Millis(1000) + ViewLease - Millis(1)));
+    EXPECT_FALSE(store.isValid(Millis(1000) + ViewLease));
+    store.confirmed(Revision(2), Millis(9000));
+    EXPECT_FALSE(store.isValid(Millis(9000)));
+}
+
+TEST(ViewStore, neverGoesBackAndFollowsWithdrawnKeys)
+{
+    ViewStore store;
+    ASSERT_TRUE(store.install(viewWith(3, "secret")).has_value());
+    const auto caller = store.authenticate("Bearer secret");
+    ASSERT_TRUE(caller.has_value());
+    EXPECT_FALSE(store.authenticate("Bearer other").has_value());
+    EXPECT_FALSE(store.authenticate("secret").has_value());
+    ASSERT_TRUE(store.install(viewWith(4, "")).has_value());
+    EXPECT_FALSE(store.isKeyValid(*caller));
+    ASSERT_TRUE(store.install(viewWith(3, "secret")).has_value());
+    EXPECT_EQ(store.revision(), Revision(4));
+    schema::View delta = viewWith(6, "secret");
+    delta.set_base_revision(5);
+    EXPECT_FALSE(store.install(delta).has_value()) << "a difference to another base";
+}
+
+TEST(BackendTable, prefersItsZoneAndLeavesOutWhatMustNotBeUsed)
+{
+    HoldingTable holdings;
+    BackendTable table({ .zone = ZoneName("z1"), .seed = 1 }, holdings);
+    addBackend(&table, &holdings, 1, "near", "z1", 2);
+    addBackend(&table, &holdings, 2, "far", "z2", 2);
+    const Millis now(1000);
+    EXPECT_EQ(table.choose(Desk, {}, now), BackendId("near"));
+    table.started(BackendId("near"));
+    table.started(BackendId("near"));
+    EXPECT_EQ(table.choose(Desk, {}, now), BackendId("far"));
+    EXPECT_EQ(table.choose(Desk, { BackendId("far") }, now), std::nullopt);
+    table.setZonesOut({ ZoneName("z2") });
+    EXPECT_EQ(table.choose(Desk, {}, now), std::nullopt);
+}
+
+TEST(BackendTable, ejectsWhatFailsButNeverMoreThanAThird)
+{
+    HoldingTable holdings;
+    BackendTable table({ .zone = ZoneName("z1"), .seed = 1 }, holdings);
+    for (uint32_t i = 1; i <= 3; i++)
+        addBackend(&table, &holdings, i, "b" + std::to_string(i), "z1", 8);
+    const Millis now(1000);
+    const auto failTimes = [&](const char *id, int times) {
+        for (int i = 0; i < times; i++) {
+            table.started(BackendId(id));
+            table.failed(BackendId(id), now);
+        }
+    };
+    failTimes("b1", 5);
+    failTimes("b2", 9);
+    int ejected = 0;
+    for (const auto &[id, backend] : table.all())
+        ejected += now < backend.ejectedUntil ? 1 : 0;
+    EXPECT_EQ(ejected, 1);
+    EXPECT_TRUE(now < table.find(BackendId("b1"))->ejectedUntil);
+}
+
+TEST(BackendTable, doubtHoldsItsSlotUntilALaterReportOrItsEnd)
+{
+    HoldingTable holdings;
+    BackendTable table({ .zone = ZoneName("z1"), .seed = 1 }, holdings);
+    addBackend(&table, &holdings, 1, "b1", "z1", 1);
+    const Millis now(10000);
+    table.started(BackendId("b1"));
+    table.doubtful(BackendId("b1"), TeamName("ghat"), now, now + Millis(5000));
+    EXPECT_EQ(table.choose(Desk, {}, now), std::nullopt);
+    schema::RenewReply reply;
+    schema::BackendRunning *running = reply.add_running();
+    running->set_key(1);
+    running->set_age_ms(100);
+    // Counted before the exchange was given up, for all that is known.
+    EXPECT_TRUE(table.settleDoubts(&reply, now + Millis(500)).empty());
+    EXPECT_EQ(table.settleDoubts(&reply, now + Millis(1500)).size(), 1U);
+    EXPECT_EQ(table.choose(Desk, {}, now), BackendId("b1"));
+}
+
+TEST(ClaimBook, keepsAnswersAndForgetsWhatDidNotRun)
+{
+    ClaimBook book;
+    const ClaimKey key{ TeamName("ghat"), "hash" };
+    EXPECT_EQ(book.find(key, "body"), ClaimBook::Found::No);
+    book.open(key, "body");
+    EXPECT_EQ(book.find(key, "other"), ClaimBook::Found::OtherBody);
+    int joined = 0;
+    book.join(key, [&](const ClaimOutcome &outcome) { joined += outcome.outcome == "ran"; });
+    book.finish(key, { .outcome = "ran", .answer = {} }, Millis(0));
+    EXPECT_EQ(joined, 1);
+    EXPECT_EQ(book.find(key, "body"), ClaimBook::Found::Finished);
+    book.expire(Millis(5000), Millis(1000));
+    EXPECT_EQ(book.size(), 0U);
+    book.open(key, "body");
+    book.finish(key, { .outcome = "not-run", .answer = {} }, Millis(0));
+    EXPECT_EQ(book.find(key, "body"), ClaimBook::Found::No);
+}
+
+TEST(ClaimBook, dropsTheOldestAnswersBeyondItsBound)
+{
+    ClaimBook book;
+    ClaimOutcome large{ .outcome = "ran", .answer = {} };
+    large.answer.set_body(std::string(8 * 1024 * 1024, 'x'));
+    for (int i = 0; i < 20; i++) {
+        const ClaimKey key{ TeamName("ghat"), std::to_string(i) };
+        book.open(key, "body");
+        book.finish(key, large, Millis(i));
+    }
+    EXPECT_LE(book.size(), 8U);
+    EXPECT_EQ(book.find({ TeamName("ghat"), "19" }, ""), ClaimBook::Found::Finished);
+}
+
+TEST(RetryBudget, boundsRetriesToAPartOfTheRequests)
+{
+    RetryBudget budget;
+    int retries = 0;
+    for (int i = 0; i < 1000; i++) {
+        budget.deposit();
+        retries += budget.withdraw() ? 1 : 0;
+    }
+    EXPECT_LE(retries, 1000 / 5 + 20);
+    EXPECT_GE(retries, 200);
+}
+
+TEST(ServiceTime, likelyMostCoversTheSpread)
+{
+    ServiceTime time;
+    for (int i = 0; i < 200; i++)
+        time.add(i % 2 == 0 ? 10 : 30);
+    EXPECT_NEAR(time.mean(), 20, 3);
+    EXPECT_GE(time.likelyMost(), 30);
+}
+
+} // namespace basilgap::entry
--- /dev/null
+++ b/Source/UnitTests/Network/NetworkTest.cpp
@@ -0,0 +1,222 @@
+#include <event2/bufferevent.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "Basilgap/Network/HttpConnection.h"
+#include "Basilgap/Network/HttpServer.h"
+#include "Basilgap/Network/Mailbox.h"
+#include "Basilgap/Network/PeerLink.h"
+#include "Basilgap/Network/PeerServer.h"
+
+namespace basilgap::network {
+
+namespace {
+
+constexpr Millis Patience{ 5000 };
+
+// Runs the loop until the condition holds; false when the time is up.
+bool runUntil(EventLoop &loop, const std::function<bool()> &condition)
+{
+    const Millis end = steadyNow() + Patience;
+    Timer checker(loop, [&] {
+        if (condition() || steadyNow() >= end)
+            loop.stop();
+    });
+    checker.startRepeating(Millis(5));
+    loop.run();
+    return condition();
+}
+
+PeerServer::Options echoServer()
+{
+    return { .address = "127.0.0.1:0",
+        .cellKey = "key",
+        .onMessage = [](PeerStream &stream,
+                         const schema::PeerMessage &message) { stream.send(message); },
+        .onClosed = [](PeerStream &) {} };
+}
+
+} // namespace
+
+TEST(PeerStream, carriesLargeMessagesBothWays)
+{
+    EventLoop loop;
+    auto server = PeerServer::listen(loop, echoServer());
+    std::vector<size_t> sizes;
+    PeerLink link(loop,
+        { .address = (*server)->address(),
+            .cellKey = "key",
+            .hello = {},
+            .onMessage =
+                [&](const schema::PeerMessage &message) {
+                    if (message.has_join_request())
+                        sizes.push_back(message.join_request().key_hash().size());
+                },
+            .onUp =
+                [&] {
+                    for (const size_t size : { 1, 100'000, 6'000'000, 2 }) {
+                        schema::PeerMessage message;
+                        message.mutable_join_request()->set_key_hash(std::string(size, 'x'));
+                        link.send(message);
+                    }
+                },
+            .onDown = [] {} });
+    EXPECT_TRUE(runUntil(loop, [&] { return sizes.size() == 4; }));
+    EXPECT_EQ(sizes, (std::vector<size_t>{ 1, 100'000, 6'000'000, 2 }));
+}
+
+TEST(PeerStream, wrongKeyIsTurnedAway)
+{
+    EventLoop loop;
+    int received = 0;
+    auto options = echoServer();
+    options.onMessage = [&](PeerStream &, const schema::PeerMessage &) { received++; };
+    auto server = PeerServer::listen(loop, options);
+    int downs = 0;
+    PeerLink link(loop,
+        { .address = (*server)->address(),
+            .cellKey = "wrong",
+            .hello = {},
+            .onMessage = [](const schema::PeerMessage &) {},
+            .onUp = [] {},
+            .onDown = [&] { downs++; } });
+    EXPECT_TRUE(runUntil(loop, [&] { return downs > 1; }));
+    EXPECT_EQ(received, 0);
+}
+
+TEST(PeerLink, comesBackAfterALostPeer)
+{
+    EventLoop loop;
+    auto server = PeerServer::listen(loop, echoServer());
+    const std::string address = (*server)->address();
+    int ups = 0;
+    PeerLink link(loop,
+        { .address = address,
+            .cellKey = "key",
+            .hello = {},
+            .onMessage = [](const schema::PeerMessage &) {},
+            .onUp = [&] { ups++; },
+            .onDown = [] {} });
+    ASSERT_TRUE(runUntil(loop, [&] { return ups == 1; }));
+    server->reset();
+    ASSERT_TRUE(runUntil(loop, [&] { return !link.isUp(); }));
+    auto options = echoServer();
+    options.address = address;
+    server = PeerServer::listen(loop, options);
+    ASSERT_TRUE(server.has_value());
+    EXPECT_TRUE(runUntil(loop, [&] { return ups == 2; }));
+}
+
+RC_GTEST_PROP(PeerServerProperty, survivesRandomBytes, (const std::vector<uint8_t> &bytes))
+{
+    EventLoop loop;
+    auto server = PeerServer::listen(loop, echoServer());
+    const auto address = parseAddress((*server)->address());
+    sockaddr_storage storage{};
+    const int length = toSockaddr(*address, &storage);
+    bufferevent *raw = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_socket_connect(raw, reinterpret_cast<sockaddr *>(&storage), length);
+    // Half of them behind the preface that every HTTP/2 client sends.
+    if (*rc::gen::arbitrary<bool>())
+        bufferevent_write(raw, NGHTTP2_CLIENT_MAGIC, NGHTTP2_CLIENT_MAGIC_LEN);
+    bufferevent_write(raw, bytes.data(), bytes.size());
+    Timer end(loop, [&] { loop.stop(); });
+    end.startOnce(Millis(3));
+    loop.run();
+    bufferevent_free(raw);
+    RC_SUCCEED("no crash");
+}
+
+TEST(HttpServer, answersAndRefusesLargeBodies)
+{
+    EventLoop loop;
+    auto server = HttpServer::listen(loop,
+        { .address = "127.0.0.1:0",
+            .maxBodyBytes = 1000,
+            .tooLargeBody = "too large",
+            .tooLargeHeaders = { { "Basilgap-Outcome", "not-run" } } },
+        [](const HttpRequest &request, const ResponderPointer &responder) {
+            responder->answer({ 200, {}, request.method + request.body });
+        });
+    std::vector<ExchangeResult> results;
+    HttpRequest small{ .method = "POST", .target = "/x" };
+    small.body = "hello";
+    HttpRequest large = small;
+    large.body = std::string(5000, 'x');
+    const auto keep = [&](const ExchangeResult &result) { results.push_back(result); };
+    fetchOnce(loop, (*server)->address(), small, Patience, keep);
+    ASSERT_TRUE(runUntil(loop, [&] { return results.size() == 1; }));
+    fetchOnce(loop, (*server)->address(), large, Patience, keep);
+    ASSERT_TRUE(runUntil(loop, [&] { return results.size() == 2; }));
+    EXPECT_EQ(results[0].response.body, "POSThello");
+    EXPECT_EQ(results[1].response.status, 413);
+    EXPECT_EQ(findHeader(results[1].response.headers, "Basilgap-Outcome"), "not-run");
+}
+
+TEST(HttpServer, callerThatLeavesIsNoticed)
+{
+    EventLoop loop;
+    bool gone = false;
+    ResponderPointer held;
+    auto server = HttpServer::listen(loop, { .address = "127.0.0.1:0" },
+        [&](const HttpRequest &, const ResponderPointer &responder) {
+            held = responder;
+            responder->onCallerGone([&] { gone = true; });
+        });
+    auto connection = std::make_unique<HttpConnection>(
+        loop, HttpConnection::Options{ .address = (*server)->address() });
+    connection->exchange(
+        { .method = "GET", .target = "/" }, Patience, [](const ExchangeResult &) {});
+    ASSERT_TRUE(runUntil(loop, [&] { return held != nullptr; }));
+    connection.reset();
+    EXPECT_TRUE(runUntil(loop, [&] { return gone; }));
+    held->answer({ 200, {}, "" });
+    EXPECT_EQ((*server)->pendingRequests(), 0U);
+}
+
+TEST(HttpConnection, tellsHowAnExchangeEnded)
+{
+    EventLoop loop;
+    auto server = HttpServer::listen(loop, { .address = "127.0.0.1:0" },
+        [&](const HttpRequest &request, const ResponderPointer &responder) {
+            if (request.target == "/reset")
+                return responder->abort();
+            if (request.target == "/short")
+                return responder->answer(
+                    { 200, { { "Content-Length", "50" }, { "Connection", "close" } }, "short" });
+            if (request.target == "/never") {
+                static ResponderPointer held;
+                held = responder;
+            }
+        });
+    const auto endOf = [&](const std::string &address, const std::string &target) {
+        std::optional<ExchangeResult> result;
+        fetchOnce(loop, address, { .method = "GET", .target = target }, Millis(300),
+            [&](const ExchangeResult &ended) { result = ended; });
+        EXPECT_TRUE(runUntil(loop, [&] { return result.has_value(); }));
+        return *result;
+    };
+    const std::string address = (*server)->address();
+    EXPECT_EQ(endOf(address, "/reset").end, ExchangeEnd::Broken);
+    EXPECT_TRUE(endOf(address, "/reset").bytesSent);
+    EXPECT_EQ(endOf(address, "/short").end, ExchangeEnd::Broken);
+    EXPECT_EQ(endOf(address, "/never").end, ExchangeEnd::Timeout);
+    const auto refused = endOf("127.0.0.1:1", "/");
+    EXPECT_EQ(refused.end, ExchangeEnd::ConnectFailed);
+    EXPECT_FALSE(refused.bytesSent);
+}
+
+TEST(Mailbox, deliversFromTheLoopAndKeepsItsBound)
+{
+    EventLoop loop;
+    std::vector<int> got;
+    Mailbox<int> mailbox(loop, 2, [&](int value) { got.push_back(value); });
+    EXPECT_TRUE(mailbox.post(1));
+    EXPECT_TRUE(mailbox.post(2));
+    EXPECT_FALSE(mailbox.post(3));
+    EXPECT_TRUE(got.empty());
+    EXPECT_TRUE(runUntil(loop, [&] { return got.size() == 2; }));
+    EXPECT_EQ(mailbox.dropped(), 1U);
+}
+
+} // namespace basilgap::network
