Follow offered load with slots, weigh queues by share, and start tasks sooner

Change: entries report the slots that arrivals would fill; weights are shares divided by where a team's requests arrive.

--- a/Source/Basilgap/Control/AllotmentManager.cpp
+++ b/Source/Basilgap/Control/AllotmentManager.cpp
@@ -18,8 +18,12 @@
 
 constexpr Millis RecentRenewal{ 1500 };
 
-// Queue weights are whole numbers; this many stand for one slot.
-constexpr double WeightsPerSlot = 100;
+// Stands for the sum of a team's demand over all pools.
+const std::string AllPools;
+
+// Parts of a team's demand are averaged over about this part of a second's plans.
+constexpr double PartSmoothing = 0.1;
+constexpr double LeastWeightChange = 0.05;
 
 } // namespace
 
@@ -63,31 +67,35 @@
     return backend->announcement.slots();
 }
 
-std::vector<scheduling::TeamDemand> AllotmentManager::demandOf(
-    const std::string &pool, const TeamName *only) const
+void AllotmentManager::gatherDemand()
 {
-    std::vector<scheduling::TeamDemand> teams;
-    for (const auto &config : state_.config().config().teams()) {
-        if (only != nullptr && config.name() != only->value())
+    demand_.clear();
+    for (const auto &[number, link] : sessions_.links()) {
+        if (link.stream == nullptr)
             continue;
-        scheduling::TeamDemand team;
-        team.weight = config.share();
-        team.limit = config.limit().slots();
-        for (const auto &[number, link] : sessions_.links()) {
-            scheduling::EntryDemand demand{ .entry = number };
-            for (const auto &reported : link.demand) {
-                if (reported.team() != config.name()
-                    || (only == nullptr && reported.pool() != pool))
-                    continue;
+        for (const auto &reported : link.demand) {
+            for (const std::string &pool : { reported.pool(), AllPools }) {
+                scheduling::EntryDemand &demand = demand_[{ pool, reported.team() }][number];
+                demand.entry = number;
                 demand.running += reported.running();
                 demand.queued += reported.queued();
             }
-            if (link.stream != nullptr && demand.running + demand.queued > 0)
-                team.entries.push_back(demand);
         }
-        teams.push_back(std::move(team));
     }
-    return teams;
+}
+
+scheduling::TeamDemand AllotmentManager::demandOf(
+    const std::string &pool, const schema::TeamConfig &config) const
+{
+    scheduling::TeamDemand team;
+    team.weight = config.share();
+    team.limit = config.limit().slots();
+    const auto found = demand_.find({ pool, config.name() });
+    if (found == demand_.end())
+        return team;
+    for (const auto &[number, demand] : found->second)
+        team.entries.push_back(demand);
+    return team;
 }
 
 KeyAmounts AllotmentManager::currentOf(const std::vector<DivisibleKey> &keys) const
@@ -100,16 +108,28 @@
     return current;
 }
 
-void AllotmentManager::noteWeights(const std::vector<scheduling::TeamDemand> &teams,
-    const std::vector<std::string> &names, uint32_t capacity)
+// A team's share counts once for the whole cell, so each entry gets the part of it that its part of
+// the team's requests calls for. Parts move slowly and small moves are not passed on.
+void AllotmentManager::noteWeights(const std::vector<EntryNumber> &entries)
 {
-    const std::vector<double> amounts = scheduling::divideBetweenTeams(teams, capacity);
-    for (size_t i = 0; i < teams.size(); i++) {
-        const double total = teams[i].total();
-        for (const auto &demand : teams[i].entries) {
-            const double part = amounts[i] * (demand.running + demand.queued) / total;
-            weights_[demand.entry][names[i]] +=
-                static_cast<uint32_t>(std::lround(part * WeightsPerSlot));
+    const auto count = static_cast<double>(std::max<size_t>(1, entries.size()));
+    for (const auto &config : state_.config().config().teams()) {
+        const scheduling::TeamDemand team = demandOf(AllPools, config);
+        const double total = team.total();
+        if (total == 0)
+            continue;
+        for (const EntryNumber entry : entries) {
+            double here = 0;
+            for (const auto &demand : team.entries)
+                here += demand.entry == entry ? demand.running + demand.queued : 0;
+            Weight &weight = weights_[entry][config.name()];
+            const double part = (here + 1) / (total + count);
+            if (weight.part == 0)
+                weight.part = part;
+            weight.part += PartSmoothing * (part - weight.part);
+            const double exact = weight.part * config.share() * scheduling::WeightOfOneShare;
+            if (std::abs(exact - weight.sent) > LeastWeightChange * weight.sent)
+                weight.sent = exact;
         }
     }
 }
@@ -123,19 +143,16 @@
             pools[backend.announcement.pool()].push_back(
                 { key, amountOf(backendKeyName(id), now) });
     }
-    std::vector<std::string> names;
-    for (const auto &team : state_.config().config().teams())
-        names.push_back(team.name());
     const std::vector<EntryNumber> entries = entriesInService(now);
-    weights_.clear();
     for (const auto &[pool, keys] : pools) {
         uint32_t capacity = 0;
         for (const DivisibleKey &key : keys)
             capacity += key.amount;
-        const auto teams = demandOf(pool, nullptr);
+        std::vector<scheduling::TeamDemand> teams;
+        for (const auto &config : state_.config().config().teams())
+            teams.push_back(demandOf(pool, config));
         const EntryAmounts wanted = scheduling::divideBetweenEntries(teams, entries, capacity);
         targets_.merge(scheduling::planTargets(keys, wanted, currentOf(keys)));
-        noteWeights(teams, names, capacity);
         for (const DivisibleKey &key : keys)
             amounts_[key.key] = key.amount;
     }
@@ -150,8 +167,8 @@
         if (key.value() == 0 || team.limit().slots() >= UnlimitedSlots)
             continue;
         const std::vector<DivisibleKey> keys = { { key, amountOf(teamKeyName(name), now) } };
-        const EntryAmounts wanted =
-            scheduling::divideBetweenEntries(demandOf("", &name), entries, keys.front().amount);
+        const EntryAmounts wanted = scheduling::divideBetweenEntries(
+            { demandOf(AllPools, team) }, entries, keys.front().amount);
         targets_.merge(scheduling::planTargets(keys, wanted, currentOf(keys)));
         amounts_[key] = keys.front().amount;
     }
@@ -173,6 +190,8 @@
 {
     targets_.clear();
     amounts_.clear();
+    gatherDemand();
+    noteWeights(entriesInService(now));
     schema::AllotmentBatch batch;
     planPools(now);
     planTeams(now);
@@ -352,8 +371,13 @@
 
 std::map<std::string, uint32_t> AllotmentManager::weightsFor(EntryNumber entry) const
 {
+    std::map<std::string, uint32_t> weights;
     const auto found = weights_.find(entry);
-    return found == weights_.end() ? std::map<std::string, uint32_t>{} : found->second;
+    if (found == weights_.end())
+        return weights;
+    for (const auto &[team, weight] : found->second)
+        weights[team] = static_cast<uint32_t>(std::lround(weight.sent));
+    return weights;
 }
 
 } // namespace basilgap::control
--- a/Source/Basilgap/Control/AllotmentManager.h
+++ b/Source/Basilgap/Control/AllotmentManager.h
@@ -7,6 +7,7 @@
 #include "Basilgap/Control/BackendRegistry.h"
 #include "Basilgap/Control/EntrySessions.h"
 #include "Basilgap/Scheduling/AllotmentPlan.h"
+#include "Basilgap/Scheduling/FairShare.h"
 #include "Basilgap/State/CellState.h"
 
 namespace basilgap::control {
@@ -29,7 +30,7 @@
     // The backend servers as the entries should see them, by key.
     std::map<uint32_t, schema::BackendView> backendViews(Millis now) const;
 
-    // Fair amounts of the teams at one entry, as weights for its queue.
+    // Weights of the teams in the queue of one entry.
     std::map<std::string, uint32_t> weightsFor(EntryNumber entry) const;
 
 private:
@@ -40,16 +41,16 @@
     void takeReturns(Millis now, schema::AllotmentBatch *batch);
     void giveMore(schema::AllotmentBatch *batch);
     void dropKeys(Millis now, schema::AllotmentBatch *batch);
-    std::vector<scheduling::TeamDemand> demandOf(
-        const std::string &pool, const TeamName *only) const;
+    void gatherDemand();
+    scheduling::TeamDemand demandOf(
+        const std::string &pool, const schema::TeamConfig &config) const;
+    void noteWeights(const std::vector<EntryNumber> &entries);
     std::vector<EntryNumber> entriesInService(Millis now) const;
     bool isRecent(const EntryLink &link, Millis now) const;
     bool mayRelease(
         const schema::SessionState &session, const std::string &keyName, Millis now) const;
     uint32_t amountOf(const std::string &keyName, Millis now) const;
     scheduling::KeyAmounts currentOf(const std::vector<scheduling::DivisibleKey> &keys) const;
-    void noteWeights(const std::vector<scheduling::TeamDemand> &teams,
-        const std::vector<std::string> &names, uint32_t capacity);
     uint64_t longestTimeoutMs() const;
 
     const state::CellState &state_;
@@ -57,7 +58,21 @@
     EntrySessions &sessions_;
     scheduling::KeyAmounts targets_;
     std::map<scheduling::AllotmentKeyNumber, uint32_t> amounts_;
-    std::map<EntryNumber, std::map<std::string, uint32_t>> weights_;
+    struct DemandKey
+    {
+        std::string pool;
+        std::string team;
+        auto operator<=>(const DemandKey &) const = default;
+    };
+
+    struct Weight
+    {
+        double part = 0;
+        double sent = 0;
+    };
+
+    std::map<DemandKey, std::map<EntryNumber, scheduling::EntryDemand>> demand_;
+    std::map<EntryNumber, std::map<std::string, Weight>> weights_;
 };
 
 } // namespace basilgap::control
--- a/Source/Basilgap/Control/Leader.cpp
+++ b/Source/Basilgap/Control/Leader.cpp
@@ -84,8 +84,13 @@
         return;
     case schema::Command::kSubmitJob:
     case schema::Command::kCancelJobs:
+        jobsDirty_ = true;
+        return;
     case schema::Command::kTasks:
         jobsDirty_ = true;
+        // What ended made room.
+        if (command.tasks().ends().end_size() > 0)
+            lastJobStep_ = Millis();
         return;
     default:
         return;
@@ -100,8 +105,9 @@
         nextAllotments_ = now + AllotmentInterval;
         planAllotments();
     }
-    if (now >= nextJobStep_ && !tasksInFlight_) {
-        nextJobStep_ = now + (jobsDirty_ ? JobStepInterval : IdleJobStepInterval);
+    const Millis jobInterval = jobsDirty_ ? JobStepInterval : IdleJobStepInterval;
+    if (now >= lastJobStep_ + jobInterval && !tasksInFlight_) {
+        lastJobStep_ = now;
         stepJobs();
     }
     if (now >= nextSessionCheck_) {
--- a/Source/Basilgap/Control/Leader.h
+++ b/Source/Basilgap/Control/Leader.h
@@ -109,7 +109,7 @@
     bool jobsDirty_ = true;
     std::set<EntryId> opening_;
     Millis nextAllotments_;
-    Millis nextJobStep_;
+    Millis lastJobStep_;
     Millis nextExpire_;
     Millis nextSessionCheck_;
     network::Timer ticker_;
--- a/Source/Basilgap/Entry/Dispatcher.cpp
+++ b/Source/Basilgap/Entry/Dispatcher.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 #include "Basilgap/Common/EventLog.h"
 #include "Basilgap/Network/Json.h"
+#include "Basilgap/Scheduling/FairShare.h"
 #include "Basilgap/Settings/CellFile.h"
 
 namespace basilgap::entry {
@@ -40,22 +42,16 @@
     return found == serviceTimes_.end() ? ServiceTime() : found->second;
 }
 
-// Teams that the leader has not seen waiting yet get the part that their share would give them.
+// Until the leader has seen a team's requests, they are taken to arrive evenly at all entries.
 double Dispatcher::queueWeight(const TeamName &team) const
 {
     const auto found = leaderWeights_.find(team);
     if (found != leaderWeights_.end() && found->second > 0)
         return found->second;
-    double shares = 0;
-    double weights = 0;
-    for (const auto &[known, weight] : leaderWeights_) {
-        const schema::TeamConfig *config = view_.findTeam(known);
-        shares += config == nullptr ? 0 : config->share();
-        weights += weight;
-    }
     const schema::TeamConfig *config = view_.findTeam(team);
     const double share = config == nullptr ? 1 : config->share();
-    return shares > 0 && weights > 0 ? share * weights / shares : share;
+    const auto entries = static_cast<double>(std::max<size_t>(1, view_.entries().size()));
+    return share * scheduling::WeightOfOneShare / entries;
 }
 
 uint32_t Dispatcher::weightOf(const TeamName &team) const
@@ -99,6 +95,7 @@
 {
     request->id = RequestId(nextRequest_++);
     const Millis now = steadyNow();
+    arrivals_[request->flow].add(now);
     const double wait = expectedWaitMs(request->flow);
     const double left = static_cast<double>((request->deadline - now).count());
     const bool full = queue_.size() >= options_.maxQueue;
@@ -247,19 +244,40 @@
     pump();
 }
 
+// The slots that a flow's requests would fill if none was refused. The queue's length says little:
+// it is bounded by the deadlines, so it follows the slots that are held and not the other way
+// round.
+uint32_t Dispatcher::wantedSlots(const Flow &flow, Millis now) const
+{
+    const auto queued = static_cast<uint32_t>(queue_.sizeOf(flow));
+    const ServiceTime service = serviceTimeOf(flow);
+    const auto arrivals = arrivals_.find(flow);
+    if (!service.isKnown() || arrivals == arrivals_.end())
+        return queued;
+    const double offered = arrivals->second.at(now) * service.mean() / 1000;
+    return std::max<uint32_t>(queued > 0 ? 1 : 0, static_cast<uint32_t>(std::lround(offered)));
+}
+
 std::vector<schema::TeamDemand> Dispatcher::demand() const
 {
-    std::map<Flow, schema::TeamDemand> byFlow;
+    const Millis now = steadyNow();
+    std::set<Flow> flows;
     for (const Flow &flow : queue_.flows())
-        byFlow[flow].set_queued(static_cast<uint32_t>(queue_.sizeOf(flow)));
-    for (const auto &[flow, count] : runningByFlow_) {
-        if (count > 0)
-            byFlow[flow].set_running(count);
-    }
+        flows.insert(flow);
+    for (const auto &[flow, rate] : arrivals_)
+        flows.insert(flow);
     std::vector<schema::TeamDemand> demand;
-    for (auto &[flow, row] : byFlow) {
+    for (const Flow &flow : flows) {
+        const auto found = runningByFlow_.find(flow);
+        const uint32_t running = found == runningByFlow_.end() ? 0 : found->second;
+        const uint32_t wanted = wantedSlots(flow, now);
+        if (running == 0 && wanted == 0)
+            continue;
+        schema::TeamDemand row;
         row.set_team(flow.team.value());
         row.set_pool(flow.pool.value());
+        row.set_running(running);
+        row.set_queued(wanted > running ? wanted - running : 0);
         demand.push_back(std::move(row));
     }
     return demand;
--- a/Source/Basilgap/Entry/Dispatcher.h
+++ b/Source/Basilgap/Entry/Dispatcher.h
@@ -55,6 +55,7 @@
     // Takes in the leader's amounts for the teams' weights and reports on given up exchanges.
     void update(const schema::RenewReply &reply);
 
+    // What each team has running, and how much more it could use.
     std::vector<schema::TeamDemand> demand() const;
     bool isIdle() const { return queue_.size() == 0 && running_.empty(); }
     size_t queued() const { return queue_.size(); }
@@ -69,6 +70,7 @@
     bool mayStart(const Flow &flow, Millis now);
     bool hasTeamRoom(const TeamName &team) const;
     double queueWeight(const TeamName &team) const;
+    uint32_t wantedSlots(const Flow &flow, Millis now) const;
     double costOf(const Flow &flow) const;
     bool dispatch(RequestPointer *request, Millis now);
     double expectedWaitMs(const Flow &flow) const;
@@ -103,6 +105,7 @@
     std::map<RequestId, RequestPointer> running_;
     std::map<Flow, uint32_t> runningByFlow_;
     std::map<Flow, ServiceTime> serviceTimes_;
+    std::map<Flow, ArrivalRate> arrivals_;
     std::map<TeamName, uint32_t> leaderWeights_;
     std::map<TeamName, RetryBudget> budgets_;
     uint64_t nextRequest_ = 1;
--- a/Source/Basilgap/Entry/EntryTask.cpp
+++ b/Source/Basilgap/Entry/EntryTask.cpp
@@ -19,6 +19,9 @@
 constexpr Millis DemandDelay{ 150 };
 constexpr Millis ChangeDelay{ 20 };
 
+// Longest time for giving back what is held, so that others can use it at once.
+constexpr Millis ReturnTime{ 3000 };
+
 // Stays behind the longest request at a stop.
 constexpr Millis StopMargin{ 2000 };
 
@@ -235,7 +238,8 @@
     Millis longest = StopMargin;
     for (const auto &route : view_.config().routes())
         longest = std::max(longest, StopMargin + Millis(route.timeout_ms()));
-    const bool idle = dispatcher_->isIdle() && publicServer_->pendingRequests() == 0;
+    const bool returned = !holdings_.holdsAnything() || now - stopStarted_ > ReturnTime;
+    const bool idle = dispatcher_->isIdle() && publicServer_->pendingRequests() == 0 && returned;
     if (idle || now - stopStarted_ > longest + Millis(settings_.drain_ms()))
         loop_.stop();
 }
--- a/Source/Basilgap/Entry/HoldingTable.cpp
+++ b/Source/Basilgap/Entry/HoldingTable.cpp
@@ -70,6 +70,12 @@
     return holding == nullptr ? 0 : holding->free();
 }
 
+bool HoldingTable::holdsAnything() const
+{
+    return std::any_of(holdings_.begin(), holdings_.end(),
+        [](const auto &entry) { return entry.second.held > 0; });
+}
+
 void HoldingTable::take(const std::string &name)
 {
     Holding &holding = holdings_[name];
--- a/Source/Basilgap/Entry/HoldingTable.h
+++ b/Source/Basilgap/Entry/HoldingTable.h
@@ -38,6 +38,7 @@
 
     // Holdings that differ from what was reported last; all of them when `full`.
     std::vector<schema::Holding> report(bool full);
+    bool holdsAnything() const;
     bool hasChanges() const { return !changed_.empty(); }
 
     const std::map<std::string, Holding> &all() const { return holdings_; }
--- a/Source/Basilgap/Entry/ServiceTime.h
+++ b/Source/Basilgap/Entry/ServiceTime.h
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "Basilgap/Common/Millis.h"
+
 namespace basilgap::entry {
 
 // How long requests of one kind take: a moving average and a moving average of the distance to it.
@@ -39,4 +41,27 @@
     double deviation_ = 0;
 };
 
+// Arrivals a second, averaged over about the last second.
+class ArrivalRate
+{
+public:
+    void add(Millis now)
+    {
+        perSecond_ = at(now) + 1000 / AveragingMs;
+        updated_ = now;
+    }
+
+    double at(Millis now) const
+    {
+        const auto passed = static_cast<double>((now - updated_).count());
+        return perSecond_ * std::exp(-passed / AveragingMs);
+    }
+
+private:
+    static constexpr double AveragingMs = 1000;
+
+    double perSecond_ = 0;
+    Millis updated_;
+};
+
 } // namespace basilgap::entry
--- a/Source/Basilgap/Entry/WorkerRelay.cpp
+++ b/Source/Basilgap/Entry/WorkerRelay.cpp
@@ -104,10 +104,18 @@
     } else {
         *out = report;
         known_[worker] = { Incarnation(report.incarnation()), content, options_.generation() };
-        flusher_.startOnce(ChangedDelay);
     }
-    if (!flusher_.isPending())
-        flusher_.startOnce(UnchangedDelay);
+    flushWithin(unchanged ? UnchangedDelay : ChangedDelay);
+}
+
+// Never puts off a flush that is already due earlier.
+void WorkerRelay::flushWithin(Millis delay)
+{
+    const Millis due = steadyNow() + delay;
+    if (flusher_.isPending() && flushDue_ <= due)
+        return;
+    flushDue_ = due;
+    flusher_.startOnce(delay);
 }
 
 void WorkerRelay::flush()
--- a/Source/Basilgap/Entry/WorkerRelay.h
+++ b/Source/Basilgap/Entry/WorkerRelay.h
@@ -52,6 +52,7 @@
     };
 
     void queueReport(const WorkerId &worker);
+    void flushWithin(Millis delay);
     void flush();
     void tick();
     void take(const schema::WorkerOrders &orders);
@@ -63,6 +64,7 @@
     std::map<WorkerId, Poll> polls_;
     std::map<WorkerId, Known> known_;
     schema::WorkerDigest digest_;
+    Millis flushDue_;
     network::Timer flusher_;
     network::Timer ticker_;
 };
--- a/Source/Basilgap/Replication/RaftCore.cpp
+++ b/Source/Basilgap/Replication/RaftCore.cpp
@@ -183,6 +183,7 @@
 
 uint64_t RaftCore::beginBarrier()
 {
+    heartbeatDue_ = std::min(heartbeatDue_, lastRound_ + options_.barrierInterval);
     return round_ + 1;
 }
 
--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -20,6 +20,8 @@
     ReplicaId self;
     Incarnation incarnation;
     Millis heartbeat{ 100 };
+    // Least time between two rounds when a barrier waits for one.
+    Millis barrierInterval{ 40 };
     // An election starts after a silence drawn from this range.
     Millis electionMin{ 500 };
     Millis electionMax{ 1000 };
@@ -193,6 +195,7 @@
     LogIndex persistedIndex_;
     Millis electionDue_;
     Millis heartbeatDue_;
+    Millis lastRound_;
     Millis quorumCheckDue_;
     Millis leaderHeard_;
     std::set<ReplicaId> votes_;
--- a/Source/Basilgap/Replication/RaftReplication.cpp
+++ b/Source/Basilgap/Replication/RaftReplication.cpp
@@ -30,6 +30,7 @@
 {
     if (heartbeat) {
         round_++;
+        lastRound_ = now_;
         heartbeatDue_ = now_ + options_.heartbeat;
     }
     for (const auto &member : membership().members()) {
--- a/Source/Basilgap/Scheduling/FairShare.h
+++ b/Source/Basilgap/Scheduling/FairShare.h
@@ -5,6 +5,9 @@
 
 namespace basilgap::scheduling {
 
+// Weight in an entry's queue of a team with share 1 whose requests all arrive there.
+constexpr double WeightOfOneShare = 1000;
+
 struct ShareClaim
 {
     // A claim of weight 0 gets only what the others leave.
--- a/Source/Benchmarks/Bench.cpp
+++ b/Source/Benchmarks/Bench.cpp
@@ -54,6 +54,16 @@
     start("fake-worker", options);
 }
 
+std::string BenchCell::workerState() const
+{
+    std::ifstream log(cell_->logFile("fake-worker"));
+    std::string line;
+    std::getline(log, line);
+    const std::string address = line.substr(std::string("address=").size());
+    return network::fetchAndWait(address, { .method = "GET", .target = "/state" }, Millis(5000))
+        .response.body;
+}
+
 bool BenchCell::waitUntilServing(const std::string &team)
 {
     return standins::waitUntil(Patience, [&] {
--- a/Source/Benchmarks/Bench.h
+++ b/Source/Benchmarks/Bench.h
@@ -27,6 +27,9 @@
     void startBackends(const std::vector<std::string> &options);
     void startWorkers(const std::vector<std::string> &options);
 
+    // JSON of all stand-in workers.
+    std::string workerState() const;
+
     // Waits until a request is answered.
     bool waitUntilServing(const std::string &team);
 
--- a/Source/Benchmarks/WaitingBench.cpp
+++ b/Source/Benchmarks/WaitingBench.cpp
@@ -27,8 +27,8 @@
 
 } // namespace
 
-// Time from the submission of a job to the start of all its tasks, in a cell that is nearly full,
-// and the waiting of requests by team.
+// Time from the submission of a job to the start of each of its tasks at a worker, and the times of
+// requests by team.
 void benchWaiting()
 {
     BenchCell bench({ .controls = 3, .entries = 3 });
@@ -36,36 +36,34 @@
     bench.startWorkers({ "--count=6", "--zones=z1,z2,z3", "--millicores=16000" });
     bench.startBackends({ "--count=6", "--zones=z1,z2,z3", "--delay-ms=10" });
     bench.waitUntilServing("ghat");
-    std::map<std::string, LatencyHistogram> waits;
-    std::map<std::string, std::pair<std::string, Millis>> open;
-    const auto collect = [&] {
-        for (auto it = open.begin(); it != open.end();) {
-            const auto state = cell.call(1, "ghat", "GET", "/v1/jobs/" + it->first).response.body;
-            if (standins::jsonNumber(state, "waiting") != 0) {
-                ++it;
-                continue;
-            }
-            waits[it->second.first].add(
-                static_cast<double>((steadyNow() - it->second.second).count()));
-            it = open.erase(it);
-        }
-    };
+    std::map<std::string, std::pair<std::string, Millis>> submitted;
     for (int i = 0; i < JobsOfEach; i++) {
         for (const std::string kind : { "batch", "gang", "urgent" }) {
             const std::string body = jobBody(kind == "urgent" ? "batch" : kind, kind == "urgent");
+            const Millis at = steadyNow();
             const auto answer = cell.call(0, "ghat", "POST", "/v1/jobs", body);
-            const size_t open1 = answer.response.body.find("\"j");
-            if (open1 == std::string::npos)
+            const size_t open = answer.response.body.find("\"j");
+            if (open == std::string::npos)
                 continue;
-            const size_t close = answer.response.body.find('"', open1 + 1);
-            open[answer.response.body.substr(open1 + 1, close - open1 - 1)] = { kind, steadyNow() };
+            const size_t close = answer.response.body.find('"', open + 1);
+            submitted[answer.response.body.substr(open + 1, close - open - 1)] = { kind, at };
         }
-        collect();
     }
     standins::waitUntil(Millis(20000), [&] {
-        collect();
-        return open.empty();
+        const auto dump = cell.admin(cell.controls()[0], "GET", "/v1/state").response.body;
+        return standins::jsonNumber(dump, "waitingTasks") == 0
+            && standins::jsonNumber(dump, "runningTasks") == 0;
     });
+    std::map<std::string, LatencyHistogram> waits;
+    const std::string state = bench.workerState();
+    const std::string mark = "{\"task\": \"";
+    for (size_t at = state.find(mark); at != std::string::npos; at = state.find(mark, at + 1)) {
+        const size_t begin = at + mark.size();
+        const auto job = submitted.find(state.substr(begin, state.find('/', begin) - begin));
+        const int64_t started = standins::jsonNumber(state.substr(at, 120), "at");
+        if (job != submitted.end())
+            waits[job->second.first].add(static_cast<double>(started - job->second.second.count()));
+    }
     for (const auto &[kind, histogram] : waits)
         print("jobs_" + kind, histogram);
     const auto results = bench.load(
--- a/Source/StandIns/LocalCell.cpp
+++ b/Source/StandIns/LocalCell.cpp
@@ -252,8 +252,9 @@
     text << "routes:\n  - {prefix: /desk, pool: desk, timeoutMs: " << options_.routeTimeoutMs
          << "}\n  - {prefix: /once, pool: desk, repeatable: false, timeoutMs: "
          << options_.routeTimeoutMs << "}\n  - {prefix: /many, pool: desk, repeatable: true, "
-         << "timeoutMs: " << options_.routeTimeoutMs << "}\n  - {prefix: /own, pool: desk, teams: ["
-         << options_.teams.front().name << "]}\n";
+         << "timeoutMs: " << options_.routeTimeoutMs
+         << "}\n  - {prefix: /own, pool: desk, timeoutMs: " << options_.routeTimeoutMs
+         << ", teams: [" << options_.teams.front().name << "]}\n";
     return text.str();
 }
 
