--- a/Source/Benchmarks/ControlCostBench.cpp
+++ b/Source/Benchmarks/ControlCostBench.cpp
@@ -94,6 +94,7 @@
 void benchControlCost()
 {
     constexpr Millis Time{ 10000 };
+    // Worst process of each role, idle and at a steady rate of starts.
     for (const int workers : { 0, 50, 200, 610 }) {
         BenchCell bench({ .controls = 5, .entries = 9 });
         if (workers > 0) {
@@ -108,6 +109,13 @@
         std::thread submitter([&] { submitAtRate(bench.cell(), 2, 10, Time + Millis(2000)); });
         measure(bench.cell(), prefix + "starts_20_", Time);
         submitter.join();
+        if (workers < 610)
+            continue;
+        // The peak of the design size: 10 jobs of 35 tasks a second.
+        std::thread peak([&] { submitAtRate(bench.cell(), 10, 35, Time + Millis(4000)); });
+        standins::waitUntil(Millis(3000), [] { return false; });
+        measure(bench.cell(), prefix + "starts_350_", Time);
+        peak.join();
     }
 }
 
--- a/Source/UnitTests/Settings/YamlReaderTest.cpp
+++ b/Source/UnitTests/Settings/YamlReaderTest.cpp
@@ -115,6 +115,29 @@
     RC_SUCCEED("no crash");
 }
 
+TEST(SettingsReference, standsInTheOperatorsPage)
+{
+    const auto page = readTextFile(BASILGAP_SOURCE_DIR "/docs/OPERATIONS.md");
+    ASSERT_TRUE(page.has_value());
+    EXPECT_NE(page->find(settingsReference()), std::string::npos)
+        << "run: basilgapctl settings, and put its output into docs/OPERATIONS.md";
+}
+
+TEST(ExampleSettings, areValid)
+{
+    const std::string data = BASILGAP_SOURCE_DIR "/Data/";
+    for (const char *file : { "board/cell.yaml", "stilewright/cell.yaml", "demo/cell.yaml" }) {
+        const auto text = readTextFile(data + file);
+        ASSERT_TRUE(text.has_value());
+        const auto config = readCellFile(*text, file);
+        EXPECT_TRUE(config.has_value()) << config.error().text();
+    }
+    schema::EntrySettings entry;
+    EXPECT_TRUE(readYamlFile(data + "demo/entry.yaml", &entry).has_value());
+    schema::ControlSettings control;
+    EXPECT_TRUE(readYamlFile(data + "demo/control.yaml", &control).has_value());
+}
+
 TEST(SettingsReference, namesEveryFieldWithItsMeaning)
 {
     const std::string reference = settingsReference();
