--- a/Source/Basilgap/Control/EntrySessions.h
+++ b/Source/Basilgap/Control/EntrySessions.h
@@ -32,6 +32,8 @@
     std::map<uint32_t, schema::AllotmentView> sentAllotments;
     std::map<uint32_t, schema::BackendView> sentBackends;
     std::map<std::string, uint32_t> sentWeights;
+    // Serialized.
+    std::string sentEntries;
     bool sentAnything = false;
 };
 
--- a/Source/Basilgap/Control/Leader.cpp
+++ b/Source/Basilgap/Control/Leader.cpp
@@ -80,6 +80,8 @@
         nextAllotments_ = Millis();
         return;
     case schema::Command::kAllotments:
+    case schema::Command::kOpenSession:
+    case schema::Command::kCloseSession:
         pushChanges();
         return;
     case schema::Command::kSubmitJob:
--- a/Source/Basilgap/Control/Leader.h
+++ b/Source/Basilgap/Control/Leader.h
@@ -68,6 +68,7 @@
     void confirmRenewal(uint64_t stream, EntryNumber number, uint64_t sequence, Millis received);
     void addChanges(EntryLink *link, schema::RenewReply *reply);
     void addRunning(const EntryLink &link, schema::RenewReply *reply) const;
+    schema::EntryList listEntries() const;
     void pushChanges();
     void pushViews();
     void closeSilentSessions();
--- a/Source/Basilgap/Control/LeaderSessions.cpp
+++ b/Source/Basilgap/Control/LeaderSessions.cpp
@@ -100,6 +100,11 @@
     reply->set_revision(state_.config().revision().value());
     reply->set_session(link->number.value());
     reply->set_full(!link->sentAnything);
+    const schema::EntryList entries = listEntries();
+    if (entries.SerializeAsString() != link->sentEntries) {
+        link->sentEntries = entries.SerializeAsString();
+        *reply->mutable_entries() = entries;
+    }
     link->sentAnything = true;
     addDifferences(
         allotments_.backendViews(steadyNow()), &link->sentBackends,
@@ -127,6 +132,16 @@
     link->sentWeights = weights;
 }
 
+schema::EntryList Leader::listEntries() const
+{
+    schema::EntryList list;
+    for (const auto &[number, session] : state_.sessions().all()) {
+        if (!session.closed())
+            *list.add_entries() = session;
+    }
+    return list;
+}
+
 void Leader::addRunning(const EntryLink &link, schema::RenewReply *reply) const
 {
     const schema::SessionState *session = state_.sessions().find(link.number);
@@ -155,7 +170,8 @@
         schema::PeerMessage message;
         schema::RenewReply *reply = message.mutable_renew_reply();
         addChanges(&link, reply);
-        if (reply->backends_size() + reply->allotments_size() + reply->weights_size() > 0)
+        if (reply->has_entries()
+            || reply->backends_size() + reply->allotments_size() + reply->weights_size() > 0)
             link.stream->send(message);
     }
 }
--- a/Source/Basilgap/Control/ViewBuilder.cpp
+++ b/Source/Basilgap/Control/ViewBuilder.cpp
@@ -31,10 +31,6 @@
     view.set_hash(config.hash());
     for (const ZoneName &zone : config.zonesOut())
         view.add_zones_out(zone.value());
-    for (const auto &[number, session] : state_.sessions().all()) {
-        if (!session.closed())
-            *view.add_entries() = session;
-    }
     for (const Past &past : past_) {
         if (past.revision != known || known.value() == 0)
             continue;
--- a/Source/Basilgap/Entry/EntryTask.cpp
+++ b/Source/Basilgap/Entry/EntryTask.cpp
@@ -181,6 +181,9 @@
             control_->setReplicas(view_.config());
             control_->renewSoon(Millis(0));
         }
+    }
+    if (reply.has_entries()) {
+        view_.setEntries(reply.entries());
         backends_->setEntryCount(view_.entries().size());
     }
     if (sentAt)
--- a/Source/Basilgap/Entry/ViewStore.cpp
+++ b/Source/Basilgap/Entry/ViewStore.cpp
@@ -43,13 +43,17 @@
     zonesOut_.clear();
     for (const auto &zone : view.zones_out())
         zonesOut_.insert(ZoneName(zone));
-    entries_.clear();
-    for (const auto &entry : view.entries())
-        entries_[EntryId(entry.entry())] = entry;
     indexConfig();
     return {};
 }
 
+void ViewStore::setEntries(const schema::EntryList &list)
+{
+    entries_.clear();
+    for (const auto &entry : list.entries())
+        entries_[EntryId(entry.entry())] = entry;
+}
+
 void ViewStore::indexConfig()
 {
     keys_.clear();
--- a/Source/Basilgap/Entry/ViewStore.h
+++ b/Source/Basilgap/Entry/ViewStore.h
@@ -24,6 +24,8 @@
     // Takes in a view; an older one than the one in force is ignored.
     Result<void> install(const schema::View &view);
 
+    void setEntries(const schema::EntryList &list);
+
     // The leader confirmed the revision in answer to a renewal that was sent at that time.
     void confirmed(Revision revision, Millis sentAt);
 
--- a/Source/UnitTests/Entry/EntryPartsTest.cpp
+++ b/Source/UnitTests/Entry/EntryPartsTest.cpp
@@ -171,6 +171,18 @@
     EXPECT_FALSE(store.install(delta).has_value()) << "a difference to another base";
 }
 
+TEST(ViewStore, learnsOfEntriesWithoutAnotherRevision)
+{
+    ViewStore store;
+    ASSERT_TRUE(store.install(viewWith(3, "secret")).has_value());
+    schema::EntryList list;
+    list.add_entries()->set_entry("e2");
+    store.setEntries(list);
+    EXPECT_TRUE(store.entries().contains(EntryId("e2")));
+    ASSERT_TRUE(store.install(viewWith(4, "secret")).has_value());
+    EXPECT_TRUE(store.entries().contains(EntryId("e2")));
+}
+
 TEST(BackendTable, prefersItsZoneAndLeavesOutWhatMustNotBeUsed)
 {
     HoldingTable holdings;
