Write numbers in answers as JSON numbers

Cause: protobuf writes 64 bit integers as JSON texts, so a worker was told {"millicores":"2000"} and an operator {"version":"2"}; seen at basilgapctl apply. Change: answers use 32 bit numbers, or doubles where a version needs more; a test looks at the text. Ruled out: rewriting the JSON text.

--- a/Source/Basilgap/Admin/AdminServer.cpp
+++ b/Source/Basilgap/Admin/AdminServer.cpp
@@ -36,7 +36,7 @@
 {
     if (outcome.code() == schema::ACCEPTED) {
         schema::ApplyReplyBody body;
-        body.set_version(static_cast<int64_t>(outcome.version()));
+        body.set_version(static_cast<double>(outcome.version()));
         body.set_hash(outcome.hash());
         body.set_in_force(waited);
         return network::jsonMessage(200, body);
@@ -45,7 +45,7 @@
         schema::ApplyConflictBody body;
         body.set_error(outcome.message());
         body.set_winner(outcome.hash());
-        body.set_version(static_cast<int64_t>(outcome.version()));
+        body.set_version(static_cast<double>(outcome.version()));
         return network::jsonMessage(409, body);
     }
     return errorResponse({ .status = 422, .error = outcome.message() });
--- a/Source/Basilgap/Admin/Describe.cpp
+++ b/Source/Basilgap/Admin/Describe.cpp
@@ -42,9 +42,9 @@
         row->set_limit_slots(team.limit_slots());
         row->set_queued(team.queued());
         row->set_running(team.running());
-        row->mutable_usage()->set_millicores(static_cast<int64_t>(team.usage().millicores()));
-        row->mutable_usage()->set_memory_mb(static_cast<int64_t>(team.usage().memory_mb()));
-        row->mutable_usage()->set_accelerators(static_cast<int64_t>(team.usage().accelerators()));
+        row->mutable_usage()->set_millicores(static_cast<uint32_t>(team.usage().millicores()));
+        row->mutable_usage()->set_memory_mb(static_cast<uint32_t>(team.usage().memory_mb()));
+        row->mutable_usage()->set_accelerators(static_cast<uint32_t>(team.usage().accelerators()));
     }
     return network::jsonMessage(200, body);
 }
--- a/Source/Basilgap/Control/ControlTask.cpp
+++ b/Source/Basilgap/Control/ControlTask.cpp
@@ -193,7 +193,7 @@
             ? "leader"
             : (self != nullptr && self->voter() ? "follower" : "learner"));
     body.set_leader(replica_->leader().value());
-    body.set_version(static_cast<int64_t>(config.config().version()));
+    body.set_version(static_cast<double>(config.config().version()));
     body.set_hash(config.hash());
     for (const ZoneName &zone : config.zonesOut())
         body.add_zones_out(zone.value());
@@ -207,15 +207,15 @@
     const state::CellState &state = replica_->state();
     dump.set_id(settings_.id());
     dump.set_role(toText(core.role()));
-    dump.set_term(static_cast<int64_t>(core.term().value()));
-    dump.set_last_index(static_cast<int64_t>(core.lastIndex().value()));
-    dump.set_commit_index(static_cast<int64_t>(core.commitIndex().value()));
+    dump.set_term(static_cast<double>(core.term().value()));
+    dump.set_last_index(static_cast<double>(core.lastIndex().value()));
+    dump.set_commit_index(static_cast<double>(core.commitIndex().value()));
     dump.set_disk_trouble(replica_->diskTrouble());
     for (const auto &member : core.membership().members()) {
         schema::MemberDump *row = dump.add_members();
         row->set_id(member.id());
         row->set_voter(member.voter());
-        row->set_match(static_cast<int64_t>(core.matchOf(ReplicaId(member.id())).value()));
+        row->set_match(static_cast<double>(core.matchOf(ReplicaId(member.id())).value()));
         row->set_incarnation(std::to_string(member.incarnation()));
     }
     dump.set_jobs(static_cast<uint32_t>(state.jobs().jobs().size()));
--- a/Source/Basilgap/Control/Leader.cpp
+++ b/Source/Basilgap/Control/Leader.cpp
@@ -133,7 +133,7 @@
         const auto link = sessions_.links().find(number);
         row->set_connected(link != sessions_.links().end() && link->second.stream != nullptr);
         if (link != sessions_.links().end())
-            row->set_revision(static_cast<int64_t>(link->second.reported.value()));
+            row->set_revision(static_cast<double>(link->second.reported.value()));
     }
     for (const auto &[id, worker] : jobs_.workers().all()) {
         schema::WorkerDump *row = dump->add_workers();
@@ -141,7 +141,7 @@
         row->set_id(id.value());
         row->set_zone(worker.zone.value());
         row->set_rack(worker.rack.value());
-        row->set_lease_left_ms((worker.leaseEnd - now).count());
+        row->set_lease_left_ms(static_cast<int32_t>((worker.leaseEnd - now).count()));
         row->set_quarantined(jobs_.health().isQuarantined(number, now));
         row->set_tasks(static_cast<uint32_t>(state_.jobs().runningOn(number).size()));
     }
--- a/Source/Basilgap/Entry/EntryTask.cpp
+++ b/Source/Basilgap/Entry/EntryTask.cpp
@@ -253,7 +253,7 @@
     body.set_id(settings_.id());
     body.set_role("entry");
     body.set_leader(control_->leader().value());
-    body.set_version(static_cast<int64_t>(view_.config().version()));
+    body.set_version(static_cast<double>(view_.config().version()));
     body.set_hash(view_.hash());
     for (const ZoneName &zone : view_.zonesOut())
         body.add_zones_out(zone.value());
@@ -267,8 +267,8 @@
     dump.set_id(settings_.id());
     dump.set_incarnation(std::to_string(incarnation_.value()));
     dump.set_zone(settings_.zone());
-    dump.set_revision(static_cast<int64_t>(view_.revision().value()));
-    dump.set_lease_left_ms(view_.leaseLeft(now).count());
+    dump.set_revision(static_cast<double>(view_.revision().value()));
+    dump.set_lease_left_ms(static_cast<int32_t>(view_.leaseLeft(now).count()));
     dump.set_leader(control_->leader().value());
     dump.set_stopping(stopping_);
     dump.set_claims(static_cast<uint32_t>(claims_->size()));
@@ -295,7 +295,7 @@
         row->set_name(demand.team());
         row->set_queued(demand.queued());
         row->set_running(demand.running());
-        row->set_slice(slice == nullptr ? -1 : static_cast<int64_t>(slice->held));
+        row->set_slice(slice == nullptr ? -1 : static_cast<int32_t>(slice->held));
         row->set_weight(dispatcher_->weightOf(team));
     }
     for (const auto &[id, link] : control_->links()) {
--- a/Source/Basilgap/Entry/HttpBodies.cpp
+++ b/Source/Basilgap/Entry/HttpBodies.cpp
@@ -106,7 +106,7 @@
         schema::OrderBody *row = add();
         row->set_task(toText(TaskId{ JobId(order.job()), order.task() }));
         row->set_epoch(order.epoch());
-        row->set_millicores(static_cast<int64_t>(order.millicores()));
+        row->set_millicores(static_cast<uint32_t>(order.millicores()));
     }
 }
 
@@ -171,9 +171,9 @@
         row->set_team(start.team());
         row->mutable_per_task()->set_millicores(
             static_cast<int64_t>(start.per_task().millicores()));
-        row->mutable_per_task()->set_memory_mb(static_cast<int64_t>(start.per_task().memory_mb()));
+        row->mutable_per_task()->set_memory_mb(static_cast<uint32_t>(start.per_task().memory_mb()));
         row->mutable_per_task()->set_accelerators(
-            static_cast<int64_t>(start.per_task().accelerators()));
+            static_cast<uint32_t>(start.per_task().accelerators()));
         *row->mutable_command() = start.command();
     }
     writeOrders(orders.stop(), [&body] { return body.add_stop(); });
--- a/Source/StandIns/FakeWorker.cpp
+++ b/Source/StandIns/FakeWorker.cpp
@@ -109,9 +109,11 @@
     seen = order.epoch();
     Task task;
     task.epoch = order.epoch();
-    task.reserved = order.per_task();
-    task.usage = order.per_task();
-    task.shownUsage = order.per_task();
+    task.reserved.set_millicores(order.per_task().millicores());
+    task.reserved.set_memory_mb(order.per_task().memory_mb());
+    task.reserved.set_accelerators(order.per_task().accelerators());
+    task.usage = task.reserved;
+    task.shownUsage = task.reserved;
     const std::string kind = order.command_size() > 0 ? order.command(0) : "forever";
     const bool fails = options_.failAll || kind == "fail";
     if (fails) {
--- a/Source/UnitTests/Entry/HttpBodiesTest.cpp
+++ b/Source/UnitTests/Entry/HttpBodiesTest.cpp
@@ -61,6 +61,19 @@
     EXPECT_EQ(report->tasks(0).job(), 1U);
 }
 
+TEST(HttpBodies, numbersInAnswersAreJsonNumbers)
+{
+    schema::WorkerOrders orders;
+    orders.add_start()->mutable_per_task()->set_millicores(2000);
+    orders.add_throttle()->set_millicores(1500);
+    const std::string json = network::toJson(writeWorkerReply(orders, true));
+    EXPECT_NE(json.find("\"millicores\":2000"), std::string::npos) << json;
+    EXPECT_NE(json.find("\"millicores\":1500"), std::string::npos) << json;
+    schema::ApplyReplyBody applied;
+    applied.set_version(9007199254740991);
+    EXPECT_EQ(network::toJson(applied).find("\"version\":\""), std::string::npos);
+}
+
 RC_GTEST_PROP(HttpBodiesProperty, survivesRandomBytes, (const std::string &text))
 {
     google::protobuf::SetLogHandler(nullptr);
