--- a/Source/Basilgap/Control/ControlTask.h
+++ b/Source/Basilgap/Control/ControlTask.h
@@ -24,7 +24,8 @@
     // JSON text of the state.
     std::string dump() const;
 
-    const Error &fatalError() const { return fatal_; }
+    // Whether the process ends because its durable state can't be trusted.
+    bool hasFailed() const { return !fatal_.message.empty(); }
     std::string adminAddress() const { return admin_->address(); }
 
 private:
--- a/Source/Basilgap/Entry/EntryTask.h
+++ b/Source/Basilgap/Entry/EntryTask.h
@@ -25,6 +25,9 @@
     // JSON text of the state.
     std::string dump() const;
 
+    // An entry keeps nothing that could fail it.
+    bool hasFailed() const { return false; }
+
 private:
     EntryTask(network::EventLoop &loop, const schema::EntrySettings &settings);
     Result<void> open();
--- /dev/null
+++ b/Source/Basilgap/Network/RunDaemon.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <csignal>
+#include <iostream>
+#include <string>
+
+#include "Basilgap/Common/EventLog.h"
+#include "Basilgap/Network/EventLoop.h"
+#include "Basilgap/Settings/YamlReader.h"
+
+namespace basilgap::network {
+
+// Exit status of a program whose settings are wrong.
+constexpr int ExitBadSettings = 2;
+
+// Runs a daemon whose task has start(loop, settings), stop() and dump(): reads and checks its
+// settings, stops it at SIGTERM or SIGINT, and writes its state to standard error at SIGUSR1.
+// Returns the exit status.
+template<typename Task, typename Settings>
+int runDaemon(const char *program, const std::string &settingsFile)
+{
+    Settings settings;
+    if (const auto read = settings::readYamlFile(settingsFile, &settings); !read) {
+        std::cerr << read.error().peer << ": " << read.error().message << '\n';
+        return ExitBadSettings;
+    }
+    startEventLog(program, settings.id());
+    EventLoop loop;
+    auto task = Task::start(loop, settings);
+    if (!task) {
+        LogEvent("start-failed", LogLevel::Error).with(task.error());
+        return 1;
+    }
+    const SignalWatch onTerminate(loop, SIGTERM, [&] { (*task)->stop(); });
+    const SignalWatch onInterrupt(loop, SIGINT, [&] { (*task)->stop(); });
+    const SignalWatch onDump(loop, SIGUSR1, [&] { std::cerr << (*task)->dump() << std::endl; });
+    LogEvent("started").with("zone", settings.zone());
+    loop.run();
+    LogEvent("stopped");
+    return (*task)->hasFailed() ? 1 : 0;
+}
+
+} // namespace basilgap::network
--- a/Source/ControlDaemon/Main.cpp
+++ b/Source/ControlDaemon/Main.cpp
@@ -1,11 +1,7 @@
-#include <csignal>
-#include <iostream>
-
 #include <docopt/docopt.h>
 
-#include "Basilgap/Common/EventLog.h"
 #include "Basilgap/Control/ControlTask.h"
-#include "Basilgap/Settings/YamlReader.h"
+#include "Basilgap/Network/RunDaemon.h"
 
 namespace {
 
@@ -22,34 +18,12 @@
 SIGTERM stops after handing over the lead; SIGUSR1 writes the state to standard error.
 )";
 
-constexpr int ExitBadSettings = 2;
-
 } // namespace
 
 int main(int argc, char **argv)
 {
-    using namespace basilgap;
     const auto arguments = docopt::docopt(
         Usage, { argv + 1, argv + argc }, true, "basilgap-control " BASILGAP_VERSION);
-    schema::ControlSettings settings;
-    if (const auto read = settings::readYamlFile(arguments.at("SETTINGS").asString(), &settings);
-        !read) {
-        std::cerr << read.error().peer << ": " << read.error().message << '\n';
-        return ExitBadSettings;
-    }
-    startEventLog(argv[0], settings.id());
-    network::EventLoop loop;
-    auto task = control::ControlTask::start(loop, settings);
-    if (!task) {
-        LogEvent("start-failed", LogLevel::Error).with(task.error());
-        return 1;
-    }
-    const network::SignalWatch onTerminate(loop, SIGTERM, [&] { (*task)->stop(); });
-    const network::SignalWatch onInterrupt(loop, SIGINT, [&] { (*task)->stop(); });
-    const network::SignalWatch onDump(
-        loop, SIGUSR1, [&] { std::cerr << (*task)->dump() << std::endl; });
-    LogEvent("started").with("zone", settings.zone());
-    loop.run();
-    LogEvent("stopped");
-    return (*task)->fatalError().message.empty() ? 0 : 1;
+    return basilgap::network::runDaemon<basilgap::control::ControlTask,
+        basilgap::schema::ControlSettings>(argv[0], arguments.at("SETTINGS").asString());
 }
