--- a/Source/UnitTests/Scheduling/SchedulerFixture.cpp
+++ b/Source/UnitTests/Scheduling/SchedulerFixture.cpp
@@ -92,7 +92,7 @@
     return plan;
 }
 
-void SchedulerFixture::end(const TaskId &task, schema::TaskEnd end)
+void SchedulerFixture::end(TaskId task, schema::TaskEnd end)
 {
     schema::Command command;
     schema::TaskEnds *ends = command.mutable_tasks()->mutable_ends();
--- a/Source/UnitTests/Scheduling/SchedulerFixture.h
+++ b/Source/UnitTests/Scheduling/SchedulerFixture.h
@@ -30,7 +30,7 @@
     // Plans and applies the starts; the preemptions are noted as stopping.
     SchedulePlan plan();
     // Ends a running task.
-    void end(const TaskId &task, schema::TaskEnd end);
+    void end(TaskId task, schema::TaskEnd end);
     // Ends every task that was told to stop.
     void endStopping();
 
