Ask for votes again soon while no leader is known

Cause: after a power cut the first replicas ask for votes before a third one is up, in vain, and then waited a whole silence (350 to 650 ms) although nobody had heard a leader; a link to a host that had been off waited for its own next attempt though that host had already dialled in. Ruled out: slow reading of the log (80 ms from power to the first line), votes lost on their way. Change: from one election to the next the prompt spread (40 to 260 ms) holds until a leader is heard, as pre-votes change nothing; a replica's Hello makes the link to it try anew.

--- a/Source/Basilgap/Control/ControlTask.cpp
+++ b/Source/Basilgap/Control/ControlTask.cpp
@@ -120,7 +120,7 @@
 
 void ControlTask::receive(network::PeerStream &stream, const schema::PeerMessage &message)
 {
-    if (message.has_hello() || replica_->receive(stream, message))
+    if (replica_->receive(stream, message))
         return;
     if (leader_ && replica_->isLeading()) {
         leader_->receive(stream, message);
--- a/Source/Basilgap/Control/ReplicaTask.cpp
+++ b/Source/Basilgap/Control/ReplicaTask.cpp
@@ -120,6 +120,12 @@
 
 bool ReplicaTask::receive(network::PeerStream &stream, const schema::PeerMessage &message)
 {
+    if (message.has_hello()) {
+        const auto link = links_.find(ReplicaId(message.hello().id()));
+        if (link != links_.end() && message.hello().is_replica())
+            link->second->peerSeen();
+        return true;
+    }
     if (message.has_raft()) {
         // While records can't be written this replica must look dead to the others.
         if (diskTrouble_.empty())
--- a/Source/Basilgap/Network/PeerLink.cpp
+++ b/Source/Basilgap/Network/PeerLink.cpp
@@ -12,7 +12,10 @@
 namespace {
 
 constexpr Millis FirstBackoff{ 50 };
-constexpr Millis LargestBackoff{ 200 };
+constexpr Millis LargestBackoff{ 100 };
+
+// Longer than a connection takes to be made when both hosts are there.
+constexpr Millis UsualConnect{ 60 };
 
 } // namespace
 
@@ -32,6 +35,7 @@
 
 void PeerLink::connect()
 {
+    connectBegan_ = steadyNow();
     const auto address = parseAddress(options_.address);
     if (!address) {
         LogEvent("peer-link", LogLevel::Error).with(address.error());
@@ -57,6 +61,17 @@
         stream_->close();
 }
 
+void PeerLink::peerSeen()
+{
+    if (up_)
+        return;
+    backoff_ = FirstBackoff;
+    if (reconnect_.isPending())
+        reconnect_.startOnce(Millis(0));
+    else if (stream_ && steadyNow() - connectBegan_ > UsualConnect)
+        stream_->close();
+}
+
 void PeerLink::opened(PeerStream &stream)
 {
     up_ = true;
--- a/Source/Basilgap/Network/PeerLink.h
+++ b/Source/Basilgap/Network/PeerLink.h
@@ -32,6 +32,10 @@
     // False when the link is down.
     bool send(const schema::PeerMessage &message);
 
+    // The peer has just shown that it is there: a link that waits to try again, or whose attempt
+    // gets no answer, tries anew.
+    void peerSeen();
+
     bool isUp() const { return up_; }
     const std::string &address() const { return options_.address; }
     uint64_t sentBytes() const { return sentBefore_ + (stream_ ? stream_->sentBytes() : 0); }
@@ -50,6 +54,7 @@
     std::unique_ptr<PeerStream> stream_;
     bool up_ = false;
     Millis backoff_;
+    Millis connectBegan_;
     Timer reconnect_;
     uint64_t sentBefore_ = 0;
     uint64_t receivedBefore_ = 0;
--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -25,8 +25,8 @@
     // An election starts after a silence drawn from this range.
     Millis electionMin{ 350 };
     Millis electionMax{ 650 };
-    // The same where no leader can be there: at the start, and after its process has ended. Spread
-    // over more than a round of votes takes.
+    // The same where no leader can be there: at the start, after its process has ended, and from one
+    // election to the next. Spread over more than a round of votes takes.
     Millis promptElectionMin{ 40 };
     Millis promptElectionMax{ 260 };
     uint64_t seed = 1;
--- a/Source/Basilgap/Replication/RaftElection.cpp
+++ b/Source/Basilgap/Replication/RaftElection.cpp
@@ -53,7 +53,8 @@
     role_ = RaftRole::PreCandidate;
     leader_ = ReplicaId();
     votes_ = { options_.self };
-    resetElectionDue();
+    // Nobody has heard a leader here: asked again soon, as the others may only just be starting.
+    setPromptElectionDue();
     if (hasQuorum(votes_))
         return startElection(false);
     requestVotes(true, false);
@@ -67,7 +68,7 @@
     hardState_.set_voted_for(options_.self.value());
     saveHardState();
     votes_ = { options_.self };
-    resetElectionDue();
+    setPromptElectionDue();
     if (hasQuorum(votes_))
         return becomeLeader();
     requestVotes(false, transfer);
--- a/Source/UnitTests/Replication/RaftCoreTest.cpp
+++ b/Source/UnitTests/Replication/RaftCoreTest.cpp
@@ -142,6 +142,25 @@
     EXPECT_FALSE(core.proposeMembership(two).has_value());
 }
 
+// After a power cut replicas come back one by one: the first ones ask for votes in vain.
+TEST(RaftCore, electsSoonOnceAQuorumIsBackAfterAPowerCut)
+{
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        RaftCluster cluster(5, seed);
+        ASSERT_TRUE(cluster.settle());
+        for (size_t i = 0; i < cluster.size(); i++) {
+            cluster.isolate(i, true);
+            cluster.crash(i);
+        }
+        cluster.advance(Millis(300));
+        EXPECT_FALSE(cluster.leader().has_value());
+        for (size_t i = 0; i < 3; i++)
+            cluster.isolate(i, false);
+        cluster.advance(Millis(320));
+        EXPECT_TRUE(cluster.leader().has_value()) << "seed " << seed;
+    }
+}
+
 TEST(RaftCore, handsOverLeadership)
 {
     RaftCluster cluster(3, 8);
