Look at workers when an end is waited for; ask a peer for its vote as soon as it is up

Cause (votes): two replicas that are up wait for their next round after the third has come up. Change: a replica that comes up is asked at once; of several that ask, the one with the better claim goes on, for a second at most. Processes show themselves to a new leader at once, replicas help with advice from their first message.

--- a/Source/Basilgap/Control/ReplicaTask.cpp
+++ b/Source/Basilgap/Control/ReplicaTask.cpp
@@ -101,7 +101,11 @@
                         else
                             options_.onReply(message);
                     },
-                .onUp = [] {},
+                .onUp =
+                    [this, peer = id] {
+                        core_->notePeerUp(peer, steadyNow());
+                        scheduleFlush();
+                    },
                 .onDown = [] {},
                 .onRefused =
                     [this, peer = id] {
--- a/Source/Basilgap/Dispatch/WorkLeader.cpp
+++ b/Source/Basilgap/Dispatch/WorkLeader.cpp
@@ -38,10 +38,14 @@
 
 WorkLeader::~WorkLeader() = default;
 
-bool WorkLeader::receive(network::PeerStream &stream, const schema::PeerMessage &message)
+void WorkLeader::noteProcess(network::PeerStream &stream)
 {
     streams_[stream.id()] = &stream;
     advisers_.addHelper(stream);
+}
+
+bool WorkLeader::receive(network::PeerStream &stream, const schema::PeerMessage &message)
+{
     if (message.has_advice_reply()) {
         advisers_.received(message.advice_reply());
         return true;
@@ -148,6 +152,7 @@
                 .onTicketRefused =
                     [this, number](
                         const StepTask &task) { permits_.dropTicket(task.step, number); },
+                .restBeforeHold = [this, number] { return restBeforeLook(number); },
             },
         },
         now);
--- a/Source/Basilgap/Dispatch/WorkLeader.h
+++ b/Source/Basilgap/Dispatch/WorkLeader.h
@@ -10,6 +10,7 @@
 #include "Basilgap/Control/ReplicaTask.h"
 #include "Basilgap/Dispatch/AdvicePool.h"
 #include "Basilgap/Dispatch/WorkerSession.h"
+#include "Basilgap/Scheduling/LookPacing.h"
 #include "Basilgap/Scheduling/PaceControl.h"
 #include "Basilgap/Scheduling/PermitBook.h"
 #include "Basilgap/Scheduling/SpeedBook.h"
@@ -38,7 +39,9 @@
     WorkLeader(network::EventLoop &loop, Options options);
     ~WorkLeader();
 
-    // Handles a message of another process; false when it is not for the leader.
+    // Another process of the cell is there and may ask for advice on the leader's behalf.
+    void noteProcess(network::PeerStream &stream);
+    // Handles a message of a process that was noted; false when it is not for the leader.
     bool receive(network::PeerStream &stream, const schema::PeerMessage &message);
     void streamClosed(network::PeerStream &stream);
     void applied(const schema::Command &command, const schema::CommandOutcome &outcome);
@@ -66,6 +69,8 @@
     std::vector<scheduling::StepWorker> planWorkers() const;
     void learn(state::WorkerNumber worker, const StepTask &task, schema::RunOutcome outcome);
     std::set<state::StepRef> endingSteps() const;
+    Millis restBeforeLook(state::WorkerNumber worker);
+    std::optional<Millis> stepEndsAt(const state::Work &work, const state::StepRef &step);
     void watchRuns();
     void paceFilling();
     std::vector<scheduling::StoppableRun> stoppableRuns(Millis now) const;
@@ -117,6 +122,9 @@
     std::map<state::WorkerNumber, double> slow_;
     // Tasks that were moved away from a slow worker.
     std::set<StepTask> givenUp_;
+    // Expected ends of steps, as computed since the runs were last watched.
+    std::map<state::StepRef, std::optional<Millis>> stepEnds_;
+    scheduling::RoomDemand roomDemand_ = scheduling::RoomDemand::None;
     // When this leader sent the start of each running task.
     std::map<StepTask, Millis> begun_;
     std::map<state::WorkerNumber, uint64_t> lastSequence_;
--- a/Source/Basilgap/Dispatch/WorkPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkPlanning.cpp
@@ -96,6 +96,7 @@
         start->set_worker(planned.worker.value());
         tickets_[planned.task] = planned.ticket;
     }
+    roomDemand_ = plan.roomDemand;
     for (const scheduling::AdviceWish &wish : plan.wishes)
         askAdvice(wish);
     for (const StepTask &task : plan.stops)
@@ -140,11 +141,7 @@
                 continue;
             const auto expected = static_cast<int64_t>(
                 static_cast<double>(speeds_.expected(*work, task.step).count()) * slowness);
-            Millis remaining = Millis(expected) - (now - run.since);
-            const int done = run.percent - run.firstPercent.value_or(0);
-            if (done >= 10)
-                remaining = (run.progressAt - run.firstAt) * (100 - run.percent) / done
-                    - (now - run.progressAt);
+            const Millis remaining = run.endsAt().value_or(run.since + Millis(expected)) - now;
             Millis &longest = left[task.step];
             longest = std::max(longest, remaining);
         }
--- a/Source/Basilgap/Dispatch/WorkWatch.cpp
+++ b/Source/Basilgap/Dispatch/WorkWatch.cpp
@@ -43,6 +43,7 @@
 {
     const Millis now = steadyNow();
     nextWatch_ = now + WatchInterval;
+    stepEnds_.clear();
     std::vector<scheduling::WatchedRun> runs;
     for (const auto &[number, session] : sessions_) {
         if (!session->isUsable())
@@ -89,6 +90,40 @@
     }
 }
 
+// Latest expected end of the step's running tasks; nothing while some have no worker, or nothing is
+// known of any.
+std::optional<Millis> WorkLeader::stepEndsAt(const state::Work &work, const state::StepRef &step)
+{
+    const auto known = stepEnds_.find(step);
+    if (known != stepEnds_.end())
+        return known->second;
+    std::optional<Millis> latest;
+    const auto &tasks = work.at(step).tasks;
+    for (uint32_t i = 0; work.at(step).waiting == 0 && i < tasks.size(); i++) {
+        const auto session = sessions_.find(tasks[i].worker);
+        if (tasks[i].phase != state::RunPhase::Running || session == sessions_.end())
+            continue;
+        const auto run = session->second->runs().find({ step, i });
+        const auto endsAt =
+            run == session->second->runs().end() ? std::nullopt : run->second.endsAt();
+        if (endsAt && (!latest || *endsAt > *latest))
+            latest = endsAt;
+    }
+    stepEnds_[step] = latest;
+    return latest;
+}
+
+Millis WorkLeader::restBeforeLook(state::WorkerNumber worker)
+{
+    std::vector<scheduling::LookedAtRun> runs;
+    for (const auto &[task, run] : sessions_.at(worker)->runs()) {
+        const state::Work *work = state_.works().find(task.step.work);
+        if (work != nullptr)
+            runs.push_back({ run.endsAt(), stepEndsAt(*work, task.step) });
+    }
+    return scheduling::restBeforeLook(runs, roomDemand_, steadyNow());
+}
+
 // Filling tasks make way for serving ones whose response times suffer.
 void WorkLeader::paceFilling()
 {
--- a/Source/Basilgap/Dispatch/WorkerReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerReports.cpp
@@ -25,11 +25,9 @@
     const auto leaseEnd = suspect_ ? std::nullopt : nextLeaseEnd(now);
     if (leaseEnd)
         noteLease(*leaseEnd);
-    bool hurry = suspect_ || !synced_;
-    for (const auto &[task, known] : runs_)
-        hurry = hurry || known.knowledge == RunKnowledge::Stopped;
-    const Millis usual =
-        options_.trouble.isOn(now) ? options_.times.troubledHoldWait : options_.times.holdWait;
+    const bool hurry = suspect_ || !synced_ || awaitsStops();
+    const Millis usual = options_.trouble.isOn(now) ? options_.times.troubledHoldWait
+                                                    : options_.times.holdWait - rested_;
     const Millis wait = hurry ? Millis(0) : usual;
     options_.port.hold(options_.endpoint, HoldOrder{ options_.fence, ackedEnd_, leaseEnd, wait },
         wait + options_.times.holdTimeout,
@@ -37,10 +35,18 @@
                     HoldAnswer answer) { held(std::move(answer), now, number); }));
 }
 
+// Whether a run was stopped and its end is not told of yet.
+bool WorkerSession::awaitsStops() const
+{
+    return std::any_of(runs_.begin(), runs_.end(),
+        [](const auto &entry) { return entry.second.knowledge == RunKnowledge::Stopped; });
+}
+
 void WorkerSession::held(HoldAnswer answer, Millis sentAt, uint64_t number)
 {
     const Millis now = options_.clock();
     holding_--;
+    rested_ = Millis(0);
     nextHold_ = std::max(now, sentAt + options_.times.holdGap);
     if (answer.result == OrderResult::Fenced) {
         fenced_ = true;
@@ -68,6 +74,10 @@
     setSuspect(false);
     if (!wasSynced)
         options_.events.onChanged();
+    if (awaitsStops())
+        return;
+    rested_ = std::min(options_.events.restBeforeHold(), options_.times.longestRest);
+    nextHold_ = std::max(nextHold_, now + rested_);
 }
 
 void WorkerSession::takeEnds(const HoldAnswer &answer)
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Basilgap/Dispatch/Ports.h"
+#include "Basilgap/Scheduling/RunForecast.h"
 
 namespace basilgap::dispatch {
 
@@ -32,6 +33,8 @@
     Millis troubledHoldWait{ 200 };
     // Beyond the wait itself.
     Millis holdTimeout{ 250 };
+    // Most of the wait that a rest before the hold may take the place of.
+    Millis longestRest{ 1000 };
     // Least time between two holds of one worker, so that ends close together come as one.
     Millis holdGap{ 80 };
     Millis retryInterval{ 150 };
@@ -67,6 +70,8 @@
     std::function<bool()> mayOrder = [] { return true; };
     // An order was refused for want of a valid ticket.
     std::function<void(const StepTask &)> onTicketRefused;
+    // How long the worker may be left alone after an answer.
+    std::function<Millis()> restBeforeHold = [] { return Millis(0); };
 };
 
 // How far a run of the table is known to have got.
@@ -105,6 +110,16 @@
     uint32_t pace = 100;
     // When the percent last rose.
     Millis progressAt;
+
+    scheduling::RunProgress progress() const
+    {
+        return { firstPercent.value_or(0), percent, firstAt, progressAt };
+    }
+    // When it should be done; nothing while too little is known.
+    std::optional<Millis> endsAt() const
+    {
+        return firstPercent ? progress().endsAt() : std::nullopt;
+    }
 };
 
 // The leader's side of one life of a worker: renews its lease, learns what runs there, sends
@@ -175,6 +190,7 @@
     void noteClock(Millis workerClock, Millis now);
     void sendStart(const StepTask &task, SessionRun *known, Millis now);
     void hold(Millis now);
+    bool awaitsStops() const;
     void held(HoldAnswer answer, Millis sentAt, uint64_t number);
     void takeRunning(const HoldAnswer &answer, Millis sentAt, Millis now);
     void takeEnds(const HoldAnswer &answer);
@@ -201,6 +217,8 @@
     uint64_t lastHold_ = 0;
     uint64_t newestAnswered_ = 0;
     Millis nextHold_;
+    // By how much the next hold waits less, as the worker was left alone before it.
+    Millis rested_;
     Millis lastHoldAt_;
     Millis lastAnswer_;
     // The worker's clock at a time of ours.
--- a/Source/Basilgap/Network/CellLinks.cpp
+++ b/Source/Basilgap/Network/CellLinks.cpp
@@ -66,6 +66,8 @@
     if (!changed)
         return;
     LogEvent("leader-known").with("leader", leader_.value()).with("term", term_);
+    // The leader counts on the processes that it has heard of.
+    probeOne(leader_);
     options_.onLeaderChanged();
 }
 
--- a/Source/Basilgap/Network/RpcClient.cpp
+++ b/Source/Basilgap/Network/RpcClient.cpp
@@ -67,6 +67,7 @@
 {
     for (auto &[id, call] : calls_)
         call.resendAt = steadyNow();
+    tick();
 }
 
 void RpcClient::tick()
--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -25,10 +25,12 @@
     // An election starts after a silence drawn from this range.
     Millis electionMin{ 350 };
     Millis electionMax{ 650 };
-    // The same where no leader can be there: at the start, after its process has ended, and from one
-    // election to the next. Spread over more than a round of votes takes.
+    // The same where no leader can be there: at the start, after its process has ended, and from
+    // one election to the next. Spread over more than a round of votes takes.
     Millis promptElectionMin{ 40 };
     Millis promptElectionMax{ 260 };
+    // How long a replica that asks for votes itself refuses those with a lesser claim.
+    Millis claimTime{ 1000 };
     uint64_t seed = 1;
     size_t maxBatchBytes = 256 * 1024;
     size_t chunkBytes = 64 * 1024;
@@ -108,6 +110,9 @@
     // The leader's process is known to have ended: an election comes soon.
     void noteEnded(const ReplicaId &leader, Millis now);
 
+    // A connection to the peer has come up: it is asked for its vote if one is wanted.
+    void notePeerUp(const ReplicaId &peer, Millis now);
+
     // Gives up leadership, as when records can't be written any more.
     void stepDown();
 
@@ -158,6 +163,8 @@
     void resetElectionDue();
     void setPromptElectionDue();
     void requestVotes(bool preVote, bool transfer);
+    void requestVote(const schema::Member &member, bool preVote, bool transfer);
+    bool outranks(const schema::RaftMessage &message) const;
     bool hasQuorum(const std::set<ReplicaId> &votes) const;
     void checkQuorum();
     bool isSelfVoter() const;
@@ -206,6 +213,8 @@
     Millis lastRound_;
     Millis quorumCheckDue_;
     Millis leaderHeard_;
+    // When this replica first asked for votes since a leader was last known.
+    std::optional<Millis> claimSince_;
     std::set<ReplicaId> votes_;
     std::map<ReplicaId, Progress> progress_;
     uint64_t round_ = 0;
--- a/Source/Basilgap/Replication/RaftElection.cpp
+++ b/Source/Basilgap/Replication/RaftElection.cpp
@@ -43,13 +43,38 @@
     }
     role_ = RaftRole::Follower;
     leader_ = leader;
+    if (!leader.value().empty())
+        claimSince_.reset();
     transferring_ = false;
     progress_.clear();
     resetElectionDue();
 }
 
+void RaftCore::notePeerUp(const ReplicaId &peer, Millis now)
+{
+    const schema::Member *member = findMember(membership(), peer);
+    if (role_ != RaftRole::PreCandidate || member == nullptr || !member->voter())
+        return;
+    now_ = now;
+    requestVote(*member, true, false);
+}
+
+// Of replicas that ask at the same time, the one whose log goes further, or else whose name comes
+// first, goes on: otherwise each may win a part of the votes.
+bool RaftCore::outranks(const schema::RaftMessage &message) const
+{
+    const schema::VoteRequest &request = message.vote_request();
+    const auto theirs = std::make_pair(request.last_term(), request.last_index());
+    const auto ours = std::make_pair(log_.lastTerm().value(), log_.lastIndex().value());
+    if (ours != theirs)
+        return ours > theirs;
+    return options_.self.value() < message.from();
+}
+
 void RaftCore::startPreVote()
 {
+    if (!claimSince_)
+        claimSince_ = now_;
     role_ = RaftRole::PreCandidate;
     leader_ = ReplicaId();
     votes_ = { options_.self };
@@ -77,20 +102,24 @@
 void RaftCore::requestVotes(bool preVote, bool transfer)
 {
     for (const auto &member : membership().members()) {
-        if (!member.voter() || member.id() == options_.self.value())
-            continue;
-        schema::RaftMessage message = makeMessage(member);
-        if (preVote)
-            message.set_term(hardState_.term() + 1);
-        schema::VoteRequest *request = message.mutable_vote_request();
-        request->set_last_index(log_.lastIndex().value());
-        request->set_last_term(log_.lastTerm().value());
-        request->set_pre_vote(preVote);
-        request->set_transfer(transfer);
-        output_.messages.push_back(std::move(message));
+        if (member.voter() && member.id() != options_.self.value())
+            requestVote(member, preVote, transfer);
     }
 }
 
+void RaftCore::requestVote(const schema::Member &member, bool preVote, bool transfer)
+{
+    schema::RaftMessage message = makeMessage(member);
+    if (preVote)
+        message.set_term(hardState_.term() + 1);
+    schema::VoteRequest *request = message.mutable_vote_request();
+    request->set_last_index(log_.lastIndex().value());
+    request->set_last_term(log_.lastTerm().value());
+    request->set_pre_vote(preVote);
+    request->set_transfer(transfer);
+    output_.messages.push_back(std::move(message));
+}
+
 bool RaftCore::hasQuorum(const std::set<ReplicaId> &votes) const
 {
     size_t count = 0;
@@ -120,7 +149,14 @@
 
     bool granted = message.term() >= hardState_.term() && isUpToDate(request);
     if (request.pre_vote()) {
-        granted = granted && message.term() > hardState_.term();
+        // A better claim does not hold others up for long: its own way to them may be cut.
+        const bool isClaimed = role_ == RaftRole::PreCandidate && outranks(message)
+            && now_ - claimSince_.value_or(now_) < options_.claimTime;
+        granted = granted && message.term() > hardState_.term() && !isClaimed;
+        if (granted && role_ == RaftRole::PreCandidate) {
+            role_ = RaftRole::Follower;
+            setPromptElectionDue();
+        }
     } else {
         const bool free =
             hardState_.voted_for().empty() || hardState_.voted_for() == message.from();
@@ -168,6 +204,7 @@
 void RaftCore::becomeLeader()
 {
     role_ = RaftRole::Leader;
+    claimSince_.reset();
     leader_ = options_.self;
     transferring_ = false;
     progress_.clear();
--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -264,18 +264,32 @@
     for (uint32_t i = 0; i < step.tasks.size() && missing > 0; i++) {
         if (step.tasks[i].phase != state::RunPhase::Waiting)
             continue;
-        if (!isUnderCap(candidate))
+        if (!isUnderCap(candidate)) {
+            noteNoRoom(candidate);
             return preemptUnderCap(candidate, missing);
+        }
         StepWorker *worker = choose(candidate, need, needsTicket);
         if (worker == nullptr)
             break;
         take(candidate, i, step.tasks[i].run + 1, worker);
         missing--;
     }
-    if (missing > 0 && needsTicket)
+    if (missing == 0)
+        return;
+    const size_t wishes = plan_.wishes.size();
+    if (needsTicket)
         wishAdvice(candidate, missing);
-    if (missing > 0)
-        preemptForRoom(candidate, missing);
+    // A step without any answer yet waits for that, not for room.
+    if (wishes == plan_.wishes.size() && !input_.permits.isAsking(candidate.ref))
+        noteNoRoom(candidate);
+    preemptForRoom(candidate, missing);
+}
+
+void StepPlanner::noteNoRoom(const Candidate &candidate)
+{
+    const bool isUrgent = candidate.priority < PatientPriority && candidate.band < 2;
+    plan_.roomDemand =
+        std::max(plan_.roomDemand, isUrgent ? RoomDemand::Urgent : RoomDemand::Patient);
 }
 
 void StepPlanner::placeGang(const Candidate &candidate)
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -8,6 +8,7 @@
 
 #include "Basilgap/Common/Ids.h"
 #include "Basilgap/Common/Millis.h"
+#include "Basilgap/Scheduling/LookPacing.h"
 #include "Basilgap/Scheduling/PermitBook.h"
 #include "Basilgap/Scheduling/SpeedBook.h"
 #include "Basilgap/Scheduling/UrgentDemand.h"
@@ -99,6 +100,8 @@
     std::vector<AdviceWish> wishes;
     // Runs to stop so that urgent work can start.
     std::vector<StepTask> stops;
+    // The most urgent work that found no room.
+    RoomDemand roomDemand = RoomDemand::None;
 };
 
 // Decides which waiting tasks start where, and for which steps advice is asked. Works on the input
@@ -142,6 +145,7 @@
     void stopRun(StoppableRun *run);
     void take(const Candidate &candidate, uint32_t index, uint32_t run, StepWorker *worker);
     void wishAdvice(const Candidate &candidate, uint32_t missing);
+    void noteNoRoom(const Candidate &candidate);
     uint32_t placedOn(const StepRef &step, WorkerNumber worker) const;
 
     StepPlanInput input_;
--- a/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
@@ -65,6 +65,7 @@
                     .onFenced = [this] { fenced = true; },
                     .mayOrder = [this] { return isConfirmed; },
                     .onTicketRefused = [](const StepTask &) {},
+                    .restBeforeHold = [this] { return rest; },
                 },
                 .clock = [this] { return now; },
             },
@@ -124,6 +125,7 @@
     std::vector<SeenEnd> ends;
     bool fenced = false;
     bool isConfirmed = true;
+    Millis rest;
     Millis now{ 100000 };
 };
 
@@ -144,6 +146,35 @@
     EXPECT_EQ(ends[0].outcome, schema::RUN_LOST);
 }
 
+TEST_F(WorkerSessionTest, aRestTakesThePlaceOfAPartOfTheWait)
+{
+    rest = Millis(200);
+    open();
+    sync();
+    tickAfter(150);
+    EXPECT_EQ(port.holds.size(), 1U);
+    tickAfter(60);
+    ASSERT_EQ(port.holds.size(), 2U);
+    EXPECT_EQ(port.holds.back().order.wait, SessionTimes().holdWait - rest);
+}
+
+TEST_F(WorkerSessionTest, aStoppedRunIsAskedAboutWithoutRest)
+{
+    rest = Millis(200);
+    open();
+    sync();
+    log(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    session->stop(taskOf(0), now);
+    port.stops.back().done({ OrderResult::Accepted, now });
+    now += Millis(1);
+    port.holds.back().done(listing({ 0 }));
+    const size_t before = port.holds.size();
+    tickAfter(Gap);
+    EXPECT_EQ(port.holds.size(), before + 1);
+}
+
 // Seen on a calm day: a hold that waited was overtaken by a hurried one that listed the run.
 TEST_F(WorkerSessionTest, aListThatWasOvertakenEndsNothing)
 {
--- a/Source/UnitTests/Replication/RaftCluster.cpp
+++ b/Source/UnitTests/Replication/RaftCluster.cpp
@@ -162,6 +162,12 @@
         LogIndex(node.applied));
 }
 
+void RaftCluster::noteUp(size_t index, size_t peer)
+{
+    nodes_[index].core->notePeerUp(ReplicaId("r" + std::to_string(peer)), now_);
+    pump(index);
+}
+
 void RaftCluster::setCut(size_t from, size_t to, bool cut)
 {
     cuts_[{ from, to }] = cut;
--- a/Source/UnitTests/Replication/RaftCluster.h
+++ b/Source/UnitTests/Replication/RaftCluster.h
@@ -43,6 +43,8 @@
     void setCut(size_t from, size_t to, bool cut);
     void isolate(size_t index, bool isolated);
     void pump(size_t index);
+    // A connection from one replica to another has come up.
+    void noteUp(size_t index, size_t peer);
 
 private:
     struct Disk
--- a/Source/UnitTests/Replication/RaftCoreTest.cpp
+++ b/Source/UnitTests/Replication/RaftCoreTest.cpp
@@ -161,6 +161,43 @@
     }
 }
 
+// The third replica of five is up: those that ask need not wait for their next round.
+TEST(RaftCore, electsAtOnceWhenTheMissingPeerComesUp)
+{
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        RaftCluster cluster(5, seed);
+        ASSERT_TRUE(cluster.settle());
+        for (size_t i = 0; i < cluster.size(); i++)
+            cluster.crash(i);
+        for (size_t i = 2; i < cluster.size(); i++)
+            cluster.isolate(i, true);
+        cluster.advance(Millis(700));
+        EXPECT_FALSE(cluster.leader().has_value());
+        cluster.isolate(2, false);
+        for (size_t i = 0; i < 2; i++)
+            cluster.noteUp(i, 2);
+        cluster.deliverAll();
+        EXPECT_TRUE(cluster.leader().has_value()) << "seed " << seed;
+    }
+}
+
+TEST(RaftCore, aBetterClaimWithoutAWayToTheOthersHoldsNobodyUp)
+{
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        RaftCluster cluster(5, seed);
+        ASSERT_TRUE(cluster.settle());
+        for (size_t i = 0; i < cluster.size(); i++)
+            cluster.crash(i);
+        for (size_t i = 3; i < cluster.size(); i++)
+            cluster.isolate(i, true);
+        // The first, whose name goes before the others', reaches the second only.
+        cluster.setCut(0, 2, true);
+        cluster.setCut(2, 0, true);
+        cluster.advance(Millis(2000));
+        EXPECT_TRUE(cluster.leader().has_value()) << "seed " << seed;
+    }
+}
+
 TEST(RaftCore, handsOverLeadership)
 {
     RaftCluster cluster(3, 8);
