Plan what follows ends in the record that holds them

Ruled out: late looks (the worker answers within a millisecond), late advice (asked ahead). Change: the planner is told which steps the ends of the same record finish and which tasks they free; ends come first in a record. Gangs are looked at once applied.

--- a/Source/Basilgap/Dispatch/WorkLeader.cpp
+++ b/Source/Basilgap/Dispatch/WorkLeader.cpp
@@ -228,11 +228,12 @@
         ends[number] = session->highestEnd();
     schema::Command command;
     schema::RunBatch *batch = command.mutable_runs();
+    const bool hasEnds = !pendingEnds_.empty();
     for (schema::RunEnd &end : pendingEnds_)
         *batch->add_ends() = std::move(end);
     pendingEnds_.clear();
     const Millis now = steadyNow();
-    if (planDue_ || now >= nextPlan_) {
+    if (planDue_ || hasEnds || now >= nextPlan_) {
         planDue_ = false;
         nextPlan_ = now + IdlePlanInterval;
         plan(batch);
--- a/Source/Basilgap/Dispatch/WorkPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkPlanning.cpp
@@ -84,6 +84,7 @@
                                     .freeAdvisers = advisers_.idleCallers(now),
                                     .endingSteps = endingSteps(),
                                     .stoppable = stoppableRuns(now),
+                                    .ahead = scheduling::endsAhead(state_.works(), *batch),
                                 })
             .run();
     for (const scheduling::PlannedStart &planned : plan.starts) {
--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -54,7 +54,7 @@
     collect();
     for (const Candidate &candidate : candidates_) {
         if (candidate.isAhead)
-            wishAdvice(candidate, candidate.work->at(candidate.ref).waiting);
+            wishAdvice(candidate, waitingOf(candidate));
         else if (candidate.work->specOf(candidate.ref).gang())
             placeGang(candidate);
         else
@@ -110,7 +110,10 @@
 
 void StepPlanner::collect()
 {
-    for (const state::WorkSerial serial : input_.table.waiting())
+    std::set<state::WorkSerial> serials = input_.table.waiting();
+    for (const auto &[step, tasks] : input_.ahead.freedTasks)
+        serials.insert(step.work);
+    for (const state::WorkSerial serial : serials)
         addSteps(*input_.table.find(serial));
     std::sort(candidates_.begin(), candidates_.end());
 }
@@ -132,7 +135,7 @@
             objective - age - static_cast<int64_t>(chainEstimateMs(work, occurrence));
         for (uint32_t step = 0; step < work.occurrences[occurrence].size(); step++) {
             const StepRef ref{ work.serial, occurrence, step };
-            if (work.at(ref).waiting == 0)
+            if (input_.ahead.waiting(work, ref) == 0)
                 continue;
             const bool isService = work.specOf(ref).service();
             const int band = isService || slack >= 0 ? 0 : (age < LateFactor * objective ? 1 : 2);
@@ -143,7 +146,7 @@
                 .priority = queue->priority(),
                 .band = band,
                 .slackMs = slack,
-                .isAhead = !work.isReady(ref),
+                .isAhead = !input_.ahead.isReady(work, ref),
             };
             if (!candidate.isAhead || isAhead(candidate))
                 candidates_.push_back(candidate);
@@ -260,9 +263,9 @@
     const state::WorkStep &step = candidate.work->at(candidate.ref);
     const Resources need = state::needOf(spec);
     const bool needsTicket = candidate.queue->has_advice();
-    uint32_t missing = step.waiting;
+    uint32_t missing = waitingOf(candidate);
     for (uint32_t i = 0; i < step.tasks.size() && missing > 0; i++) {
-        if (step.tasks[i].phase != state::RunPhase::Waiting)
+        if (!input_.ahead.isWaiting(*candidate.work, { candidate.ref, i }))
             continue;
         if (!isUnderCap(candidate)) {
             noteNoRoom(candidate);
@@ -285,6 +288,11 @@
     preemptForRoom(candidate, missing);
 }
 
+uint32_t StepPlanner::waitingOf(const Candidate &candidate) const
+{
+    return input_.ahead.waiting(*candidate.work, candidate.ref);
+}
+
 void StepPlanner::noteNoRoom(const Candidate &candidate)
 {
     const bool isUrgent = candidate.priority < PatientPriority && candidate.band < 2;
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -8,6 +8,7 @@
 
 #include "Basilgap/Common/Ids.h"
 #include "Basilgap/Common/Millis.h"
+#include "Basilgap/Scheduling/EndsAhead.h"
 #include "Basilgap/Scheduling/LookPacing.h"
 #include "Basilgap/Scheduling/PermitBook.h"
 #include "Basilgap/Scheduling/SpeedBook.h"
@@ -75,6 +76,8 @@
     // asked ahead.
     std::set<StepRef> endingSteps;
     std::vector<StoppableRun> stoppable;
+    // Ends that go into the record of the plan.
+    EndsAhead ahead;
 };
 
 // Priority of work that may wait; lower numbers are more urgent.
@@ -135,6 +138,7 @@
     void loadCell();
     bool mayTakeRoom(const Candidate &candidate, const Resources &need) const;
     bool isAhead(const Candidate &candidate) const;
+    uint32_t waitingOf(const Candidate &candidate) const;
     void place(const Candidate &candidate);
     void placeGang(const Candidate &candidate);
     StepWorker *choose(const Candidate &candidate, const Resources &need, bool needsTicket);
--- a/Source/UnitTests/Scheduling/StepPlannerTest.cpp
+++ b/Source/UnitTests/Scheduling/StepPlannerTest.cpp
@@ -84,6 +84,7 @@
                                .freeAdvisers = 4,
                                .endingSteps = ending,
                                .stoppable = stoppable,
+                               .ahead = endsAhead(table, ends),
                            })
             .run();
     }
@@ -102,6 +103,16 @@
         table.apply(batch, Wall);
     }
 
+    void addEnd(const StepRef &step, uint32_t index, schema::RunOutcome outcome)
+    {
+        schema::RunEnd *end = ends.add_ends();
+        end->set_work(step.work.value());
+        end->set_step(step.step);
+        end->set_index(index);
+        end->set_run(table.find(StepTask{ step, index })->run);
+        end->set_outcome(outcome);
+    }
+
     static size_t startsOf(const StepPlan &plan, const StepRef &step)
     {
         size_t count = 0;
@@ -120,6 +131,8 @@
     std::vector<StepWorker> workers;
     std::set<StepRef> ending;
     std::vector<StoppableRun> stoppable;
+    // Ends that will go into the record of the plan.
+    schema::RunBatch ends;
 
 private:
     uint64_t next_ = 1;
@@ -163,6 +176,50 @@
     EXPECT_EQ(first.starts[0].task.step.step, 0U);
 }
 
+// Short steps in a row: the next one goes into the record that ends the one before it.
+TEST_F(StepPlannerTest, theNextStepIsPlannedWithTheEndsBeforeIt)
+{
+    addWorkers(2, 8000);
+    const StepRef first = submit("urgent", 2, 1000, [](schema::StepSpec *) {});
+    schema::SubmitWork command;
+    command.set_id("chain");
+    command.set_queue("urgent");
+    for (int i = 0; i < 2; i++) {
+        schema::StepSpec *step = command.mutable_spec()->add_steps();
+        step->set_count(2);
+        step->set_millicores(1000);
+    }
+    command.mutable_spec()->mutable_steps(1)->add_after(0);
+    table.submit(command, Wall);
+    apply(plan());
+    const StepRef before{ state::WorkSerial(2), 0, 0 };
+    const StepRef next{ state::WorkSerial(2), 0, 1 };
+    addEnd(before, 0, schema::RUN_DONE);
+    EXPECT_EQ(startsOf(plan(), next), 0U) << "one task still runs";
+    addEnd(before, 1, schema::RUN_DONE);
+    const StepPlan both = plan();
+    EXPECT_EQ(startsOf(both, next), 2U);
+    EXPECT_EQ(startsOf(both, first), 0U);
+}
+
+TEST_F(StepPlannerTest, aTaskWhoseRunFailsIsPlannedWithThatEndUnlessItWasTheLast)
+{
+    addWorkers(2, 8000);
+    const StepRef step = submit("urgent", 2, 1000);
+    for (uint32_t attempt = 1; attempt <= 3; attempt++) {
+        apply(plan());
+        ends.Clear();
+        addEnd(step, 0, schema::RUN_FAILED);
+        const StepPlan again = plan();
+        ASSERT_EQ(startsOf(again, step), attempt < 3 ? 1U : 0U);
+        if (attempt < 3) {
+            EXPECT_EQ(again.starts[0].run, attempt + 1);
+        }
+        table.apply(ends, Wall);
+        ends.Clear();
+    }
+}
+
 TEST_F(StepPlannerTest, anOccurrenceDoesNotStartBeforeItsTime)
 {
     addWorkers(1, 8000);
