Ask advice for a job's first steps while the job is being logged

Change: the leader asks as soon as it has proposed the record; the answer is taken once the record is applied. The choice of workers is a function of its own, used by both ways.

--- a/Source/Basilgap/Dispatch/WorkCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkCalls.cpp
@@ -177,6 +177,7 @@
     *submit->mutable_spec() = call.spec();
     submit->set_max_attempts(queue.max_attempts());
     log("work-taken", "");
+    askEarlyAdvice(id, queue, call.spec());
     propose(request, std::move(command), reply,
         [](const schema::CommandOutcome &) { return makeReply(Ok); });
 }
--- a/Source/Basilgap/Dispatch/WorkLeader.cpp
+++ b/Source/Basilgap/Dispatch/WorkLeader.cpp
@@ -72,6 +72,8 @@
 void WorkLeader::applied(const schema::Command &command, const schema::CommandOutcome &)
 {
     planDue_ = true;
+    if (command.has_submit_work())
+        takeEarlyAdvice(command.submit_work().id());
     if (command.has_runs()) {
         if (command.runs().workers_size() > 0)
             reconcileSessions();
--- a/Source/Basilgap/Dispatch/WorkLeader.h
+++ b/Source/Basilgap/Dispatch/WorkLeader.h
@@ -50,6 +50,22 @@
     void handleRequest(const schema::RpcRequest &request, const ReplyCallback &reply);
 
 private:
+    // A step that advice is asked for; its job may not be logged yet.
+    struct AdviceTarget
+    {
+        std::string work;
+        uint32_t occurrence = 0;
+        uint32_t step = 0;
+    };
+
+    struct AdviceResult
+    {
+        bool answered = false;
+        std::vector<state::WorkerNumber> asked;
+        std::vector<scheduling::PermitBook::Granted> granted;
+        Millis expires;
+    };
+
     template<typename Callback>
     auto guarded(Callback callback)
     {
@@ -75,7 +91,14 @@
     void paceFilling();
     std::vector<scheduling::StoppableRun> stoppableRuns(Millis now) const;
     void preempt(const StepTask &task, Millis now);
+    bool askAdvice(const AdviceTarget &target, const schema::AdvicePolicy &policy,
+        const std::vector<state::WorkerNumber> &workers,
+        std::function<void(const AdviceResult &)> done);
     void askAdvice(const scheduling::AdviceWish &wish);
+    void takeAdvice(const state::StepRef &step, const AdviceResult &result);
+    void askEarlyAdvice(
+        const std::string &id, const schema::QueueConfig &queue, const schema::WorkSpec &spec);
+    void takeEarlyAdvice(const std::string &id);
     void sendStarts(const schema::RunBatch &batch);
     void ackEnds(const std::map<state::WorkerNumber, uint64_t> &ends);
     void reconcileSessions();
@@ -118,6 +141,8 @@
     std::vector<schema::RunEnd> pendingEnds_;
     // Tickets of the starts that are being logged.
     std::map<StepTask, std::string> tickets_;
+    // Advice for jobs that are being logged, by their id and step; nothing until it is answered.
+    std::map<std::string, std::map<uint32_t, std::optional<AdviceResult>>> earlyAdvice_;
     // Workers that have turned slow, and by how much.
     std::map<state::WorkerNumber, double> slow_;
     // Tasks that were moved away from a slow worker.
--- a/Source/Basilgap/Dispatch/WorkPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkPlanning.cpp
@@ -176,54 +176,108 @@
     session->second->stop(task, now);
 }
 
-void WorkLeader::askAdvice(const scheduling::AdviceWish &wish)
+bool WorkLeader::askAdvice(const AdviceTarget &target, const schema::AdvicePolicy &policy,
+    const std::vector<state::WorkerNumber> &workers, std::function<void(const AdviceResult &)> done)
 {
-    const state::Work *work = state_.works().find(wish.step.work);
-    const schema::QueueConfig *queue =
-        work == nullptr ? nullptr : state_.workConfig().findQueue(work->queue);
-    if (queue == nullptr)
-        return;
     std::vector<std::string> ids;
     std::map<std::string, state::WorkerNumber> numbers;
-    for (const state::WorkerNumber number : wish.workers) {
+    for (const state::WorkerNumber number : workers) {
         const std::string &id = sessions_.at(number)->endpoint().id;
         ids.push_back(id);
         numbers[id] = number;
     }
-    const schema::AdvicePolicy &policy = queue->advice();
     const Millis timeout = AdviceSlack
         + Millis(static_cast<int64_t>(policy.decision_ms()
                      + policy.per_worker_ms() * static_cast<double>(ids.size()))
             * 2);
     const Millis askedAt = steadyNow();
-    const bool asked = advisers_.ask(
-        options_.advice.nameOf(work->id, wish.step.occurrence, wish.step.step), ids, timeout,
-        guarded([this, wish, numbers, askedAt, id = work->id,
-                    usual = Millis(static_cast<int64_t>(policy.validity_ms()))](
-                    const AdviceAnswer &answer) {
+    const Millis usual(static_cast<int64_t>(policy.validity_ms()));
+    return advisers_.ask(options_.advice.nameOf(target.work, target.occurrence, target.step), ids,
+        timeout,
+        guarded([this, target, workers, numbers, askedAt, usual, done](const AdviceAnswer &answer) {
             const Millis now = steadyNow();
             LogEvent("advice")
-                .with("work", id)
-                .with("step", wish.step.step)
+                .with("work", target.work)
+                .with("step", target.step)
                 .with("answered", answer.answered ? 1 : 0)
-                .with("workers", wish.workers.size())
+                .with("workers", workers.size())
                 .with("granted", answer.permits.size())
                 .with("ms", now - askedAt);
             planDue_ = true;
             schedulePump();
-            if (!answer.answered)
-                return permits_.noteFailure(wish.step);
-            std::vector<scheduling::PermitBook::Granted> granted;
+            AdviceResult result{ .answered = answer.answered, .asked = workers };
             for (const schema::Permit &permit : answer.permits) {
                 const auto number = numbers.find(permit.worker());
                 if (number != numbers.end())
-                    granted.push_back({ number->second, permit.ticket() });
+                    result.granted.push_back({ number->second, permit.ticket() });
             }
             const Millis validity = answer.validity > Millis() ? answer.validity : usual;
-            permits_.noteAnswer(wish.step, wish.workers, granted, now + validity - TicketMargin);
+            result.expires = now + validity - TicketMargin;
+            done(result);
         }));
+}
+
+void WorkLeader::takeAdvice(const state::StepRef &step, const AdviceResult &result)
+{
+    if (result.answered)
+        permits_.noteAnswer(step, result.asked, result.granted, result.expires);
+    else
+        permits_.noteFailure(step);
+}
+
+void WorkLeader::askAdvice(const scheduling::AdviceWish &wish)
+{
+    const state::Work *work = state_.works().find(wish.step.work);
+    const schema::QueueConfig *queue =
+        work == nullptr ? nullptr : state_.workConfig().findQueue(work->queue);
+    if (queue == nullptr)
+        return;
+    const bool asked =
+        askAdvice({ work->id, wish.step.occurrence, wish.step.step }, queue->advice(), wish.workers,
+            [this, step = wish.step](const AdviceResult &result) { takeAdvice(step, result); });
     if (asked)
         permits_.noteAsked(wish.step);
 }
 
+// Asks for the first steps of a job while it is being logged: the answer takes longer than the log.
+void WorkLeader::askEarlyAdvice(
+    const std::string &id, const schema::QueueConfig &queue, const schema::WorkSpec &spec)
+{
+    if (!queue.has_advice() || spec.occurrences() > 0 || earlyAdvice_.contains(id))
+        return;
+    const std::vector<scheduling::StepWorker> workers = planWorkers();
+    for (uint32_t step = 0; step < static_cast<uint32_t>(spec.steps_size()); step++) {
+        const schema::StepSpec &first = spec.steps(static_cast<int>(step));
+        if (first.after_size() > 0)
+            continue;
+        const auto asked = scheduling::workersToAskFirst(first, queue.pool(), workers);
+        if (asked.empty())
+            continue;
+        const bool isAsked = askAdvice(
+            { id, 0, step }, queue.advice(), asked, [this, id, step](const AdviceResult &result) {
+                const state::Work *work = state_.works().find(id);
+                if (work != nullptr)
+                    takeAdvice({ work->serial, 0, step }, result);
+                else if (earlyAdvice_.contains(id))
+                    earlyAdvice_[id][step] = result;
+            });
+        if (isAsked)
+            earlyAdvice_[id][step] = std::nullopt;
+    }
+}
+
+void WorkLeader::takeEarlyAdvice(const std::string &id)
+{
+    const auto early = earlyAdvice_.extract(id);
+    const state::Work *work = state_.works().find(id);
+    if (early.empty() || work == nullptr)
+        return;
+    for (const auto &[step, result] : early.mapped()) {
+        const state::StepRef ref{ work->serial, 0, step };
+        permits_.noteAsked(ref);
+        if (result)
+            takeAdvice(ref, *result);
+    }
+}
+
 } // namespace basilgap::dispatch
--- a/Source/Basilgap/Scheduling/StepAdvice.cpp
+++ b/Source/Basilgap/Scheduling/StepAdvice.cpp
@@ -19,6 +19,57 @@
 
 } // namespace
 
+bool fitsLabel(const StepWorker &worker, const schema::StepSpec &spec)
+{
+    return spec.required_label().empty()
+        || std::find(worker.labels.begin(), worker.labels.end(), spec.required_label())
+        != worker.labels.end();
+}
+
+std::vector<WorkerNumber> workersToAsk(
+    const schema::StepSpec &spec, std::vector<AskableWorker> options, uint32_t missing)
+{
+    std::sort(
+        options.begin(), options.end(), [](const AskableWorker &left, const AskableWorker &right) {
+            return std::tie(right.isKnown, right.room.millicores)
+                < std::tie(left.isKnown, left.room.millicores);
+        });
+    const Resources need = state::needOf(spec);
+    std::vector<WorkerNumber> workers;
+    double expected = 0;
+    for (const AskableWorker &option : options) {
+        if (workers.size() >= MostWorkersAsked)
+            break;
+        // Of workers that are known to be eligible no more are needed than give room.
+        const size_t least = option.isKnown ? 1 : LeastWorkersAsked;
+        if (expected >= RoomAskedFactor * missing && workers.size() >= least)
+            break;
+        workers.push_back(option.number);
+        const int64_t byProcessor =
+            need.millicores == 0 ? missing : option.room.millicores / need.millicores;
+        const int64_t byMemory =
+            need.memoryMb == 0 ? missing : option.room.memoryMb / need.memoryMb;
+        int64_t tasks = std::max<int64_t>(1, std::min(byProcessor, byMemory));
+        if (spec.max_per_worker() > 0)
+            tasks = std::min<int64_t>(tasks, spec.max_per_worker());
+        expected += static_cast<double>(tasks) * (option.isKnown ? 1.0 : UsualGrantShare);
+    }
+    return workers;
+}
+
+std::vector<WorkerNumber> workersToAskFirst(
+    const schema::StepSpec &spec, const std::string &pool, const std::vector<StepWorker> &workers)
+{
+    const Resources need = state::needOf(spec);
+    std::vector<AskableWorker> options;
+    for (const StepWorker &worker : workers) {
+        if (worker.usable && worker.startsLeft > 0 && worker.pool == pool && fitsLabel(worker, spec)
+            && need.fitsIn(worker.room()))
+            options.push_back({ worker.number, worker.room(), false });
+    }
+    return workersToAsk(spec, std::move(options), spec.count());
+}
+
 // Names workers with room whose answer is not known, or whose ticket ran out.
 void StepPlanner::wishAdvice(const Candidate &candidate, uint32_t missing)
 {
@@ -26,14 +77,7 @@
         return;
     const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
     const Resources need = state::needOf(spec);
-    struct Option
-    {
-        bool isKnown;
-        int64_t room;
-        WorkerNumber worker;
-        int64_t tasks;
-    };
-    std::vector<Option> options;
+    std::vector<AskableWorker> options;
     for (const StepWorker &worker : input_.workers) {
         const Resources room = worker.room();
         // For a step that comes later, room is judged by what may be free then.
@@ -46,33 +90,11 @@
                 return;
             continue;
         }
-        const int64_t byProcessor =
-            need.millicores == 0 ? missing : room.millicores / need.millicores;
-        const int64_t byMemory = need.memoryMb == 0 ? missing : room.memoryMb / need.memoryMb;
-        int64_t tasks = std::max<int64_t>(1, std::min(byProcessor, byMemory));
-        if (spec.max_per_worker() > 0)
-            tasks = std::min<int64_t>(tasks, spec.max_per_worker());
-        options.push_back({ input_.permits.isKnownEligible(candidate.ref, worker.number),
-            room.millicores, worker.number, tasks });
-    }
-    if (options.empty())
-        return;
-    std::sort(options.begin(), options.end(), [](const Option &left, const Option &right) {
-        return std::tie(right.isKnown, right.room) < std::tie(left.isKnown, left.room);
-    });
-    AdviceWish wish{ candidate.ref, {} };
-    double expected = 0;
-    for (const Option &option : options) {
-        if (wish.workers.size() >= MostWorkersAsked)
-            break;
-        // Of workers that are known to be eligible no more are needed than give room.
-        const size_t least = option.isKnown ? 1 : LeastWorkersAsked;
-        if (expected >= RoomAskedFactor * missing && wish.workers.size() >= least)
-            break;
-        wish.workers.push_back(option.worker);
-        expected += static_cast<double>(option.tasks) * (option.isKnown ? 1.0 : UsualGrantShare);
+        options.push_back(
+            { worker.number, room, input_.permits.isKnownEligible(candidate.ref, worker.number) });
     }
-    plan_.wishes.push_back(std::move(wish));
+    if (!options.empty())
+        plan_.wishes.push_back({ candidate.ref, workersToAsk(spec, std::move(options), missing) });
 }
 
 } // namespace basilgap::scheduling
--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -159,9 +159,7 @@
     const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
     if (!worker.usable || worker.startsLeft == 0 || worker.pool != candidate.queue->pool())
         return false;
-    if (!spec.required_label().empty()
-        && std::find(worker.labels.begin(), worker.labels.end(), spec.required_label())
-            == worker.labels.end())
+    if (!fitsLabel(worker, spec))
         return false;
     return spec.max_per_worker() == 0
         || placedOn(candidate.ref, worker.number) < spec.max_per_worker();
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -97,6 +97,25 @@
     std::vector<WorkerNumber> workers;
 };
 
+// A worker that advice may be asked about.
+struct AskableWorker
+{
+    WorkerNumber number;
+    Resources room;
+    // It was granted before; only its ticket has run out.
+    bool isKnown = false;
+};
+
+bool fitsLabel(const StepWorker &worker, const schema::StepSpec &spec);
+
+// Which of the workers advice is asked about, for so many tasks of a step.
+std::vector<WorkerNumber> workersToAsk(
+    const schema::StepSpec &spec, std::vector<AskableWorker> options, uint32_t missing);
+
+// The same for a step of which nothing is known yet, as while its job is being logged.
+std::vector<WorkerNumber> workersToAskFirst(
+    const schema::StepSpec &spec, const std::string &pool, const std::vector<StepWorker> &workers);
+
 struct StepPlan
 {
     std::vector<PlannedStart> starts;
--- a/Source/UnitTests/Scheduling/StepPlannerTest.cpp
+++ b/Source/UnitTests/Scheduling/StepPlannerTest.cpp
@@ -283,6 +283,30 @@
 }
 
 // Load pattern: a burst of urgent jobs on an account whose limit is full of patient work.
+// While a job is being logged nothing is known of its steps but what its body says.
+TEST_F(StepPlannerTest, aJobThatIsBeingLoggedIsAskedAboutWorkersThatCouldRunIt)
+{
+    addWorkers(40, 8000);
+    for (StepWorker &worker : workers) {
+        const uint32_t number = worker.number.value();
+        worker.labels = { number % 2 == 0 ? "even" : "odd" };
+        worker.usable = number > 4;
+        worker.reserved = { number > 30 ? 7500 : 0, 0, 0 };
+    }
+    schema::StepSpec spec;
+    spec.set_count(3);
+    spec.set_millicores(1000);
+    spec.set_required_label("even");
+    const auto asked = workersToAskFirst(spec, "pool", workers);
+    EXPECT_EQ(asked.size(), 13U);
+    for (const WorkerNumber number : asked) {
+        EXPECT_EQ(number.value() % 2, 0U);
+        EXPECT_GT(number.value(), 4U);
+        EXPECT_LE(number.value(), 30U);
+    }
+    EXPECT_TRUE(workersToAskFirst(spec, "other", workers).empty());
+}
+
 TEST_F(StepPlannerTest, urgentWorkUnderAFullLimitStopsItsOwnPatientRuns)
 {
     addWorkers(4, 8000);
