Drop lives that stay silent; try silent workers less often; confirm the lead each 80 ms

Ruled out: the planner (150 ms of a second). Change: a life without runs of which nothing was heard for 12 s is dropped (it announces itself should it return); the time between two tries grows with the silence to 0.8 s; rounds that confirm the lead go out every 80 ms instead of 40. Test: WorkerSession.aSilentWorkerIsTriedLessAndLessOften.

--- a/Source/Basilgap/Dispatch/WorkLeader.cpp
+++ b/Source/Basilgap/Dispatch/WorkLeader.cpp
@@ -11,6 +11,11 @@
 // Plans are made anew after this time even when nothing is known to have changed.
 constexpr Millis IdlePlanInterval{ 100 };
 constexpr Millis ExpireInterval{ 5000 };
+constexpr Millis DropInterval{ 1000 };
+
+// Longer than cuts of some seconds, after which a worker goes on under the same life. One that comes
+// back later announces itself, as each does every second or two.
+constexpr Millis SilenceBeforeDrop{ 12000 };
 
 // Less than the shortest silence after which another replica may be elected.
 constexpr Millis RenewalConfirmationAge{ 300 };
@@ -215,6 +220,37 @@
         return;
     watchRuns();
     paceFilling();
+    if (now >= nextDrop_)
+        dropSilentWorkers(now);
+}
+
+void WorkLeader::dropSilentWorkers(Millis now)
+{
+    nextDrop_ = now + DropInterval;
+    schema::Command command;
+    std::vector<state::WorkerNumber> dropped;
+    for (const auto &[number, session] : sessions_) {
+        const schema::WorkerLife *life = state_.works().worker(number);
+        const bool isOver = session->isSuspect() && session->runs().empty()
+            && now - session->lastAnswer() > SilenceBeforeDrop;
+        if (!isOver || life == nullptr || life->gone() || !dropping_.insert(number).second)
+            continue;
+        LogEvent("worker-dropped")
+            .with("worker", life->id())
+            .with("number", number.value())
+            .with("silentMs", now - session->lastAnswer());
+        schema::WorkerLife *gone = command.mutable_runs()->add_workers();
+        *gone = *life;
+        gone->set_gone(true);
+        dropped.push_back(number);
+    }
+    if (dropped.empty())
+        return;
+    options_.replica.propose(
+        std::move(command), guarded([this, dropped](const schema::CommandOutcome &) {
+            for (const state::WorkerNumber number : dropped)
+                dropping_.erase(number);
+        }));
 }
 
 void WorkLeader::schedulePump()
--- a/Source/Basilgap/Dispatch/WorkLeader.h
+++ b/Source/Basilgap/Dispatch/WorkLeader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -79,6 +80,8 @@
     void tick();
     bool mayOrder() const;
     void tendWorkers(Millis now);
+    // Drops lives of which nothing was heard for long and on which nothing runs.
+    void dropSilentWorkers(Millis now);
     void schedulePump();
     void pump();
     void plan(schema::RunBatch *batch);
@@ -153,6 +156,12 @@
     std::set<state::StepRef> ending_;
     Millis nextEnding_;
     Millis nextTidy_;
+    Millis nextDrop_;
+    // Lives whose end is being logged.
+    std::set<state::WorkerNumber> dropping_;
+    // Since the last line about the cell.
+    uint32_t plans_ = 0;
+    std::chrono::nanoseconds planTime_{};
     // Workers that have turned slow, and by how much.
     std::map<state::WorkerNumber, double> slow_;
     // Tasks that were moved away from a slow worker.
--- a/Source/Basilgap/Dispatch/WorkPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkPlanning.cpp
@@ -1,6 +1,7 @@
 // How the leader plans: what the planner is given, and what becomes of its plan.
 
 #include <algorithm>
+#include <chrono>
 
 #include "Basilgap/Common/EventLog.h"
 #include "Basilgap/Dispatch/WorkLeader.h"
@@ -85,6 +86,7 @@
 void WorkLeader::plan(schema::RunBatch *batch)
 {
     const Millis now = steadyNow();
+    const auto begun = std::chrono::steady_clock::now();
     if (now >= nextTidy_)
         tidy(now);
     urgent_.observe(state_.works(), state_.workConfig(), now);
@@ -120,6 +122,8 @@
         askAdvice(wish);
     for (const StepTask &task : plan.stops)
         preempt(task, now);
+    plans_++;
+    planTime_ += std::chrono::steady_clock::now() - begun;
 }
 
 std::vector<scheduling::StoppableRun> WorkLeader::stoppableRuns(Millis now) const
--- a/Source/Basilgap/Dispatch/WorkWatch.cpp
+++ b/Source/Basilgap/Dispatch/WorkWatch.cpp
@@ -173,7 +173,12 @@
         .with("reserved", reserved.millicores)
         .with("memoryMb", capacity.memoryMb)
         .with("reservedMb", reserved.memoryMb)
-        .with("running", state_.works().runningTasks());
+        .with("running", state_.works().runningTasks())
+        .with("idleAdvisers", advisers_.idleCallers(steadyNow()))
+        .with("plans", plans_)
+        .with("planMs", planTime_.count() / 1000000);
+    plans_ = 0;
+    planTime_ = {};
     for (const auto &[priority, tasks] : waiting)
         line.with("waiting" + std::to_string(priority), tasks);
 }
--- a/Source/Basilgap/Dispatch/WorkerReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerReports.cpp
@@ -14,6 +14,12 @@
 
 } // namespace
 
+Millis WorkerSession::retryAfter(Millis now) const
+{
+    return std::clamp(
+        (now - lastAnswer_) / 8, options_.times.retryInterval, options_.times.longestRetry);
+}
+
 void WorkerSession::hold(Millis now)
 {
     if (fenced_ || superseded_ || !options_.events.mayOrder())
@@ -58,7 +64,7 @@
         // A worker that stays silent is no sign of answers that get lost.
         if (answer.result == OrderResult::Unanswered && !suspect_)
             options_.trouble.note(now);
-        nextHold_ = now + options_.times.retryInterval;
+        nextHold_ = now + retryAfter(now);
         return setSuspect(true);
     }
     lastAnswer_ = now;
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -332,7 +332,7 @@
         return;
     }
     // The hold that waits may be lost as well.
-    const bool hurry = suspect_ && now - lastHoldAt_ >= options_.times.retryInterval;
+    const bool hurry = suspect_ && now - lastHoldAt_ >= retryAfter(now);
     if ((holding_ == 0 && now >= nextHold_) || (holding_ == 1 && hurry))
         hold(now);
     std::vector<StepTask> due;
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -37,7 +37,10 @@
     Millis longestRest{ 1000 };
     // Least time between two holds of one worker, so that ends close together come as one.
     Millis holdGap{ 80 };
+    // Between two tries to reach a silent worker: an eighth of its silence within these bounds, as one
+    // that was silent for long hardly returns within the next moment.
     Millis retryInterval{ 150 };
+    Millis longestRetry{ 800 };
     Millis stopRepeat{ 300 };
 };
 
@@ -194,6 +197,7 @@
     void noteClock(Millis workerClock, Millis now);
     void noteFilling(const StepTask &task, SessionRun *known) const;
     void sendStart(const StepTask &task, SessionRun *known, Millis now);
+    Millis retryAfter(Millis now) const;
     void hold(Millis now);
     bool awaitsStops() const;
     void held(HoldAnswer answer, Millis sentAt, uint64_t number);
--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -21,7 +21,7 @@
     Incarnation incarnation;
     Millis heartbeat{ 100 };
     // Least time between two rounds when a barrier waits for one.
-    Millis barrierInterval{ 40 };
+    Millis barrierInterval{ 80 };
     // An election starts after a silence drawn from this range.
     Millis electionMin{ 350 };
     Millis electionMax{ 650 };
--- a/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
@@ -175,6 +175,32 @@
     EXPECT_EQ(port.holds.size(), before + 1);
 }
 
+// A hundred workers that are gone for good cost the leader hundreds of calls a second.
+TEST_F(WorkerSessionTest, aSilentWorkerIsTriedLessAndLessOften)
+{
+    open();
+    sync();
+    const auto triesWithin = [this](int64_t ms) {
+        const size_t before = port.holds.size();
+        for (int64_t passed = 0; passed < ms; passed += 25) {
+            tickAfter(25);
+            for (size_t i = before; i < port.holds.size(); i++) {
+                if (port.holds[i].done)
+                    std::exchange(port.holds[i].done, nullptr)({});
+            }
+        }
+        return port.holds.size() - before;
+    };
+    tickAfter(Gap);
+    std::exchange(port.holds.back().done, nullptr)({});
+    const size_t first = triesWithin(1000);
+    triesWithin(8000);
+    const size_t later = triesWithin(4000);
+    EXPECT_GE(first, 4U);
+    EXPECT_GE(later, 4U);
+    EXPECT_LE(later, 6U);
+}
+
 // Seen on a calm day: a hold that waited was overtaken by a hurried one that listed the run.
 TEST_F(WorkerSessionTest, aListThatWasOvertakenEndsNothing)
 {
