--- a/Source/Basilgap/Dispatch/WorkLeader.cpp
+++ b/Source/Basilgap/Dispatch/WorkLeader.cpp
@@ -13,8 +13,8 @@
 constexpr Millis ExpireInterval{ 5000 };
 constexpr Millis DropInterval{ 1000 };
 
-// Longer than cuts of some seconds, after which a worker goes on under the same life. One that comes
-// back later announces itself, as each does every second or two.
+// Longer than cuts of some seconds, after which a worker goes on under the same life. One that
+// comes back later announces itself, as each does every second or two.
 constexpr Millis SilenceBeforeDrop{ 12000 };
 
 // Less than the shortest silence after which another replica may be elected.
--- a/Source/Basilgap/Dispatch/WorkPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkPlanning.cpp
@@ -13,7 +13,7 @@
 // What is over is forgotten this often; until then it only takes room.
 constexpr Millis TidyInterval{ 500 };
 // Much shorter than the lead below.
-constexpr Millis EndingInterval{ 40 };
+constexpr Millis EndingInterval{ 100 };
 
 // Advice for the next step is asked this long before the step before it is expected to end.
 constexpr Millis AdviceLead{ 300 };
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -37,8 +37,8 @@
     Millis longestRest{ 1000 };
     // Least time between two holds of one worker, so that ends close together come as one.
     Millis holdGap{ 80 };
-    // Between two tries to reach a silent worker: an eighth of its silence within these bounds, as one
-    // that was silent for long hardly returns within the next moment.
+    // Between two tries to reach a silent worker: an eighth of its silence within these bounds, as
+    // one that was silent for long hardly returns within the next moment.
     Millis retryInterval{ 150 };
     Millis longestRetry{ 800 };
     Millis stopRepeat{ 300 };
--- a/Source/Basilgap/Network/EventLoop.cpp
+++ b/Source/Basilgap/Network/EventLoop.cpp
@@ -4,8 +4,23 @@
 
 namespace basilgap::network {
 
+namespace {
+
+// Changes of what is waited for are handed to the kernel once a turn, not one call each: every
+// exchange over HTTP waits for writing and for reading by turns.
+event_base *newBase()
+{
+    event_config *config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+    event_base *base = event_base_new_with_config(config);
+    event_config_free(config);
+    return base;
+}
+
+} // namespace
+
 EventLoop::EventLoop()
-    : base_(event_base_new())
+    : base_(newBase())
 {
     // A peer that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
--- a/Source/Basilgap/Scheduling/PermitBook.cpp
+++ b/Source/Basilgap/Scheduling/PermitBook.cpp
@@ -2,28 +2,35 @@
 
 namespace basilgap::scheduling {
 
+const std::string *StepPermits::ticket(state::WorkerNumber worker, Millis now) const
+{
+    const auto ticket = eligible_.find(worker);
+    if (ticket == eligible_.end() || ticket->second.expires <= now)
+        return nullptr;
+    return &ticket->second.text;
+}
+
 void PermitBook::noteAsked(const state::StepRef &step)
 {
-    steps_[step].asking = true;
+    steps_[step].asking_ = true;
 }
 
 void PermitBook::noteAnswer(const state::StepRef &step,
     const std::vector<state::WorkerNumber> &asked, const std::vector<Granted> &granted,
     Millis expires)
 {
-    Known &known = steps_[step];
-    known.asking = false;
-    for (const state::WorkerNumber worker : asked)
-        known.refused.insert(worker);
+    StepPermits &known = steps_[step];
+    known.asking_ = false;
+    known.refused_.insert(asked.begin(), asked.end());
     for (const Granted &grant : granted) {
-        known.refused.erase(grant.worker);
-        known.eligible[grant.worker] = { grant.ticket, expires };
+        known.refused_.erase(grant.worker);
+        known.eligible_[grant.worker] = { grant.ticket, expires };
     }
 }
 
 void PermitBook::noteFailure(const state::StepRef &step)
 {
-    steps_[step].asking = false;
+    steps_[step].asking_ = false;
 }
 
 void PermitBook::dropTicket(const state::StepRef &step, state::WorkerNumber worker)
@@ -31,53 +38,16 @@
     const auto found = steps_.find(step);
     if (found == steps_.end())
         return;
-    const auto ticket = found->second.eligible.find(worker);
-    if (ticket != found->second.eligible.end())
+    const auto ticket = found->second.eligible_.find(worker);
+    if (ticket != found->second.eligible_.end())
         ticket->second.expires = Millis();
 }
 
-const std::string *PermitBook::ticket(
-    const state::StepRef &step, state::WorkerNumber worker, Millis now) const
-{
-    const auto found = steps_.find(step);
-    if (found == steps_.end())
-        return nullptr;
-    const auto ticket = found->second.eligible.find(worker);
-    if (ticket == found->second.eligible.end() || ticket->second.expires <= now)
-        return nullptr;
-    return &ticket->second.text;
-}
-
-std::vector<state::WorkerNumber> PermitBook::ticketHolders(
-    const state::StepRef &step, Millis now) const
-{
-    std::vector<state::WorkerNumber> holders;
-    const auto found = steps_.find(step);
-    if (found == steps_.end())
-        return holders;
-    for (const auto &[worker, ticket] : found->second.eligible) {
-        if (ticket.expires > now)
-            holders.push_back(worker);
-    }
-    return holders;
-}
-
-bool PermitBook::isRefused(const state::StepRef &step, state::WorkerNumber worker) const
-{
-    const auto found = steps_.find(step);
-    return found != steps_.end() && found->second.refused.contains(worker);
-}
-
-bool PermitBook::isKnownEligible(const state::StepRef &step, state::WorkerNumber worker) const
-{
-    const auto found = steps_.find(step);
-    return found != steps_.end() && found->second.eligible.contains(worker);
-}
-
-bool PermitBook::isAsking(const state::StepRef &step) const
+const StepPermits &PermitBook::of(const state::StepRef &step) const
 {
+    static const StepPermits none;
     const auto found = steps_.find(step);
-    return found != steps_.end() && found->second.asking;
+    return found == steps_.end() ? none : found->second;
 }
 
 void PermitBook::retain(const state::WorkTable &table)
--- a/Source/Basilgap/Scheduling/PermitBook.h
+++ b/Source/Basilgap/Scheduling/PermitBook.h
@@ -10,6 +10,32 @@
 
 namespace basilgap::scheduling {
 
+// What placement advice has said about one step.
+class StepPermits
+{
+public:
+    struct Ticket
+    {
+        std::string text;
+        Millis expires;
+    };
+
+    bool isAsking() const { return asking_; }
+    bool isRefused(state::WorkerNumber worker) const { return refused_.contains(worker); }
+    // Granted once; its ticket may have run out.
+    bool isKnownEligible(state::WorkerNumber worker) const { return eligible_.contains(worker); }
+    // A valid ticket, or null.
+    const std::string *ticket(state::WorkerNumber worker, Millis now) const;
+    const std::map<state::WorkerNumber, Ticket> &eligible() const { return eligible_; }
+
+private:
+    friend class PermitBook;
+
+    bool asking_ = false;
+    std::map<state::WorkerNumber, Ticket> eligible_;
+    std::set<state::WorkerNumber> refused_;
+};
+
 // What placement advice has said about steps: which workers may run them, and with which tickets.
 class PermitBook
 {
@@ -28,33 +54,14 @@
     // The ticket was refused: it has to be asked for again.
     void dropTicket(const state::StepRef &step, state::WorkerNumber worker);
 
-    // A valid ticket, or null.
-    const std::string *ticket(
-        const state::StepRef &step, state::WorkerNumber worker, Millis now) const;
-    // Workers with a valid ticket for the step.
-    std::vector<state::WorkerNumber> ticketHolders(const state::StepRef &step, Millis now) const;
-    bool isRefused(const state::StepRef &step, state::WorkerNumber worker) const;
-    bool isKnownEligible(const state::StepRef &step, state::WorkerNumber worker) const;
-    bool isAsking(const state::StepRef &step) const;
+    // Empty for a step that nothing is known of.
+    const StepPermits &of(const state::StepRef &step) const;
 
     // Forgets steps of works that are not active any more.
     void retain(const state::WorkTable &table);
 
 private:
-    struct Ticket
-    {
-        std::string text;
-        Millis expires;
-    };
-
-    struct Known
-    {
-        bool asking = false;
-        std::map<state::WorkerNumber, Ticket> eligible;
-        std::set<state::WorkerNumber> refused;
-    };
-
-    std::map<state::StepRef, Known> steps_;
+    std::map<state::StepRef, StepPermits> steps_;
 };
 
 } // namespace basilgap::scheduling
--- a/Source/Basilgap/Scheduling/StepAdvice.cpp
+++ b/Source/Basilgap/Scheduling/StepAdvice.cpp
@@ -73,7 +73,8 @@
 // Names workers with room whose answer is not known, or whose ticket ran out.
 void StepPlanner::wishAdvice(const Candidate &candidate, uint32_t missing)
 {
-    if (plan_.wishes.size() >= input_.freeAdvisers || input_.permits.isAsking(candidate.ref))
+    const StepPermits &permits = input_.permits.of(candidate.ref);
+    if (plan_.wishes.size() >= input_.freeAdvisers || permits.isAsking())
         return;
     const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
     const Resources need = state::needOf(spec);
@@ -82,16 +83,14 @@
         const Resources room = worker.room();
         // For a step that comes later, room is judged by what may be free then.
         const bool fits = candidate.isAhead ? need.fitsIn(worker.capacity) : need.fitsIn(room);
-        if (!fits || !mayRun(worker, candidate)
-            || input_.permits.isRefused(candidate.ref, worker.number))
+        if (!fits || !mayRun(worker, candidate) || permits.isRefused(worker.number))
             continue;
-        if (input_.permits.ticket(candidate.ref, worker.number, input_.now) != nullptr) {
+        if (permits.ticket(worker.number, input_.now) != nullptr) {
             if (candidate.isAhead)
                 return;
             continue;
         }
-        options.push_back(
-            { worker.number, room, input_.permits.isKnownEligible(candidate.ref, worker.number) });
+        options.push_back({ worker.number, room, permits.isKnownEligible(worker.number) });
     }
     if (!options.empty())
         plan_.wishes.push_back({ candidate.ref, workersToAsk(spec, std::move(options), missing) });
--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -200,8 +200,8 @@
 {
     std::vector<StepWorker *> options;
     if (needsTicket) {
-        for (const WorkerNumber number : input_.permits.ticketHolders(candidate.ref, input_.now)) {
-            StepWorker *worker = findWorker(number);
+        for (const auto &[number, ticket] : input_.permits.of(candidate.ref).eligible()) {
+            StepWorker *worker = ticket.expires > input_.now ? findWorker(number) : nullptr;
             if (worker != nullptr)
                 options.push_back(worker);
         }
@@ -260,7 +260,7 @@
     added_[candidate.work->account] += Resources{ static_cast<int64_t>(spec.millicores()),
         static_cast<int64_t>(spec.memory_mb()), static_cast<int64_t>(spec.accelerators()) };
     placed_[{ candidate.ref, worker->number }]++;
-    const std::string *ticket = input_.permits.ticket(candidate.ref, worker->number, input_.now);
+    const std::string *ticket = input_.permits.of(candidate.ref).ticket(worker->number, input_.now);
     plan_.starts.push_back({ { candidate.ref, index }, run, worker->number,
         ticket == nullptr ? std::string() : *ticket });
 }
@@ -300,7 +300,7 @@
     if (needsTicket)
         wishAdvice(candidate, missing);
     // A step without any answer yet waits for that, not for room.
-    if (wishes == plan_.wishes.size() && !input_.permits.isAsking(candidate.ref))
+    if (wishes == plan_.wishes.size() && !input_.permits.of(candidate.ref).isAsking())
         noteNoRoom(candidate);
     preemptForRoom(candidate, missing);
 }
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -171,6 +171,7 @@
     bool isUnderCap(const Candidate &candidate) const;
     void preemptUnderCap(const Candidate &candidate, uint32_t missing);
     void preemptForRoom(const Candidate &candidate, uint32_t missing);
+    bool preemptOn(const Candidate &candidate, const Resources &need, const StepWorker &worker);
     void loadStoppable();
     void stopRun(StoppableRun *run);
     void take(const Candidate &candidate, uint32_t index, uint32_t run, StepWorker *worker);
@@ -186,6 +187,8 @@
     Resources free_;
     // Loaded when urgent work finds no room; what loses least comes first.
     std::optional<std::vector<StoppableRun>> stoppable_;
+    std::map<WorkerNumber, std::vector<StoppableRun *>> stoppableOn_;
+    std::map<state::AccountName, std::vector<StoppableRun *>> stoppableOf_;
     // Room that runs on their way out will leave, as far as it is not promised yet.
     std::map<state::AccountName, Resources> leavingOfAccount_;
     std::map<WorkerNumber, Resources> leavingOnWorker_;
--- a/Source/Basilgap/Scheduling/StepPreemption.cpp
+++ b/Source/Basilgap/Scheduling/StepPreemption.cpp
@@ -16,7 +16,9 @@
         [](const StoppableRun &left, const StoppableRun &right) {
             return std::tie(left.lostMs, left.task) < std::tie(right.lostMs, right.task);
         });
-    for (const StoppableRun &run : *stoppable_) {
+    for (StoppableRun &run : *stoppable_) {
+        stoppableOn_[run.worker].push_back(&run);
+        stoppableOf_[run.account].push_back(&run);
         if (!run.isStopping)
             continue;
         leavingOfAccount_[run.account] += run.need;
@@ -40,12 +42,15 @@
     loadStoppable();
     const Resources wanted = state::needOf(candidate.work->specOf(candidate.ref)) * missing;
     Resources &leaving = leavingOfAccount_[candidate.work->account];
-    for (StoppableRun &run : *stoppable_) {
+    std::vector<StoppableRun *> &own = stoppableOf_[candidate.work->account];
+    for (StoppableRun *run : own) {
         if (wanted.fitsIn(leaving))
             break;
-        if (!run.isStopping && run.account == candidate.work->account)
-            stopRun(&run);
+        if (!run->isStopping)
+            stopRun(run);
     }
+    // Those in front are all on their way out by now.
+    std::erase_if(own, [](const StoppableRun *run) { return run->isStopping; });
     leaving -= wanted;
 }
 
@@ -56,30 +61,42 @@
         return;
     loadStoppable();
     const Resources need = state::needOf(candidate.work->specOf(candidate.ref));
-    const bool needsTicket = candidate.queue->has_advice();
-    for (const StepWorker &worker : input_.workers) {
-        if (missing == 0)
-            return;
-        if (!mayRun(worker, candidate)
-            || (needsTicket && !input_.permits.isKnownEligible(candidate.ref, worker.number)))
-            continue;
-        Resources room = worker.room() + leavingOnWorker_[worker.number];
-        std::vector<StoppableRun *> victims;
-        for (StoppableRun &run : *stoppable_) {
-            if (need.fitsIn(room))
-                break;
-            if (run.isStopping || run.worker != worker.number)
-                continue;
-            victims.push_back(&run);
-            room += run.need;
+    if (candidate.queue->has_advice()) {
+        for (const auto &[number, ticket] : input_.permits.of(candidate.ref).eligible()) {
+            StepWorker *worker = findWorker(number);
+            if (worker != nullptr && missing > 0 && preemptOn(candidate, need, *worker))
+                missing--;
         }
-        if (!need.fitsIn(room))
+        return;
+    }
+    for (const StepWorker &worker : input_.workers) {
+        if (missing > 0 && preemptOn(candidate, need, worker))
+            missing--;
+    }
+}
+
+// Whether runs that make way there suffice for a task.
+bool StepPlanner::preemptOn(
+    const Candidate &candidate, const Resources &need, const StepWorker &worker)
+{
+    if (!mayRun(worker, candidate))
+        return false;
+    Resources room = worker.room() + leavingOnWorker_[worker.number];
+    std::vector<StoppableRun *> victims;
+    for (StoppableRun *run : stoppableOn_[worker.number]) {
+        if (need.fitsIn(room))
+            break;
+        if (run->isStopping)
             continue;
-        for (StoppableRun *victim : victims)
-            stopRun(victim);
-        leavingOnWorker_[worker.number] -= need;
-        missing--;
+        victims.push_back(run);
+        room += run->need;
     }
+    if (!need.fitsIn(room))
+        return false;
+    for (StoppableRun *victim : victims)
+        stopRun(victim);
+    leavingOnWorker_[worker.number] -= need;
+    return true;
 }
 
 } // namespace basilgap::scheduling
