Call a worker slow only if its runs are slow against their estimates too

Sibling tasks differ up to three times, and of 48 workers some always hold the longer ones. Change: the runs of a worker must also be 1.7 times over what their estimates and the experience with the queue say; the two errors are independent. Test: RunWatch.siblingsThatHappenToBeShortDoNotMakeAWorkerSlow (failed before).

--- a/Source/Basilgap/Dispatch/WorkWatch.cpp
+++ b/Source/Basilgap/Dispatch/WorkWatch.cpp
@@ -64,6 +64,7 @@
                 .elapsed = run.progressAt - run.firstAt,
                 .sinceProgress = now - run.progressAt,
                 .measured = speeds_.measured(task.step),
+                .estimated = speeds_.estimated(*work, task.step),
                 .keepsProgress = spec.checkpointing(),
                 .wasGivenUp = givenUp_.contains(task),
             });
--- a/Source/Basilgap/Scheduling/RunWatch.cpp
+++ b/Source/Basilgap/Scheduling/RunWatch.cpp
@@ -18,6 +18,9 @@
 // Slower than this, by several steps together, is not chance any more.
 constexpr double SlowFactor = 2.2;
 
+// The same against the estimates, which are off by half and more, over all steps together.
+constexpr double SlowAgainstEstimate = 1.7;
+
 // Weight of "as fast as the others" beside what its steps say, and how many must say so.
 constexpr double PriorSteps = 0.5;
 constexpr int LeastSteps = 2;
@@ -79,9 +82,32 @@
     return std::exp(others.sum / others.count);
 }
 
+// How much longer the runs of each worker take than estimated, as logarithms.
+std::map<state::WorkerNumber, Mean> compareWithEstimates(const std::vector<WatchedRun> &runs)
+{
+    std::map<std::pair<state::WorkerNumber, state::StepRef>, Mean> ofSteps;
+    for (const WatchedRun &run : runs) {
+        const auto whole = projected(run);
+        if (whole && run.estimated && run.estimated->count() > 0)
+            ofSteps[{ run.worker, run.task.step }].add(
+                std::log(*whole / static_cast<double>(run.estimated->count())));
+    }
+    std::map<state::WorkerNumber, Mean> workers;
+    for (const auto &[key, mean] : ofSteps)
+        workers[key.first].add(mean.sum / mean.count);
+    return workers;
+}
+
 std::map<state::WorkerNumber, double> findSlowWorkers(
-    const std::map<state::StepRef, StepTimes> &steps)
+    const std::map<state::StepRef, StepTimes> &steps, const std::vector<WatchedRun> &runs)
 {
+    const auto estimates = compareWithEstimates(runs);
+    const auto agrees = [&estimates](state::WorkerNumber worker) {
+        const auto found = estimates.find(worker);
+        return found == estimates.end()
+            || std::exp(found->second.sum / (found->second.count + PriorSteps))
+            > SlowAgainstEstimate;
+    };
     std::map<state::WorkerNumber, Mean> ratios;
     for (const auto &[step, times] : steps) {
         for (const auto &[worker, mean] : times) {
@@ -93,7 +119,7 @@
     std::map<state::WorkerNumber, double> slow;
     for (const auto &[worker, ratio] : ratios) {
         const double factor = std::exp(ratio.sum / (ratio.count + PriorSteps));
-        if (ratio.count >= LeastSteps && factor > SlowFactor)
+        if (ratio.count >= LeastSteps && factor > SlowFactor && agrees(worker))
             slow[worker] = factor;
     }
     return slow;
@@ -116,7 +142,7 @@
 {
     WatchFindings findings;
     const auto steps = collectTimes(runs);
-    findings.slow = findSlowWorkers(steps);
+    findings.slow = findSlowWorkers(steps, runs);
     for (const WatchedRun &run : runs) {
         if (run.percent < 100 && run.sinceProgress > LeastStandstill)
             findings.troubled.push_back({ run.task, run.worker, RunTrouble::Hanging });
--- a/Source/Basilgap/Scheduling/RunWatch.h
+++ b/Source/Basilgap/Scheduling/RunWatch.h
@@ -20,8 +20,11 @@
     Millis elapsed;
     // Since the percent last rose.
     Millis sinceProgress;
-    // What finished tasks of the step took on a usual worker; estimates are too rough to judge by.
+    // What finished tasks of the step took on a usual worker; estimates are too rough to judge by
+    // alone.
     std::optional<Millis> measured;
+    // What the task should take by its estimate and the experience with its queue.
+    std::optional<Millis> estimated;
     // Some progress is kept when it is stopped.
     bool keepsProgress = false;
     // It was given up before for being slow: it may be a long task.
@@ -46,7 +49,8 @@
 
 // Finds runs that stand still, workers that have turned slow, and runs on those that would be done
 // much sooner elsewhere. Tasks of one step differ in length, so that one slow run says nothing of
-// its worker; several at a time do.
+// its worker; several at a time do, if they are slow against their siblings and against their
+// estimates: either alone happens by chance somewhere all the time.
 WatchFindings watchRuns(const std::vector<WatchedRun> &runs);
 
 } // namespace basilgap::scheduling
--- a/Source/Basilgap/Scheduling/SpeedBook.cpp
+++ b/Source/Basilgap/Scheduling/SpeedBook.cpp
@@ -57,6 +57,11 @@
     const auto done = steps_.find(step);
     if (done != steps_.end() && done->second.weight >= 1)
         return Millis(static_cast<int64_t>(std::exp(done->second.value)));
+    return estimated(work, step);
+}
+
+Millis SpeedBook::estimated(const state::Work &work, const state::StepRef &step) const
+{
     const auto queue = queues_.find(work.queue);
     const double factor = queue == queues_.end() ? 1.0 : std::exp(queue->second.value);
     return Millis(
--- a/Source/Basilgap/Scheduling/SpeedBook.h
+++ b/Source/Basilgap/Scheduling/SpeedBook.h
@@ -22,6 +22,9 @@
     // Time that a task of the step is expected to take on a usual worker.
     Millis expected(const state::Work &work, const state::StepRef &step) const;
 
+    // The same from the estimate and the experience with the queue alone.
+    Millis estimated(const state::Work &work, const state::StepRef &step) const;
+
     // The same from finished tasks of the step alone; nothing until there are several.
     std::optional<Millis> measured(const state::StepRef &step) const;
 
--- a/Source/UnitTests/Scheduling/RunWatchTest.cpp
+++ b/Source/UnitTests/Scheduling/RunWatchTest.cpp
@@ -56,6 +56,24 @@
     EXPECT_TRUE(watchRuns(runs).troubled.empty()) << "a task is moved once at most";
 }
 
+// Seen on a calm day: a hundred runs were given up on workers that were as fast as all others.
+TEST(RunWatch, siblingsThatHappenToBeShortDoNotMakeAWorkerSlow)
+{
+    std::vector<WatchedRun> runs;
+    for (uint64_t work = 1; work <= 3; work++) {
+        runs.push_back(runOf(work, 0, 9, 20, 1000));
+        runs.push_back(runOf(work, 1, 2, 70, 1000));
+        runs.push_back(runOf(work, 2, 3, 80, 1000));
+    }
+    EXPECT_EQ(watchRuns(runs).slow.size(), 1U);
+    for (WatchedRun &run : runs)
+        run.estimated = Millis(4500);
+    EXPECT_TRUE(watchRuns(runs).slow.empty());
+    for (WatchedRun &run : runs)
+        run.estimated = Millis(1300);
+    EXPECT_EQ(watchRuns(runs).slow.size(), 1U);
+}
+
 TEST(SpeedBook, learnsWorkersFromSiblingsDespiteRoughEstimates)
 {
     SpeedBook speeds;
