Add basilgapctl explain: the life of one job from the logs of all processes

Cause: on-call engineers had to grep and sort the lines of fourteen processes by hand. Change: JobHistory reads log lines in any order, keeps those of a job (by work, job or path) and prints them with the time since the first and what each step took; the command reads files or standard input.

--- a/Source/CommandLine/Commands.cpp
+++ b/Source/CommandLine/Commands.cpp
@@ -1,7 +1,11 @@
 #include "CommandLine/Commands.h"
 
+#include <cerrno>
+#include <cstring>
+#include <fstream>
 #include <iostream>
 
+#include "Basilgap/Admin/JobHistory.h"
 #include "Basilgap/Common/Hash.h"
 #include "Basilgap/Settings/CellFile.h"
 #include "Basilgap/Settings/YamlReader.h"
@@ -75,6 +79,32 @@
     return sendAndPrint(client, { .method = "GET", .target = path });
 }
 
+ExitStatus explainJob(const std::string &job, const std::vector<std::string> &logs)
+{
+    admin::JobHistory history(job);
+    const auto readAll = [&history](std::istream &stream) {
+        std::string line;
+        while (std::getline(stream, line))
+            history.add(line);
+    };
+    if (logs.empty())
+        readAll(std::cin);
+    for (const std::string &log : logs) {
+        std::ifstream stream(log);
+        if (!stream) {
+            std::cerr << "read-log " << log << ": " << std::strerror(errno) << '\n';
+            return ExitStatus::BadInput;
+        }
+        readAll(stream);
+    }
+    if (history.isEmpty()) {
+        std::cerr << "no line tells of job " << job << '\n';
+        return ExitStatus::Failed;
+    }
+    std::cout << history.text();
+    return ExitStatus::Done;
+}
+
 ExitStatus newKey()
 {
     const std::string key = randomKey();
--- a/Source/CommandLine/Commands.h
+++ b/Source/CommandLine/Commands.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "CommandLine/AdminClient.h"
 
@@ -21,6 +22,10 @@
 // Prints what a path of the operators' interface answers.
 ExitStatus show(const AdminClient &client, const std::string &path);
 
+// Prints the life of a job from the logs of all processes; reads standard input when no log is
+// named.
+ExitStatus explainJob(const std::string &job, const std::vector<std::string> &logs);
+
 // Prints a new key and what to write into the cell file for it.
 ExitStatus newKey();
 
--- a/Source/CommandLine/Main.cpp
+++ b/Source/CommandLine/Main.cpp
@@ -21,6 +21,7 @@
   basilgapctl dump ADDRESS [options]
   basilgapctl key new
   basilgapctl job submit FILE [--idempotency-key=KEY] [options]
+  basilgapctl explain JOB [LOG...]
   basilgapctl settings
   basilgapctl (-h | --help)
   basilgapctl --version
@@ -72,6 +73,8 @@
         std::cout << settings::settingsReference();
         return ExitStatus::Done;
     }
+    if (chosen("explain"))
+        return explainJob(text("JOB"), arguments.at("LOG").asStringList());
     const bool job = chosen("job");
     const std::string keyFile = job ? option(arguments, "--team-key-file", "BASILGAP_TEAM_KEY_FILE")
                                     : option(arguments, "--key-file", "BASILGAP_KEY_FILE");
