Tell runs that stand still by several reports in a row

Change: a worker with a run that shows no progress is asked again after 300 ms; three such reports and 0.8 s are enough, with a twentieth of the expected time on top. Test: RunWatch.severalReportsWithoutProgressAreEnough.

--- a/Source/Basilgap/Dispatch/WorkWatch.cpp
+++ b/Source/Basilgap/Dispatch/WorkWatch.cpp
@@ -65,6 +65,7 @@
                 .sinceProgress = now - run.progressAt,
                 .measured = speeds_.measured(task.step),
                 .estimated = speeds_.estimated(*work, task.step),
+                .stalledReports = run.stalledReports,
                 .keepsProgress = spec.checkpointing(),
                 .wasGivenUp = givenUp_.contains(task),
             });
--- a/Source/Basilgap/Dispatch/WorkerReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerReports.cpp
@@ -12,6 +12,9 @@
 // Stray runs whose stops are remembered, so that each is not stopped with every list.
 constexpr size_t MaxStrayStops = 1000;
 
+// Reports closer together say nothing of a run that shows the same percent in both.
+constexpr Millis ReportSpacing{ 200 };
+
 } // namespace
 
 Millis WorkerSession::retryAfter(Millis now) const
@@ -34,7 +37,9 @@
     const bool hurry = suspect_ || !synced_ || awaitsStops();
     const Millis usual = options_.trouble.isOn(now) ? options_.times.troubledHoldWait
                                                     : options_.times.holdWait - rested_;
-    const Millis wait = hurry ? Millis(0) : usual;
+    const Millis patient =
+        hasStalledRun() ? std::min(usual, options_.times.stalledHoldWait) : usual;
+    const Millis wait = hurry ? Millis(0) : patient;
     options_.port.hold(options_.endpoint, HoldOrder{ options_.fence, ackedEnd_, leaseEnd, wait },
         wait + options_.times.holdTimeout,
         guarded([this, now, number = ++lastHold_](
@@ -102,6 +107,25 @@
     }
 }
 
+void WorkerSession::noteProgress(SessionRun *known, int percent, Millis now)
+{
+    if (percent > known->percent || !known->firstPercent) {
+        known->progressAt = now;
+        known->stalledAt = now;
+        known->stalledReports = 0;
+    } else if (now - known->stalledAt >= ReportSpacing) {
+        known->stalledAt = now;
+        known->stalledReports++;
+    }
+}
+
+bool WorkerSession::hasStalledRun() const
+{
+    return std::any_of(runs_.begin(), runs_.end(), [](const auto &entry) {
+        return entry.second.stalledReports > 0 && entry.second.percent < 100;
+    });
+}
+
 void WorkerSession::takeRunning(const HoldAnswer &answer, Millis sentAt, Millis now)
 {
     std::set<StepTask> listed;
@@ -124,8 +148,7 @@
             known.checkpoint = report.checkpoint;
             known.checkpointAt = now;
         }
-        if (report.percent > known.percent || !known.firstPercent)
-            known.progressAt = now;
+        noteProgress(&known, report.percent, now);
         if (!known.firstPercent) {
             known.firstPercent = report.percent;
             known.firstAt = now;
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -33,6 +33,9 @@
     Millis troubledHoldWait{ 200 };
     // Beyond the wait itself.
     Millis holdTimeout{ 250 };
+    // The wait while a run shows no progress, so that the next report tells whether it stands
+    // still.
+    Millis stalledHoldWait{ 300 };
     // Most of the wait that a rest before the hold may take the place of.
     Millis longestRest{ 1000 };
     // Least time between two holds of one worker, so that ends close together come as one.
@@ -115,6 +118,9 @@
     int64_t fillingMillicores = 0;
     // When the percent last rose.
     Millis progressAt;
+    // Reports since then that were far enough apart to show more; when the last one came.
+    int stalledReports = 0;
+    Millis stalledAt;
 
     scheduling::RunProgress progress() const
     {
@@ -200,8 +206,10 @@
     Millis retryAfter(Millis now) const;
     void hold(Millis now);
     bool awaitsStops() const;
+    bool hasStalledRun() const;
     void held(HoldAnswer answer, Millis sentAt, uint64_t number);
     void takeRunning(const HoldAnswer &answer, Millis sentAt, Millis now);
+    static void noteProgress(SessionRun *known, int percent, Millis now);
     void takeEnds(const HoldAnswer &answer);
     void started(const StepTask &task, uint32_t run, const OrderAnswer &answer);
     void sendStop(const StepTask &task, uint32_t run, const TaskName &name);
--- a/Source/Basilgap/Scheduling/RunWatch.cpp
+++ b/Source/Basilgap/Scheduling/RunWatch.cpp
@@ -10,6 +10,11 @@
 
 // Reports come every 1.4 s at the least; a long task may show no progress in one of them.
 constexpr Millis LeastStandstill{ 2900 };
+// The same where several reports in a row have told so. A part of the expected time goes on top,
+// since a percent of a long task takes a while.
+constexpr int LeastStalledReports = 3;
+constexpr Millis ReportedStandstill{ 800 };
+constexpr double StandstillShare = 0.05;
 
 // Progress and time below these say little of the speed.
 constexpr int LeastProgress = 5;
@@ -69,6 +74,19 @@
     return steps;
 }
 
+bool isHanging(const WatchedRun &run)
+{
+    if (run.percent >= 100)
+        return false;
+    if (run.sinceProgress > LeastStandstill)
+        return true;
+    if (run.stalledReports < LeastStalledReports || !run.estimated)
+        return false;
+    const auto share =
+        static_cast<int64_t>(static_cast<double>(run.estimated->count()) * StandstillShare);
+    return run.sinceProgress > ReportedStandstill + Millis(share);
+}
+
 // What the step's tasks take on other workers, in milliseconds.
 std::optional<double> elsewhere(const StepTimes &times, state::WorkerNumber worker)
 {
@@ -144,7 +162,7 @@
     const auto steps = collectTimes(runs);
     findings.slow = findSlowWorkers(steps, runs);
     for (const WatchedRun &run : runs) {
-        if (run.percent < 100 && run.sinceProgress > LeastStandstill)
+        if (isHanging(run))
             findings.troubled.push_back({ run.task, run.worker, RunTrouble::Hanging });
         else if (findings.slow.contains(run.worker)
             && isBetterElsewhere(run, steps.at(run.task.step)))
--- a/Source/Basilgap/Scheduling/RunWatch.h
+++ b/Source/Basilgap/Scheduling/RunWatch.h
@@ -25,6 +25,8 @@
     std::optional<Millis> measured;
     // What the task should take by its estimate and the experience with its queue.
     std::optional<Millis> estimated;
+    // Reports in a row, some hundred milliseconds apart, in which the percent stayed the same.
+    int stalledReports = 0;
     // Some progress is kept when it is stopped.
     bool keepsProgress = false;
     // It was given up before for being slow: it may be a long task.
--- a/Source/UnitTests/Scheduling/RunWatchTest.cpp
+++ b/Source/UnitTests/Scheduling/RunWatchTest.cpp
@@ -56,6 +56,21 @@
     EXPECT_TRUE(watchRuns(runs).troubled.empty()) << "a task is moved once at most";
 }
 
+// A worker on which nothing moves tells so with each report; tasks of a second can't wait three.
+TEST(RunWatch, severalReportsWithoutProgressAreEnough)
+{
+    WatchedRun still = runOf(1, 0, 1, 40, 400);
+    still.estimated = Millis(800);
+    still.sinceProgress = Millis(1000);
+    still.stalledReports = 2;
+    EXPECT_TRUE(watchRuns({ still }).troubled.empty());
+    still.stalledReports = 3;
+    ASSERT_EQ(watchRuns({ still }).troubled.size(), 1U);
+    EXPECT_EQ(watchRuns({ still }).troubled[0].trouble, RunTrouble::Hanging);
+    still.estimated = Millis(12000);
+    EXPECT_TRUE(watchRuns({ still }).troubled.empty()) << "a percent of it takes a while";
+}
+
 // Seen on a calm day: a hundred runs were given up on workers that were as fast as all others.
 TEST(RunWatch, siblingsThatHappenToBeShortDoNotMakeAWorkerSlow)
 {
