--- a/Source/UnitTests/Scheduling/LookPacingTest.cpp
+++ b/Source/UnitTests/Scheduling/LookPacingTest.cpp
@@ -1,36 +1,12 @@
 #include <gtest/gtest.h>
 
 #include "Basilgap/Scheduling/LookPacing.h"
-#include "Basilgap/Scheduling/RunForecast.h"
 
 namespace basilgap::scheduling {
 namespace {
 
 constexpr Millis Now{ 10000 };
 
-TEST(RunForecast, goesOnAtTheSpeedSoFar)
-{
-    const RunProgress progress{
-        .firstPercent = 20,
-        .percent = 60,
-        .firstAt = Millis(1000),
-        .progressAt = Millis(1400),
-    };
-    EXPECT_EQ(progress.wholeTime(), Millis(1000));
-    EXPECT_EQ(progress.endsAt(), Millis(1800));
-}
-
-TEST(RunForecast, saysNothingOfARunThatHasHardlyBegun)
-{
-    const RunProgress progress{
-        .firstPercent = 0,
-        .percent = 2,
-        .firstAt = Millis(1000),
-        .progressAt = Millis(1100),
-    };
-    EXPECT_FALSE(progress.endsAt().has_value());
-}
-
 // Many short tasks on a worker, all of which end before the last one of their step elsewhere.
 TEST(LookPacing, endsThatLetNothingGoOnAreToldOfTogether)
 {
--- /dev/null
+++ b/Source/UnitTests/Scheduling/StepAdviceTest.cpp
@@ -0,0 +1,142 @@
+#include <gtest/gtest.h>
+
+#include "StepPlannerFixture.h"
+
+namespace basilgap::scheduling {
+namespace {
+
+using StepAdviceTest = StepPlannerTest;
+
+TEST_F(StepAdviceTest, withoutATicketAdviceIsAskedAndNothingStarts)
+{
+    addWorkers(3, 8000);
+    put.mutable_config()->mutable_queues(0)->mutable_advice()->set_validity_ms(2000);
+    const StepRef step = submit("urgent", 2, 500);
+    const StepPlan asked = plan();
+    EXPECT_TRUE(asked.starts.empty());
+    ASSERT_EQ(asked.wishes.size(), 1U);
+    EXPECT_EQ(asked.wishes[0].workers.size(), 3U);
+    permits.noteAsked(step);
+    EXPECT_TRUE(plan().wishes.empty());
+    permits.noteAnswer(
+        step, asked.wishes[0].workers, { { WorkerNumber(2), "t2" } }, Now + Millis(1000));
+    const StepPlan granted = plan();
+    ASSERT_EQ(granted.starts.size(), 2U);
+    for (const PlannedStart &start : granted.starts) {
+        EXPECT_EQ(start.worker, WorkerNumber(2));
+        EXPECT_EQ(start.ticket, "t2");
+    }
+    EXPECT_TRUE(granted.wishes.empty());
+}
+
+// Load pattern: a burst of urgent jobs on an account whose limit is full of patient work.
+// While a job is being logged nothing is known of its steps but what its body says.
+TEST_F(StepAdviceTest, aJobThatIsBeingLoggedIsAskedAboutWorkersThatCouldRunIt)
+{
+    addWorkers(40, 8000);
+    for (StepWorker &worker : workers) {
+        const uint32_t number = worker.number.value();
+        worker.labels = { number % 2 == 0 ? "even" : "odd" };
+        worker.usable = number > 4;
+        worker.reserved = { number > 30 ? 7500 : 0, 0, 0 };
+    }
+    schema::StepSpec spec;
+    spec.set_count(3);
+    spec.set_millicores(1000);
+    spec.set_required_label("even");
+    const auto asked = workersToAskFirst(spec, "pool", workers);
+    EXPECT_EQ(asked.size(), 13U);
+    for (const WorkerNumber number : asked) {
+        EXPECT_EQ(number.value() % 2, 0U);
+        EXPECT_GT(number.value(), 4U);
+        EXPECT_LE(number.value(), 30U);
+    }
+    EXPECT_TRUE(workersToAskFirst(spec, "other", workers).empty());
+}
+
+TEST_F(StepAdviceTest, urgentWorkUnderAFullLimitStopsItsOwnPatientRuns)
+{
+    addWorkers(4, 8000);
+    put.mutable_config()->mutable_accounts(0)->set_millicores_cap(8000);
+    const StepRef patient = submit("patient", 4, 2000);
+    apply(plan());
+    ASSERT_EQ(table.runningTasks(), 4U);
+    for (uint32_t i = 0; i < 4; i++) {
+        const StepTask task{ patient, i };
+        stoppable.push_back({ task, table.find(task)->worker, state::AccountName("team"),
+            { 2000, 10, 0 }, 100 * (i + 1), false });
+    }
+    submit("urgent", 1, 2500);
+    const StepPlan planned = plan();
+    EXPECT_TRUE(planned.starts.empty());
+    ASSERT_EQ(planned.stops.size(), 2U);
+    EXPECT_EQ(planned.stops[0].index, 0U) << "the run that loses least goes first";
+    for (StoppableRun &run : stoppable)
+        run.isStopping = run.task == planned.stops[0] || run.task == planned.stops[1];
+    EXPECT_TRUE(plan().stops.empty()) << "what is on its way out is counted";
+}
+
+// The same against a plain version that knows no reserve: bursts come back to a full limit.
+TEST_F(StepAdviceTest, patientWorkLeavesWhatUrgentWorkLatelyNeeded)
+{
+    addWorkers(4, 8000);
+    put.mutable_config()->mutable_accounts(0)->set_millicores_cap(10000);
+    submit("urgent", 3, 1000);
+    apply(plan());
+    schema::RunBatch done;
+    for (uint32_t i = 0; i < 3; i++) {
+        schema::RunEnd *end = done.add_ends();
+        end->set_work(1);
+        end->set_index(i);
+        end->set_run(1);
+        end->set_outcome(schema::RUN_DONE);
+    }
+    table.apply(done, Wall);
+    const StepRef patient = submit("patient", 10, 1000);
+    const StepPlan reserved = plan();
+    EXPECT_EQ(startsOf(reserved, patient), 7U);
+    urgent = UrgentDemand(PatientPriority);
+    EXPECT_EQ(startsOf(plan(), patient), 10U) << "the plain version fills the limit";
+}
+
+// Load pattern: a full cell; urgent work needs a worker where a patient run can make way.
+TEST_F(StepAdviceTest, urgentWorkInAFullCellStopsOneRunThatMakesEnoughRoom)
+{
+    addWorkers(2, 4000);
+    const StepRef patient = submit("patient", 2, 4000);
+    apply(plan());
+    for (uint32_t i = 0; i < 2; i++) {
+        const StepTask task{ patient, i };
+        stoppable.push_back({ task, table.find(task)->worker, state::AccountName("other"),
+            { 4000, 10, 0 }, 100, false });
+    }
+    submit("urgent", 1, 3000);
+    EXPECT_EQ(plan().stops.size(), 1U);
+}
+
+TEST_F(StepAdviceTest, adviceIsAskedAheadForAStepThatFollowsSoon)
+{
+    addWorkers(2, 8000);
+    put.mutable_config()->mutable_queues(0)->mutable_advice()->set_validity_ms(2000);
+    schema::SubmitWork command;
+    command.set_id("chain");
+    command.set_queue("urgent");
+    for (int i = 0; i < 2; i++) {
+        schema::StepSpec *step = command.mutable_spec()->add_steps();
+        step->set_count(1);
+        step->set_millicores(1000);
+    }
+    command.mutable_spec()->mutable_steps(1)->add_after(0);
+    table.submit(command, Wall);
+    const StepRef first{ state::WorkSerial(1), 0, 0 };
+    permits.noteAnswer(first, { WorkerNumber(1) }, { { WorkerNumber(1), "t" } }, Now + Millis(900));
+    apply(plan());
+    EXPECT_TRUE(plan().wishes.empty());
+    ending.insert(first);
+    const StepPlan ahead = plan();
+    ASSERT_EQ(ahead.wishes.size(), 1U);
+    EXPECT_EQ(ahead.wishes[0].step.step, 1U);
+}
+
+} // namespace
+} // namespace basilgap::scheduling
--- /dev/null
+++ b/Source/UnitTests/Scheduling/StepPlannerFixture.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <gtest/gtest.h>
+#include <map>
+#include <random>
+
+#include "Basilgap/Scheduling/StepPlanner.h"
+
+namespace basilgap::scheduling {
+
+constexpr Millis Now{ 50000 };
+constexpr uint64_t Wall = 1000000;
+
+// A small cell with an urgent queue and a patient one, and workers that are all alike.
+class StepPlannerTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        put.set_version(1);
+        schema::WorkConfig &config = *put.mutable_config();
+        config.add_pools()->set_name("pool");
+        for (const char *name : { "urgent", "patient" }) {
+            schema::QueueConfig *queue = config.add_queues();
+            queue->set_name(name);
+            queue->set_pool("pool");
+            queue->set_priority(name == std::string("urgent") ? 0 : 2);
+            queue->set_slack_factor(2);
+            queue->set_target_latency_ms(500);
+        }
+        config.add_accounts()->set_name("team");
+    }
+
+    void addWorkers(int count, int64_t millicores)
+    {
+        for (int i = 0; i < count; i++) {
+            StepWorker worker;
+            worker.number = WorkerNumber(static_cast<uint32_t>(workers.size()) + 1);
+            worker.pool = "pool";
+            worker.rack = "r" + std::to_string(i / 2);
+            worker.capacity = { millicores, 1000000, 0 };
+            workers.push_back(worker);
+        }
+    }
+
+    // Submits a job with one step and returns that step.
+    StepRef submit(
+        const char *queue, uint32_t count, uint64_t millicores,
+        const std::function<void(schema::StepSpec *)> &change = [](schema::StepSpec *) {},
+        uint64_t ageMs = 0)
+    {
+        schema::SubmitWork command;
+        command.set_id("job" + std::to_string(next_));
+        command.set_queue(queue);
+        command.set_account("team");
+        command.set_max_attempts(3);
+        schema::StepSpec *step = command.mutable_spec()->add_steps();
+        step->set_count(count);
+        step->set_millicores(millicores);
+        step->set_memory_mb(10);
+        step->set_estimate_ms(1000);
+        change(step);
+        table.submit(command, Wall - ageMs);
+        return { state::WorkSerial(next_++), 0, 0 };
+    }
+
+    StepPlan plan()
+    {
+        config.apply(put);
+        std::vector<StepWorker> current = workers;
+        for (StepWorker &worker : current)
+            worker.reserved += table.reservedOn(worker.number);
+        urgent.observe(table, config, Now);
+        return StepPlanner({
+                               .table = table,
+                               .config = config,
+                               .permits = permits,
+                               .health = health,
+                               .speeds = speeds,
+                               .urgent = urgent,
+                               .workers = current,
+                               .now = Now,
+                               .wallMs = Wall,
+                               .freeAdvisers = 4,
+                               .endingSteps = ending,
+                               .stoppable = [this] { return stoppable; },
+                               .ahead = endsAhead(table, ends),
+                           })
+            .run();
+    }
+
+    void apply(const StepPlan &plan)
+    {
+        schema::RunBatch batch;
+        for (const PlannedStart &planned : plan.starts) {
+            schema::RunStart *start = batch.add_starts();
+            start->set_work(planned.task.step.work.value());
+            start->set_step(planned.task.step.step);
+            start->set_index(planned.task.index);
+            start->set_run(planned.run);
+            start->set_worker(planned.worker.value());
+        }
+        table.apply(batch, Wall);
+    }
+
+    void addEnd(const StepRef &step, uint32_t index, schema::RunOutcome outcome)
+    {
+        schema::RunEnd *end = ends.add_ends();
+        end->set_work(step.work.value());
+        end->set_step(step.step);
+        end->set_index(index);
+        end->set_run(table.find(StepTask{ step, index })->run);
+        end->set_outcome(outcome);
+    }
+
+    static size_t startsOf(const StepPlan &plan, const StepRef &step)
+    {
+        size_t count = 0;
+        for (const PlannedStart &start : plan.starts)
+            count += start.task.step == step ? 1 : 0;
+        return count;
+    }
+
+    schema::PutWorkConfig put;
+    state::WorkTable table;
+    state::WorkConfigState config;
+    PermitBook permits;
+    WorkerHealth health;
+    SpeedBook speeds;
+    UrgentDemand urgent{ PatientPriority };
+    std::vector<StepWorker> workers;
+    std::set<StepRef> ending;
+    std::vector<StoppableRun> stoppable;
+    // Ends that will go into the record of the plan.
+    schema::RunBatch ends;
+
+private:
+    uint64_t next_ = 1;
+};
+
+} // namespace basilgap::scheduling
