Bound the connections of a process and keep descriptors for the storage

Cause: on the large fleet the leader has up to four connections to each of 1,100 workers beside those that it accepts, more than its 4,124 descriptors. accept() and connect() fail with EMFILE; of 10,884 refused starts in 15 s 10,515 were never sent, and each was planned and advised anew. At 3,000 workers the storage itself fails with EMFILE, which ended the process.

Ruled out: a failed connection as the worker's fault (the calls failed in this process); more descriptors (the limit is the platform's).

An order that has waited is sent only if it is still wanted and the leader still confirmed; otherwise the start stays pending instead of being given up. HttpServer stops accepting at its bound. A failed sync is never taken for a full disk, whatever its errno.

--- a/Source/Basilgap/Common/Error.cpp
+++ b/Source/Basilgap/Common/Error.cpp
@@ -13,11 +13,29 @@
     return line + ": " + message;
 }
 
+namespace {
+
+ErrorCode codeOf(int systemErrorNumber)
+{
+    switch (systemErrorNumber) {
+    case ENOSPC:
+    case EDQUOT:
+    case EFBIG:
+        return ErrorCode::Full;
+    case EMFILE:
+    case ENFILE:
+        return ErrorCode::Exhausted;
+    default:
+        return ErrorCode::Io;
+    }
+}
+
+} // namespace
+
 Error systemError(std::string step, std::string peer)
 {
     const int number = errno;
-    const bool full = number == ENOSPC || number == EDQUOT || number == EFBIG;
-    return Error{ .code = full ? ErrorCode::Full : ErrorCode::Io,
+    return Error{ .code = codeOf(number),
         .step = std::move(step),
         .peer = std::move(peer),
         .message = std::strerror(number) };
--- a/Source/Basilgap/Common/Error.h
+++ b/Source/Basilgap/Common/Error.h
@@ -11,6 +11,8 @@
     Io,
     Damaged,
     Full,
+    // The process or host has run out of file descriptors.
+    Exhausted,
     Unreachable,
     Timeout,
     Refused,
@@ -30,6 +32,12 @@
     std::string text() const;
 };
 
+// Whether the failed operation changed nothing and may succeed later.
+inline bool isTransient(const Error &error)
+{
+    return error.code == ErrorCode::Full || error.code == ErrorCode::Exhausted;
+}
+
 template<typename Value>
 using Result = tl::expected<Value, Error>;
 
--- a/Source/Basilgap/Control/ReplicaWriting.cpp
+++ b/Source/Basilgap/Control/ReplicaWriting.cpp
@@ -32,11 +32,13 @@
 void Replica::handleWritten(const FinishedWrite &written)
 {
     const replication::RaftOutput &output = written.output;
-    if (!written.result && written.result.error().code != ErrorCode::Full)
+    if (!written.result && !isTransient(written.result.error()))
         return options_.onFatal(written.result.error());
     if (!written.result) {
         diskError_ = written.result.error().text();
-        LogEvent("disk-full", LogLevel::Error).with(written.result.error());
+        const bool isDiskFull = written.result.error().code == ErrorCode::Full;
+        LogEvent(isDiskFull ? "disk-full" : "descriptors-exhausted", LogLevel::Error)
+            .with(written.result.error());
         core_->stepDown();
         failedOutput_ = output;
         updateRole();
@@ -98,7 +100,7 @@
         appliedIndex_.value() > TrailingRecords ? appliedIndex_.value() - TrailingRecords : 0);
     const auto saved = storage_->saveSnapshot(snapshot, keepFrom);
     logBytesAtSnapshot_ = storage_->logBytes();
-    if (!saved && saved.error().code == ErrorCode::Full) {
+    if (!saved && isTransient(saved.error())) {
         LogEvent("snapshot-failed", LogLevel::Warning).with(saved.error());
         return;
     }
--- a/Source/Basilgap/Dispatch/Ports.h
+++ b/Source/Basilgap/Dispatch/Ports.h
@@ -45,6 +45,8 @@
     std::string checkpoint;
     // Permit from the placement advice; empty if the queue needs none.
     std::string ticket;
+    // Asked again if the order has waited for a connection; if false, it is dropped.
+    std::function<bool()> isStillWanted;
 };
 
 struct StopOrder
@@ -72,6 +74,8 @@
     std::optional<Millis> leaseEnd;
     // How long the worker may delay the answer until a run ends.
     Millis wait;
+    // As in StartOrder.
+    std::function<bool()> isStillWanted;
 };
 
 enum class OrderResult {
@@ -93,6 +97,8 @@
     Unanswered,
     // The order never left this process.
     NotSent,
+    // The order never left this process, since it was no longer wanted when its turn came.
+    Dropped,
 };
 
 const char *toText(OrderResult result);
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -159,12 +159,24 @@
             .fencingToken = options_.fencingToken,
             .checkpoint = state->checkpoint,
             .ticket = known->ticket,
+            .isStillWanted =
+                [this, alive = std::weak_ptr<bool>(alive_), task, run] {
+                    return !alive.expired() && isStartWanted(task, run);
+                },
         },
         options_.times.startTimeout, guarded([this, task, run](const OrderAnswer &answer) {
             handleStartAnswer(task, run, answer);
         }));
 }
 
+bool WorkerSession::isStartWanted(const StepTaskRef &task, uint32_t run) const
+{
+    const auto known = runs_.find(task);
+    const state::Work *work = options_.table.find(task.step.work);
+    return known != runs_.end() && known->second.run == run && work != nullptr && work->isActive()
+        && !superseded_ && !fenced_ && options_.events.maySendOrders();
+}
+
 void WorkerSession::handleStartAnswer(
     const StepTaskRef &task, uint32_t run, const OrderAnswer &answer)
 {
@@ -177,8 +189,14 @@
     SessionRun &known = found->second;
     if (known.knownState == KnownRunState::Confirmed && answer.result == OrderResult::Unanswered)
         return;
+    if (answer.result == OrderResult::Dropped) {
+        known.sendCount--;
+        known.isStartPending = true;
+        return;
+    }
+    known.unansweredSends += answer.result == OrderResult::Unanswered ? 1 : 0;
     // An earlier unanswered send may still be carried out, whatever the answer to this one.
-    const bool mayStillRun = known.sendCount > 1 && answer.result != OrderResult::Accepted
+    const bool mayStillRun = known.unansweredSends > 0 && answer.result != OrderResult::Accepted
         && answer.result != OrderResult::Fenced;
     switch (mayStillRun ? OrderResult::Unanswered : answer.result) {
     case OrderResult::Accepted:
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -99,8 +99,10 @@
     KnownRunState knownState = KnownRunState::Sent;
     // When knownState last changed.
     Millis knownStateSince;
-    // How often the start was sent.
+    // How often the start was sent, and how many of these sends left this process without an
+    // answer.
     uint32_t sendCount = 0;
+    uint32_t unansweredSends = 0;
     // The start is to be sent once orders may be sent again.
     bool isStartPending = false;
     std::string ticket;
@@ -216,6 +218,7 @@
     void applyRunning(const PollAnswer &answer, Millis sentAt, Millis now);
     static void recordProgress(SessionRun *known, int percent, Millis now);
     void applyEnds(const PollAnswer &answer);
+    bool isStartWanted(const StepTaskRef &task, uint32_t run) const;
     void handleStartAnswer(const StepTaskRef &task, uint32_t run, const OrderAnswer &answer);
     void sendStop(const StepTaskRef &task, uint32_t run, const TaskName &name);
     void stopStrayRun(const TaskName &name, uint32_t run, Millis now);
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -42,7 +42,17 @@
         hasStalledRun() ? std::min(normalWait, options_.times.stalledPollWait) : normalWait;
     const Millis wait = isImmediate ? Millis(0) : longPollWait;
     options_.port.poll(options_.endpoint,
-        PollRequest{ options_.fencingToken, ackedEndSequence_, leaseEnd, wait },
+        PollRequest{
+            .fencingToken = options_.fencingToken,
+            .ackedEndSequence = ackedEndSequence_,
+            .leaseEnd = leaseEnd,
+            .wait = wait,
+            .isStillWanted =
+                [this, alive = std::weak_ptr<bool>(alive_)] {
+                    return !alive.expired() && !fenced_ && !superseded_
+                        && options_.events.maySendOrders();
+                },
+        },
         wait + options_.times.pollTimeoutMargin,
         guarded([this, now, number = ++lastPollNumber_](
                     PollAnswer answer) { handlePollAnswer(std::move(answer), now, number); }));
@@ -61,6 +71,8 @@
     pendingPolls_--;
     pollDelay_ = Millis(0);
     nextPollAt_ = std::max(now, sentAt + options_.times.minPollInterval);
+    if (answer.result == OrderResult::Dropped)
+        return;
     if (answer.result == OrderResult::Fenced) {
         fenced_ = true;
         return options_.events.onFenced();
--- a/Source/Basilgap/Entry/Exchange.cpp
+++ b/Source/Basilgap/Entry/Exchange.cpp
@@ -20,6 +20,8 @@
         return "complete";
     case ExchangeEnd::ConnectFailed:
         return "connect-failed";
+    case ExchangeEnd::Dropped:
+        return "dropped";
     case ExchangeEnd::Broken:
         return "broken";
     case ExchangeEnd::Timeout:
--- a/Source/Basilgap/Network/HttpConnection.h
+++ b/Source/Basilgap/Network/HttpConnection.h
@@ -6,34 +6,13 @@
 
 #include <event2/http.h>
 
+#include "Basilgap/Network/ClientConnection.h"
 #include "Basilgap/Network/EventLoop.h"
-#include "Basilgap/Network/HttpMessage.h"
 
 namespace basilgap::network {
 
-enum class ExchangeEnd {
-    // The complete answer arrived.
-    Complete,
-    // The connection could not be established.
-    ConnectFailed,
-    // The connection was reset or closed early, or the answer is shorter than its Content-Length.
-    Broken,
-    Timeout,
-    TooLarge,
-};
-
-struct ExchangeResult
-{
-    ExchangeEnd end = ExchangeEnd::Broken;
-    // Valid if the end is Complete.
-    HttpResponse response;
-    // Whether any byte of the request left this process.
-    bool bytesSent = false;
-};
-
-// A client connection to one HTTP/1.1 server that carries one exchange at a time. It must be
-// discarded after an exchange that did not complete.
-class HttpConnection
+// A client connection to one HTTP/1.1 server, on evhttp.
+class HttpConnection : public ClientConnection
 {
 public:
     struct Options
@@ -43,17 +22,13 @@
     };
 
     HttpConnection(EventLoop &loop, Options options);
-    ~HttpConnection();
+    ~HttpConnection() override;
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
 
-    // Sends a request. `done` is called once from the event loop, unless the connection is
-    // destroyed first. `done` may destroy the connection.
-    void exchange(
-        const HttpRequest &request, Millis timeout, std::function<void(ExchangeResult)> done);
-
-    // Whether the connection may carry another exchange.
-    bool isReusable() const { return reusable_; }
+    void exchange(const HttpRequest &request, Millis timeout,
+        std::function<void(ExchangeResult)> done) override;
+    bool isReusable() const override { return reusable_; }
 
 private:
     static void onAnswer(evhttp_request *request, void *self);
--- a/Source/Basilgap/Network/HttpServer.cpp
+++ b/Source/Basilgap/Network/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 
+#include "Basilgap/Common/EventLog.h"
 #include "Basilgap/Network/SocketAddress.h"
 
 namespace basilgap::network {
@@ -18,6 +19,8 @@
 // evhttp answers a body above its own limit without our headers, so its limit is above ours.
 constexpr size_t BodySlackBytes = 4 * 1024 * 1024;
 
+constexpr Millis ResumeInterval{ 50 };
+
 // All methods that evhttp knows, so that none is refused before the handler sees it.
 constexpr uint16_t AllMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT
     | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
@@ -77,7 +80,7 @@
         , request_(request)
     {
         server_->pendingRequests_++;
-        evhttp_connection_set_closecb(evhttp_request_get_connection(request), onClose, this);
+        server_->connections_[evhttp_request_get_connection(request)] = this;
     }
 
     ~EvhttpResponder() override
@@ -93,7 +96,6 @@
         evhttp_request *request = release();
         if (!*alive_)
             return;
-        evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
         evkeyvalq *headers = evhttp_request_get_output_headers(request);
         for (const Header &header : response.headers)
             evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
@@ -113,7 +115,6 @@
         if (!*alive_)
             return;
         evhttp_connection *connection = evhttp_request_get_connection(request);
-        evhttp_connection_set_closecb(connection, nullptr, nullptr);
         // evhttp still uses the connection further up the call stack. Shutting down the socket
         // makes it clean up by itself.
         const linger none{ 1, 0 };
@@ -139,14 +140,13 @@
         event_add(hangUpEvent_.get(), nullptr);
     }
 
-private:
-    static void onClose(evhttp_connection *, void *self)
+    void handleConnectionClosed()
     {
-        auto *responder = static_cast<EvhttpResponder *>(self);
-        responder->release();
-        responder->notifyCallerGone();
+        release();
+        notifyCallerGone();
     }
 
+private:
     static void onHangUp(evutil_socket_t, short, void *self)
     {
         static_cast<EvhttpResponder *>(self)->notifyCallerGone();
@@ -168,8 +168,13 @@
         evhttp_request *request = request_;
         request_ = nullptr;
         hangUpEvent_.reset();
-        if (*alive_)
-            server_->pendingRequests_--;
+        if (!*alive_)
+            return request;
+        server_->pendingRequests_--;
+        const auto connection =
+            server_->connections_.find(evhttp_request_get_connection(request));
+        if (connection != server_->connections_.end())
+            connection->second = nullptr;
         return request;
     }
 
@@ -185,6 +190,7 @@
     : options_(std::move(options))
     , handler_(std::move(handler))
     , http_(evhttp_new(loop.base()))
+    , resumeTimer_(loop, [this] { resumeAccepting(); })
 {
     evhttp_set_allowed_methods(http_, AllMethods);
     evhttp_set_max_body_size(
@@ -194,6 +200,7 @@
         (options_.idleTimeout.count() % 1000) * 1000 };
     evhttp_set_timeout_tv(http_, &idle);
     evhttp_set_gencb(http_, handle, this);
+    evhttp_set_bevcb(http_, onAccept, this);
 }
 
 Result<std::unique_ptr<HttpServer>> HttpServer::listen(
@@ -232,6 +239,60 @@
     socket_ = nullptr;
 }
 
+bufferevent *HttpServer::onAccept(event_base *base, void *self)
+{
+    static_cast<HttpServer *>(self)->recordAccepted();
+    return bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+}
+
+void HttpServer::recordAccepted()
+{
+    silentSince_.push_back(steadyNow());
+    const bool isFull =
+        options_.maxConnections != 0 && openConnections() >= options_.maxConnections;
+    if (!isFull || isPaused_ || socket_ == nullptr)
+        return;
+    LogEvent("accepting-paused", LogLevel::Warning)
+        .with("listener", options_.address)
+        .with("open", openConnections());
+    isPaused_ = true;
+    evconnlistener_disable(evhttp_bound_socket_get_listener(socket_));
+    resumeTimer_.startRepeating(ResumeInterval);
+}
+
+void HttpServer::resumeAccepting()
+{
+    const Millis now = steadyNow();
+    while (!silentSince_.empty() && now - silentSince_.front() > options_.idleTimeout)
+        silentSince_.pop_front();
+    if (openConnections() >= options_.maxConnections)
+        return;
+    isPaused_ = false;
+    resumeTimer_.cancel();
+    LogEvent("accepting-resumed").with("listener", options_.address);
+    if (socket_ != nullptr)
+        evconnlistener_enable(evhttp_bound_socket_get_listener(socket_));
+}
+
+void HttpServer::recordConnection(evhttp_connection *connection)
+{
+    evhttp_connection_set_closecb(connection, onConnectionClosed, this);
+    if (connections_.try_emplace(connection, nullptr).second && !silentSince_.empty())
+        silentSince_.pop_front();
+}
+
+void HttpServer::onConnectionClosed(evhttp_connection *connection, void *self)
+{
+    auto *server = static_cast<HttpServer *>(self);
+    const auto found = server->connections_.find(connection);
+    if (found == server->connections_.end())
+        return;
+    EvhttpResponder *responder = found->second;
+    server->connections_.erase(found);
+    if (responder != nullptr)
+        responder->handleConnectionClosed();
+}
+
 void HttpServer::handle(evhttp_request *request, void *self)
 {
     static_cast<HttpServer *>(self)->dispatch(request);
@@ -239,6 +300,7 @@
 
 void HttpServer::dispatch(evhttp_request *request)
 {
+    recordConnection(evhttp_request_get_connection(request));
     auto responder = std::make_shared<EvhttpResponder>(this, request);
     if (evbuffer_get_length(evhttp_request_get_input_buffer(request)) > options_.maxBodyBytes) {
         responder->answer({ 413, options_.tooLargeHeaders, options_.tooLargeBody });
--- a/Source/Basilgap/Network/HttpServer.h
+++ b/Source/Basilgap/Network/HttpServer.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 
 #include "Basilgap/Common/Error.h"
@@ -36,12 +39,16 @@
     size_t maxBodyBytes = 1024 * 1024;
     size_t maxHeaderBytes = 16 * 1024;
     Millis idleTimeout{ 60000 };
+    // While this many connections are open, no further one is accepted; 0 means no limit.
+    size_t maxConnections = 0;
     // Requests beyond this number of pending ones are answered 503 at once; 0 means no limit.
     size_t maxPending = 0;
     std::string tooLargeBody;
     Headers tooLargeHeaders;
 };
 
+class EvhttpResponder;
+
 // An HTTP/1.1 listener on evhttp.
 class HttpServer
 {
@@ -61,6 +68,8 @@
     // Tells callers to close their connection after the next answer; new ones are still accepted.
     void closeAfterAnswers() { closesAfterAnswers_ = true; }
 
+    size_t openConnections() const { return connections_.size() + silentSince_.size(); }
+
     // Number of requests that were read and not answered yet.
     size_t pendingRequests() const { return pendingRequests_; }
 
@@ -69,12 +78,24 @@
 
     HttpServer(EventLoop &loop, HttpServerOptions options, RequestHandler handler);
     static void handle(evhttp_request *request, void *self);
+    static bufferevent *onAccept(event_base *base, void *self);
+    static void onConnectionClosed(evhttp_connection *connection, void *self);
     void dispatch(evhttp_request *request);
+    void recordAccepted();
+    void recordConnection(evhttp_connection *connection);
+    void resumeAccepting();
 
     HttpServerOptions options_;
     RequestHandler handler_;
     evhttp *http_;
     evhttp_bound_socket *socket_ = nullptr;
+    // Connections that have sent a request, with the responder of their pending request or null.
+    std::unordered_map<evhttp_connection *, EvhttpResponder *> connections_;
+    // When each connection was accepted that has sent no request yet. evhttp does not report the
+    // end of these, so they count until they would have timed out.
+    std::deque<Millis> silentSince_;
+    bool isPaused_ = false;
+    Timer resumeTimer_;
     size_t pendingRequests_ = 0;
     bool isAccepting_ = true;
     bool closesAfterAnswers_ = false;
--- a/Source/Basilgap/Network/PeerServer.cpp
+++ b/Source/Basilgap/Network/PeerServer.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr size_t MaxStreams = 256;
 constexpr int ListenBacklog = 64;
 
 std::string peerText(sockaddr *peer)
@@ -92,7 +91,7 @@
 
 void PeerServer::accept(evutil_socket_t socket, const std::string &peer)
 {
-    if (streams_.size() >= MaxStreams) {
+    if (streams_.size() >= options_.maxStreams) {
         evutil_closesocket(socket);
         return;
     }
--- a/Source/Basilgap/Network/PeerServer.h
+++ b/Source/Basilgap/Network/PeerServer.h
@@ -20,6 +20,8 @@
     {
         std::string address;
         std::string cellKey;
+        // Further streams are closed at once.
+        size_t maxStreams = 256;
         std::function<void(PeerStream &, schema::PeerMessage)> onMessage;
         // The stream is destroyed after this callback.
         std::function<void(PeerStream &)> onClosed;
--- /dev/null
+++ b/Source/Basilgap/Replication/DataFolder.cpp
@@ -0,0 +1,106 @@
+#include "Basilgap/Replication/DataFolder.h"
+
+#include <utility>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "Basilgap/Common/EventLog.h"
+
+namespace basilgap::replication {
+
+namespace {
+
+constexpr const char *SparePrefix = "spare";
+
+// One each for the hard state, a snapshot and the shortened log that follows it.
+constexpr size_t SpareCount = 3;
+
+} // namespace
+
+DataFolder::~DataFolder()
+{
+    if (folder_ >= 0)
+        ::close(folder_);
+}
+
+DataFolder::DataFolder(DataFolder &&other) noexcept
+    : path_(std::move(other.path_))
+    , calls_(other.calls_)
+    , folder_(std::exchange(other.folder_, -1))
+    , spares_(std::move(other.spares_))
+    , nextSpare_(other.nextSpare_)
+{}
+
+DataFolder &DataFolder::operator=(DataFolder &&other) noexcept
+{
+    if (this == &other)
+        return *this;
+    if (folder_ >= 0)
+        ::close(folder_);
+    path_ = std::move(other.path_);
+    calls_ = other.calls_;
+    folder_ = std::exchange(other.folder_, -1);
+    spares_ = std::move(other.spares_);
+    nextSpare_ = other.nextSpare_;
+    return *this;
+}
+
+Result<DataFolder> DataFolder::open(const std::string &path, DiskCalls &calls)
+{
+    DataFolder folder;
+    folder.path_ = path;
+    folder.calls_ = &calls;
+    folder.folder_ = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (folder.folder_ < 0)
+        return fail(systemError("open-folder", path));
+    if (auto opened = folder.openSpares(); !opened)
+        return fail(opened.error());
+    return folder;
+}
+
+Result<void> DataFolder::openSpares()
+{
+    while (spares_.size() < SpareCount) {
+        const std::string name = SparePrefix + std::to_string(nextSpare_);
+        ::unlink(pathOf(name).c_str());
+        auto file = DiskFile::open(pathOf(name), *calls_);
+        if (!file)
+            return fail(file.error());
+        spares_.push_back({ name, std::move(*file) });
+        nextSpare_ = (nextSpare_ + 1) % SpareCount;
+    }
+    return {};
+}
+
+Result<void> DataFolder::sync() const
+{
+    if (::fsync(folder_) != 0)
+        return fail(systemError("sync-folder", path_));
+    return {};
+}
+
+Result<DiskFile> DataFolder::replace(const std::string &name, std::string_view content)
+{
+    if (spares_.empty()) {
+        if (auto opened = openSpares(); !opened && spares_.empty())
+            return fail(opened.error());
+    }
+    Spare &spare = spares_.front();
+    if (auto written = spare.file.writeAt(0, content); !written)
+        return fail(written.error());
+    if (auto synced = spare.file.sync(); !synced)
+        return fail(synced.error());
+    if (::rename(pathOf(spare.name).c_str(), pathOf(name).c_str()) != 0)
+        return fail(systemError("rename", pathOf(name)));
+    DiskFile file = std::move(spare.file);
+    spares_.erase(spares_.begin());
+    if (auto synced = sync(); !synced)
+        return fail(synced.error());
+    // The next replacement tries again.
+    if (auto opened = openSpares(); !opened)
+        LogEvent("spare-file-missing", LogLevel::Warning).with(opened.error());
+    return file;
+}
+
+} // namespace basilgap::replication
--- /dev/null
+++ b/Source/Basilgap/Replication/DataFolder.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Basilgap/Common/Error.h"
+#include "Basilgap/Replication/DiskFile.h"
+
+namespace basilgap::replication {
+
+// A folder whose files are replaced atomically. The descriptors that this needs are opened in
+// advance, since a process that has run out of descriptors must still be able to save its state.
+class DataFolder
+{
+public:
+    DataFolder() = default;
+    ~DataFolder();
+    DataFolder(DataFolder &&other) noexcept;
+    DataFolder &operator=(DataFolder &&other) noexcept;
+
+    // Opens an existing folder.
+    static Result<DataFolder> open(const std::string &path, DiskCalls &calls);
+
+    // Replaces the content of a file: after a crash it holds either the old or the new content.
+    // Returns the new file, which stays open. After a transient error (see isTransient()) nothing
+    // has been replaced; after any other the state on disk is unknown.
+    Result<DiskFile> replace(const std::string &name, std::string_view content);
+
+    std::string pathOf(const std::string &name) const { return path_ + "/" + name; }
+
+private:
+    Result<void> openSpares();
+    Result<void> sync() const;
+
+    std::string path_;
+    DiskCalls *calls_ = nullptr;
+    int folder_ = -1;
+    // Files that take the next contents to be written, with their names.
+    struct Spare
+    {
+        std::string name;
+        DiskFile file;
+    };
+    std::vector<Spare> spares_;
+    uint64_t nextSpare_ = 0;
+};
+
+} // namespace basilgap::replication
--- a/Source/Basilgap/Replication/DiskFile.cpp
+++ b/Source/Basilgap/Replication/DiskFile.cpp
@@ -13,10 +13,16 @@
 
 constexpr mode_t FileMode = 0600;
 
-std::string folderOf(const std::string &path)
+constexpr size_t ReadBytes = 65536;
+
+// Reads from the current position to the end. Returns false after an error, which is in errno.
+bool readToEnd(int file, std::string *content)
 {
-    const size_t slash = path.rfind('/');
-    return slash == std::string::npos ? "." : path.substr(0, slash);
+    std::string buffer(ReadBytes, '\0');
+    ssize_t bytesRead = 0;
+    while ((bytesRead = ::read(file, buffer.data(), buffer.size())) > 0)
+        content->append(buffer, 0, static_cast<size_t>(bytesRead));
+    return bytesRead == 0;
 }
 
 } // namespace
@@ -94,40 +100,22 @@
     return {};
 }
 
-Result<void> DiskFile::sync()
-{
-    if (calls_->sync(file_) != 0)
-        return fail(systemError("sync", path_));
-    return {};
-}
-
-Result<void> syncFolder(const std::string &folder)
+Result<std::string> DiskFile::read() const
 {
-    const int file = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (file < 0)
-        return fail(systemError("open-folder", folder));
-    const int outcome = ::fsync(file);
-    const Error error = systemError("sync-folder", folder);
-    ::close(file);
-    if (outcome != 0)
-        return fail(error);
-    return {};
+    std::string content;
+    if (::lseek(file_, 0, SEEK_SET) < 0 || !readToEnd(file_, &content))
+        return fail(systemError("read", path_));
+    return content;
 }
 
-Result<void> replaceFile(const std::string &path, std::string_view content, DiskCalls &calls)
+Result<void> DiskFile::sync()
 {
-    const std::string temporary = path + ".new";
-    ::unlink(temporary.c_str());
-    auto file = DiskFile::open(temporary, calls);
-    if (!file)
-        return fail(file.error());
-    if (auto written = file->writeAt(0, content); !written)
-        return written;
-    if (auto synced = file->sync(); !synced)
-        return synced;
-    if (::rename(temporary.c_str(), path.c_str()) != 0)
-        return fail(systemError("rename", path));
-    return syncFolder(folderOf(path));
+    if (calls_->sync(file_) == 0)
+        return {};
+    // Nobody knows what a failed sync left on the disk, whatever its cause.
+    Error error = systemError("sync", path_);
+    error.code = ErrorCode::Io;
+    return fail(error);
 }
 
 Result<std::string> readWholeFile(const std::string &path)
@@ -138,13 +126,10 @@
     if (file < 0)
         return fail(systemError("open", path));
     std::string content;
-    char buffer[65536];
-    ssize_t bytesRead = 0;
-    while ((bytesRead = ::read(file, buffer, sizeof buffer)) > 0)
-        content.append(buffer, static_cast<size_t>(bytesRead));
+    const bool isRead = readToEnd(file, &content);
     const Error error = systemError("read", path);
     ::close(file);
-    if (bytesRead < 0)
+    if (!isRead)
         return fail(error);
     return content;
 }
--- a/Source/Basilgap/Replication/DiskFile.h
+++ b/Source/Basilgap/Replication/DiskFile.h
@@ -33,6 +33,8 @@
     // truncated to the offset again.
     Result<void> writeAt(uint64_t offset, std::string_view data);
     Result<void> truncate(uint64_t length);
+    // Returns the whole content.
+    Result<std::string> read() const;
     Result<void> sync();
 
     bool isOpen() const { return file_ >= 0; }
@@ -43,13 +45,6 @@
     DiskCalls *calls_ = nullptr;
 };
 
-// Replaces the content of a file atomically: after a crash it holds either the old or the new
-// content.
-Result<void> replaceFile(const std::string &path, std::string_view content, DiskCalls &calls);
-
-// Makes created and renamed directory entries durable.
-Result<void> syncFolder(const std::string &folder);
-
 // Returns the content of a file; empty if the file does not exist.
 Result<std::string> readWholeFile(const std::string &path);
 
--- a/Source/Basilgap/Replication/LogStorage.cpp
+++ b/Source/Basilgap/Replication/LogStorage.cpp
@@ -75,7 +75,7 @@
 {
     std::unique_ptr<LogStorage> storage(new LogStorage(std::move(options)));
     using Step = Result<void> (LogStorage::*)();
-    for (const Step step : { &LogStorage::lockFolder, &LogStorage::readIdentity,
+    for (const Step step : { &LogStorage::openFolder, &LogStorage::readIdentity,
              &LogStorage::readHardState, &LogStorage::readSnapshot, &LogStorage::readLog }) {
         if (auto done = (storage.get()->*step)(); !done)
             return fail(done.error());
@@ -83,7 +83,7 @@
     return storage;
 }
 
-Result<void> LogStorage::lockFolder()
+Result<void> LogStorage::openFolder()
 {
     std::error_code code;
     std::filesystem::create_directories(options_.folder, code);
@@ -95,6 +95,17 @@
     if (::flock(lock_, LOCK_EX | LOCK_NB) != 0)
         return fail({ ErrorCode::Conflict, "lock", options_.folder,
             "another process holds the data folder" });
+    auto folder = DataFolder::open(options_.folder, *options_.calls);
+    if (!folder)
+        return fail(folder.error());
+    folder_ = std::move(*folder);
+    return {};
+}
+
+Result<void> LogStorage::replaceFile(const char *name, std::string_view content)
+{
+    if (auto file = folder_.replace(name, content); !file)
+        return fail(file.error());
     return {};
 }
 
@@ -110,7 +121,7 @@
     if (!*found) {
         identity.set_id(options_.replica.value());
         identity.set_incarnation(randomNumber());
-        if (auto done = replaceFile(path(IdentityFile), framed(identity), *options_.calls); !done)
+        if (auto done = replaceFile(IdentityFile, framed(identity)); !done)
             return done;
     }
     incarnation_ = Incarnation(identity.incarnation());
@@ -217,7 +228,7 @@
 
 Result<void> LogStorage::writeHardState(const schema::HardState &state)
 {
-    return replaceFile(path(HardStateFile), framed(state), *options_.calls);
+    return replaceFile(HardStateFile, framed(state));
 }
 
 Result<void> LogStorage::write(const RaftOutput &output)
@@ -273,11 +284,11 @@
 
 Result<void> LogStorage::saveSnapshot(const schema::Snapshot &snapshot, LogIndex keepFrom)
 {
-    if (auto done = replaceFile(path(SnapshotFile), framed(snapshot), *options_.calls); !done)
+    if (auto done = replaceFile(SnapshotFile, framed(snapshot)); !done)
         return done;
     if (keepFrom.value() <= baseIndex_ || keepFrom.value() > lastIndex())
         return {};
-    const auto bytes = readWholeFile(path(LogFile));
+    const auto bytes = log_.read();
     if (!bytes)
         return fail(bytes.error());
     std::vector<std::string> kept;
@@ -306,9 +317,7 @@
         offsets.push_back(bytes.size());
         appendFrame(&bytes, record);
     }
-    if (auto done = replaceFile(path(LogFile), bytes, *options_.calls); !done)
-        return done;
-    auto file = DiskFile::open(path(LogFile), *options_.calls);
+    auto file = folder_.replace(LogFile, bytes);
     if (!file)
         return fail(file.error());
     log_ = std::move(*file);
--- a/Source/Basilgap/Replication/LogStorage.h
+++ b/Source/Basilgap/Replication/LogStorage.h
@@ -7,7 +7,7 @@
 
 #include "Basilgap/Common/Error.h"
 #include "Basilgap/Common/Ids.h"
-#include "Basilgap/Replication/DiskFile.h"
+#include "Basilgap/Replication/DataFolder.h"
 #include "Basilgap/Replication/RaftCore.h"
 
 namespace basilgap::replication {
@@ -41,8 +41,8 @@
     // Number of bytes that open() truncated from the end of the log.
     uint64_t tornBytes() const { return tornBytes_; }
 
-    // Makes the hard state, snapshot and records of the output durable. After ErrorCode::Full none
-    // of the records has been written and the call may be retried; after any other error the
+    // Makes the hard state, snapshot and records of the output durable. After a transient error
+    // none of the records has been written and the call may be retried; after any other error the
     // durable state is unknown.
     Result<void> write(const RaftOutput &output);
 
@@ -53,7 +53,7 @@
 
 private:
     explicit LogStorage(Options options);
-    Result<void> lockFolder();
+    Result<void> openFolder();
     Result<void> readIdentity();
     Result<void> readHardState();
     Result<void> readSnapshot();
@@ -67,10 +67,12 @@
     Result<void> rewriteLog(
         LogIndex baseIndex, Term baseTerm, const std::vector<std::string> &records);
     std::string path(const char *name) const { return options_.folder + "/" + name; }
+    Result<void> replaceFile(const char *name, std::string_view content);
     uint64_t lastIndex() const { return baseIndex_ + offsets_.size(); }
 
     Options options_;
     int lock_ = -1;
+    DataFolder folder_;
     Incarnation incarnation_;
     RaftPersistentState persistentState_;
     DiskFile log_;
--- a/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
@@ -224,4 +224,44 @@
 }
 
 } // namespace
+// A start that waits for a connection is not given up: it is sent once there is one.
+TEST_F(WorkerSessionTest, droppedStartIsSentAgainOnceOrdersAreAllowed)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    ASSERT_EQ(port.starts.size(), 1U);
+    EXPECT_TRUE(port.starts[0].order.isStillWanted());
+    // The process was frozen meanwhile, and no quorum has confirmed it since.
+    isLeaderConfirmed = false;
+    EXPECT_FALSE(port.starts[0].order.isStillWanted());
+    port.starts[0].done({ OrderResult::Dropped, std::nullopt });
+    advanceAndTick(25);
+    EXPECT_EQ(port.starts.size(), 1U);
+    EXPECT_TRUE(ends.empty());
+    isLeaderConfirmed = true;
+    advanceAndTick(25);
+    ASSERT_EQ(port.starts.size(), 2U);
+    port.starts[1].done({ OrderResult::Accepted, now });
+    EXPECT_EQ(session->runs().at(taskOf(0)).knownState, KnownRunState::Confirmed);
+}
+
+TEST_F(WorkerSessionTest, pollThatWaitedTooLongIsNotCountedAsSilence)
+{
+    openSession();
+    completeFirstPoll();
+    advanceAndTick(MinPollIntervalMs);
+    ASSERT_EQ(port.polls.size(), 2U);
+    isLeaderConfirmed = false;
+    EXPECT_FALSE(port.polls[1].order.isStillWanted());
+    PollAnswer dropped;
+    dropped.result = OrderResult::Dropped;
+    port.polls[1].done(dropped);
+    EXPECT_FALSE(session->isSuspect());
+    isLeaderConfirmed = true;
+    advanceAndTick(MinPollIntervalMs);
+    EXPECT_EQ(port.polls.size(), 3U);
+}
+
 } // namespace basilgap::dispatch
--- a/Source/UnitTests/Network/NetworkTest.cpp
+++ b/Source/UnitTests/Network/NetworkTest.cpp
@@ -284,4 +284,41 @@
     EXPECT_EQ(calledBack, 0);
 }
 
+TEST(HttpServer, acceptsNoConnectionBeyondItsBound)
+{
+    EventLoop loop;
+    std::vector<ResponderPointer> held;
+    auto server = HttpServer::listen(loop, { .address = "127.0.0.1:0", .maxConnections = 2 },
+        [&](const HttpRequest &, ResponderPointer responder) { held.push_back(responder); });
+    ASSERT_TRUE(server.has_value());
+    std::vector<std::unique_ptr<HttpConnection>> callers;
+    std::vector<ExchangeEnd> ends;
+    const auto call = [&] {
+        callers.push_back(std::make_unique<HttpConnection>(
+            loop, HttpConnection::Options{ .address = (*server)->address() }));
+        HttpRequest request;
+        request.method = "GET";
+        request.target = "/";
+        callers.back()->exchange(
+            request, RunTimeout, [&](const ExchangeResult &result) { ends.push_back(result.end); });
+    };
+    call();
+    call();
+    ASSERT_TRUE(runUntil(loop, [&] { return held.size() == 2; }));
+    EXPECT_EQ((*server)->openConnections(), 2U);
+    call();
+    // Whatever was accepted beyond the bound would show within these round trips to the listener.
+    for (int i = 0; i < 10; i++)
+        runUntil(loop, [] { return true; });
+    EXPECT_EQ(held.size(), 2U);
+    // Once a caller has closed its connection, there is room for the next one.
+    held[0]->answer({ .status = 200 });
+    ASSERT_TRUE(runUntil(loop, [&] { return ends.size() == 1; }));
+    callers.erase(callers.begin());
+    ASSERT_TRUE(runUntil(loop, [&] { return held.size() == 3; }));
+    held.back()->answer({ .status = 200 });
+    EXPECT_TRUE(runUntil(loop, [&] { return ends.size() == 2; }));
+    EXPECT_EQ(ends.back(), ExchangeEnd::Complete);
+}
+
 } // namespace basilgap::network
--- a/Source/UnitTests/Replication/LogStorageTest.cpp
+++ b/Source/UnitTests/Replication/LogStorageTest.cpp
@@ -7,6 +7,7 @@
 
 #include "Basilgap/Replication/LogStorage.h"
 #include "Basilgap/Replication/RecordFrame.h"
+#include "StandIns/DescriptorShortage.h"
 #include "StandIns/LocalCell.h"
 
 namespace basilgap::replication {
@@ -62,6 +63,15 @@
         return output;
     }
 
+    static schema::Snapshot snapshotAt(uint64_t index)
+    {
+        schema::Snapshot snapshot;
+        snapshot.mutable_meta()->set_index(index);
+        snapshot.mutable_meta()->set_term(1);
+        snapshot.set_state("state");
+        return snapshot;
+    }
+
     std::string logPath() const { return folder_ + "/log"; }
 
     void flipByte(uint64_t offset) const
@@ -165,6 +175,37 @@
     EXPECT_EQ(failed.error().step, "sync");
 }
 
+// A process without a free descriptor writes records, its vote and snapshots with those that it
+// opened at start.
+TEST_F(LogStorageTest, shortageOfDescriptorsDoesNotStopTheStorage)
+{
+    auto storage = open();
+    ASSERT_TRUE((*storage)->write(outputWithRecords(1, 20)).has_value());
+    {
+        const standins::DescriptorShortage shortage;
+        ASSERT_TRUE((*storage)->write(outputWithRecords(21, 22)).has_value());
+        RaftOutput vote;
+        vote.hardState.emplace().set_term(7);
+        ASSERT_TRUE((*storage)->write(vote).has_value());
+        ASSERT_TRUE((*storage)->saveSnapshot(snapshotAt(15), LogIndex(10)).has_value());
+        ASSERT_TRUE((*storage)->write(outputWithRecords(23, 24)).has_value());
+    }
+    storage->reset();
+    RaftPersistentState persistentState = (*open())->takePersistentState();
+    EXPECT_EQ(persistentState.hardState.term(), 7U);
+    EXPECT_EQ(persistentState.snapshotMeta.index(), 15U);
+    EXPECT_EQ(persistentState.log.baseIndex(), LogIndex(10));
+    EXPECT_EQ(persistentState.log.lastIndex(), LogIndex(24));
+}
+
+TEST_F(LogStorageTest, shortageOfDescriptorsIsTransient)
+{
+    const standins::DescriptorShortage shortage;
+    const auto refused = DataFolder::open(folder_, disk_);
+    ASSERT_FALSE(refused.has_value());
+    EXPECT_TRUE(isTransient(refused.error()));
+}
+
 TEST_F(LogStorageTest, onlyOneProcessOpensTheFolder)
 {
     auto storage = open();
@@ -186,16 +227,12 @@
     {
         auto storage = open();
         ASSERT_TRUE((*storage)->write(outputWithRecords(1, 20)).has_value());
-        schema::Snapshot snapshot;
-        snapshot.mutable_meta()->set_index(15);
-        snapshot.mutable_meta()->set_term(1);
-        snapshot.set_state("state at 15");
-        ASSERT_TRUE((*storage)->saveSnapshot(snapshot, LogIndex(10)).has_value());
+        ASSERT_TRUE((*storage)->saveSnapshot(snapshotAt(15), LogIndex(10)).has_value());
         ASSERT_TRUE((*storage)->write(outputWithRecords(21, 22)).has_value());
     }
     RaftPersistentState persistentState = (*open())->takePersistentState();
     EXPECT_EQ(persistentState.snapshotMeta.index(), 15U);
-    EXPECT_EQ(*persistentState.snapshotState, "state at 15");
+    EXPECT_EQ(*persistentState.snapshotState, "state");
     EXPECT_EQ(persistentState.log.baseIndex(), LogIndex(10));
     EXPECT_EQ(persistentState.log.lastIndex(), LogIndex(22));
 }
