--- /dev/null
+++ b/Source/Basilgap/Dispatch/Announcements.cpp
@@ -0,0 +1,64 @@
+#include "Basilgap/Dispatch/Announcements.h"
+
+namespace basilgap::dispatch {
+
+namespace {
+
+bool isEqualButForSequence(schema::WorkerLife left, schema::WorkerLife right)
+{
+    left.clear_announced_sequence();
+    right.clear_announced_sequence();
+    return left.SerializeAsString() == right.SerializeAsString();
+}
+
+} // namespace
+
+bool isSameIncarnation(
+    const schema::WorkerAnnouncement &announcement, const schema::WorkerLife &known)
+{
+    return announcement.life().born_ms() == known.born_ms();
+}
+
+AnnouncementEffect effectOf(
+    const schema::WorkerAnnouncement &announcement, const schema::WorkerLife *known)
+{
+    if (announcement.ended()) {
+        const bool isNews = known != nullptr && !known->leaving();
+        return isNews ? AnnouncementEffect::Change : AnnouncementEffect::None;
+    }
+    if (known == nullptr)
+        return AnnouncementEffect::NewIncarnation;
+    const uint64_t born = announcement.life().born_ms();
+    if (born != 0 && born < known->born_ms())
+        return AnnouncementEffect::None;
+    if (!isSameIncarnation(announcement, *known))
+        return AnnouncementEffect::NewIncarnation;
+    const bool isOutdated = announcement.sequence() <= known->announced_sequence();
+    if (isOutdated || isEqualButForSequence(updatedLife(announcement, *known), *known))
+        return AnnouncementEffect::None;
+    return AnnouncementEffect::Change;
+}
+
+schema::WorkerLife updatedLife(
+    const schema::WorkerAnnouncement &announcement, const schema::WorkerLife &known)
+{
+    schema::WorkerLife updated = known;
+    if (announcement.ended()) {
+        // It names no incarnation, so a later announcement may still take it back.
+        updated.set_leaving(true);
+        return updated;
+    }
+    updated = announcement.life();
+    updated.set_number(known.number());
+    updated.set_announced_sequence(announcement.sequence());
+    return updated;
+}
+
+bool canAcknowledge(const schema::WorkerAnnouncement &announcement, const state::WorkTable &table)
+{
+    const schema::WorkerLife *known = table.newestIncarnation(announcement.life().id());
+    return known != nullptr && !announcement.ended() && isSameIncarnation(announcement, *known)
+        && isEqualButForSequence(updatedLife(announcement, *known), *known);
+}
+
+} // namespace basilgap::dispatch
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -32,8 +32,6 @@
         control::Replica &replica;
         WorkerPort &workers;
         AdvicePort &advice;
-        // Address where this process accepts announcements of workers.
-        std::string controlAddress;
         SessionTimes times;
     };
 
@@ -172,7 +170,6 @@
     scheduling::CapacityDemand capacityDemand_ = scheduling::CapacityDemand::None;
     // When this leader sent the start of each running task.
     std::map<StepTaskRef, Millis> startSentAt_;
-    std::map<state::WorkerNumber, uint64_t> lastAnnouncementSequence_;
     std::map<std::string, std::vector<std::function<void(bool)>>> pendingRegistrations_;
     uint32_t nextWorkerNumber_ = 0;
     bool isBatchPending_ = false;
--- a/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
@@ -1,6 +1,7 @@
 // Requests of callers, workers and operators.
 
 #include "Basilgap/Common/EventLog.h"
+#include "Basilgap/Dispatch/Announcements.h"
 #include "Basilgap/Dispatch/WorkDispatcher.h"
 
 namespace basilgap::dispatch {
@@ -263,35 +264,18 @@
 {
     const schema::WorkerAnnouncement &announcement = request.announcement();
     const schema::WorkerLife *known = state_.works().newestIncarnation(announcement.life().id());
-    schema::CallReply acknowledged = makeReply(Ok);
-    acknowledged.set_control_address(options_.controlAddress);
-    const bool isStale = known != nullptr && announcement.life().born_ms() != 0
-        && announcement.life().born_ms() < known->born_ms();
-    if (isStale || (announcement.ended() && known == nullptr))
-        return reply(makeRpcReply(request, acknowledged));
-    const bool isSameLife = known != nullptr
-        && (announcement.ended() || announcement.life().born_ms() == known->born_ms());
-    if (!isSameLife)
+    const AnnouncementEffect effect = effectOf(announcement, known);
+    if (effect == AnnouncementEffect::NewIncarnation)
         return registerIncarnation(request, reply);
-    if (!announcement.ended()) {
-        uint64_t &last = lastAnnouncementSequence_[state::WorkerNumber(known->number())];
-        if (announcement.sequence() <= last)
-            return reply(makeRpcReply(request, acknowledged));
-        last = announcement.sequence();
-        const auto session = sessions_.find(state::WorkerNumber(known->number()));
-        if (session != sessions_.end())
-            session->second->seedClock(
-                Millis(static_cast<int64_t>(announcement.clock_ms())), steadyNow());
-    }
-    schema::WorkerLife updated = *known;
-    if (announcement.ended()) {
-        updated.set_leaving(true);
-    } else {
-        updated = announcement.life();
-        updated.set_number(known->number());
-    }
-    if (updated.SerializeAsString() == known->SerializeAsString())
-        return reply(makeRpcReply(request, acknowledged));
+    const auto session =
+        known == nullptr ? sessions_.end() : sessions_.find(state::WorkerNumber(known->number()));
+    if (session != sessions_.end() && !announcement.ended()
+        && isSameIncarnation(announcement, *known))
+        session->second->seedClock(
+            Millis(static_cast<int64_t>(announcement.clock_ms())), steadyNow());
+    if (effect == AnnouncementEffect::None)
+        return reply(makeRpcReply(request, makeReply(Ok)));
+    const schema::WorkerLife updated = updatedLife(announcement, *known);
     LogEvent("worker-changed")
         .with("worker", updated.id())
         .with("leaving", updated.leaving() ? 1 : 0)
@@ -299,7 +283,7 @@
     schema::Command command;
     *command.mutable_runs()->add_workers() = updated;
     propose(request, std::move(command), reply,
-        [acknowledged](const schema::CommandOutcome &) { return acknowledged; });
+        [](const schema::CommandOutcome &) { return makeReply(Ok); });
 }
 
 void WorkDispatcher::registerIncarnation(
@@ -308,13 +292,11 @@
     const schema::WorkerAnnouncement &announcement = request.announcement();
     schema::RpcRequest idOnly;
     idOnly.set_id(request.id());
-    schema::CallReply acknowledged = makeReply(Ok);
-    acknowledged.set_control_address(options_.controlAddress);
     const std::string key =
         announcement.life().id() + "/" + std::to_string(announcement.life().born_ms());
     auto &waiting = pendingRegistrations_[key];
-    waiting.push_back([idOnly, reply, acknowledged](bool accepted) {
-        reply(accepted ? makeRpcReply(idOnly, acknowledged) : makeUnavailableReply(idOnly));
+    waiting.push_back([idOnly, reply](bool accepted) {
+        reply(accepted ? makeRpcReply(idOnly, makeReply(Ok)) : makeUnavailableReply(idOnly));
     });
     if (waiting.size() > 1)
         return;
@@ -325,6 +307,7 @@
     schema::WorkerLife *incarnation = batch->add_workers();
     *incarnation = announcement.life();
     incarnation->set_number(nextWorkerNumber_++);
+    incarnation->set_announced_sequence(announcement.sequence());
     if (previous != nullptr) {
         schema::WorkerLife *gone = batch->add_workers();
         *gone = *previous;
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -159,10 +159,8 @@
             .fencingToken = options_.fencingToken,
             .checkpoint = state->checkpoint,
             .ticket = known->ticket,
-            .isStillWanted =
-                [this, alive = std::weak_ptr<bool>(alive_), task, run] {
-                    return !alive.expired() && isStartWanted(task, run);
-                },
+            .isStillWanted = [this, alive = std::weak_ptr<bool>(alive_), task,
+                                 run] { return !alive.expired() && isStartWanted(task, run); },
         },
         options_.times.startTimeout, guarded([this, task, run](const OrderAnswer &answer) {
             handleStartAnswer(task, run, answer);
--- a/Source/Basilgap/Network/ClientConnection.h
+++ b/Source/Basilgap/Network/ClientConnection.h
@@ -38,8 +38,8 @@
 
     // Sends a request. `done` is called once from the event loop, unless the connection is
     // destroyed first. `done` may destroy the connection.
-    virtual void exchange(const HttpRequest &request, Millis timeout,
-        std::function<void(ExchangeResult)> done) = 0;
+    virtual void exchange(
+        const HttpRequest &request, Millis timeout, std::function<void(ExchangeResult)> done) = 0;
 
     // Whether the connection may carry another exchange.
     virtual bool isReusable() const = 0;
--- a/Source/Basilgap/Network/HttpServer.cpp
+++ b/Source/Basilgap/Network/HttpServer.cpp
@@ -171,8 +171,7 @@
         if (!*alive_)
             return request;
         server_->pendingRequests_--;
-        const auto connection =
-            server_->connections_.find(evhttp_request_get_connection(request));
+        const auto connection = server_->connections_.find(evhttp_request_get_connection(request));
         if (connection != server_->connections_.end())
             connection->second = nullptr;
         return request;
--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -134,6 +134,11 @@
     // cover all committed records.
     bool isEstablishedLeader() const;
     ReplicaId leader() const { return leader_; }
+    // Whether this replica leads, or has heard the leader within the election timeout.
+    bool hasLiveLeader(Millis now) const
+    {
+        return isLeader() || (!leader_.value().empty() && now < electionDue_);
+    }
     Term term() const { return Term(hardState_.term()); }
     LogIndex commitIndex() const { return commitIndex_; }
     LogIndex lastIndex() const { return log_.lastIndex(); }
--- a/Source/UnitTests/Network/HttpClientPoolTest.cpp
+++ b/Source/UnitTests/Network/HttpClientPoolTest.cpp
@@ -50,8 +50,8 @@
     }
     ~FakeConnection() override { network_.open--; }
 
-    void exchange(const HttpRequest &request, Millis,
-        std::function<void(ExchangeResult)> done) override
+    void exchange(
+        const HttpRequest &request, Millis, std::function<void(ExchangeResult)> done) override
     {
         network_.exchanges.push_back({ address_, request.target, std::move(done) });
     }
@@ -68,8 +68,7 @@
     void makePool(size_t maxConnections)
     {
         pool = std::make_unique<HttpClientPool>(HttpClientPool::Options{
-            .maxConnections = maxConnections,
-            .connect = [this](const std::string &address) {
+            .maxConnections = maxConnections, .connect = [this](const std::string &address) {
                 return std::make_shared<FakeConnection>(network, address);
             } });
     }
