--- a/Source/Basilgap/Dispatch/AdvicePool.h
+++ b/Source/Basilgap/Dispatch/AdvicePool.h
@@ -24,6 +24,8 @@
     void addProxy(network::PeerStream &stream);
     void removeProxy(const network::PeerStream &stream);
 
+    // Processes that can call the advisor, and how many of them may do so now.
+    size_t callSlots() const { return 1 + proxies_.size(); }
     size_t availableCallSlots(Millis now) const;
 
     // Returns false without calling the callback if no process is free.
--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -80,18 +80,41 @@
     isPlanDue_ = true;
     if (command.has_submit_work())
         usePrefetchedAdvice(command.submit_work().id());
+    if (command.has_cancel_work()) {
+        const state::Work *work = state_.works().find(command.cancel_work().id());
+        if (work != nullptr)
+            checkStopsOf(work->serial);
+    }
     workersChanged_ = workersChanged_ || command.has_evacuate_zone();
     if (command.has_runs()) {
         if (command.runs().workers_size() > 0)
             reconcileSessions();
-        removeEndedRuns(command.runs());
+        handleAppliedRuns(command.runs());
     }
     scheduleBatch();
 }
 
-// The record of one member's end ends its whole gang, so all tasks of the step are checked.
-void WorkDispatcher::removeEndedRuns(const schema::RunBatch &batch)
+void WorkDispatcher::checkStopsOf(state::WorkSerial serial)
+{
+    const state::Work *work = state_.works().find(serial);
+    if (work == nullptr || work->isActive() || work->runningTasks == 0)
+        return;
+    for (const auto &steps : work->occurrences) {
+        for (const state::WorkStep &step : steps) {
+            for (const state::WorkTask &task : step.tasks) {
+                const auto session = sessions_.find(task.worker);
+                if (task.phase == state::RunPhase::Running && session != sessions_.end())
+                    session->second->checkStops();
+            }
+        }
+    }
+}
+
+void WorkDispatcher::handleAppliedRuns(const schema::RunBatch &batch)
 {
+    for (const auto &start : batch.starts())
+        planWorkers_.markChanged(state::WorkerNumber(start.worker()));
+    // The record of one member's end ends its whole gang, so all tasks of the step are checked.
     for (const auto &end : batch.ends()) {
         const state::Work *work = state_.works().find(state::WorkSerial(end.work()));
         if (work == nullptr)
@@ -99,10 +122,14 @@
         const state::StepRef ref{ work->serial, end.occurrence(), end.step() };
         const auto &tasks = work->stepAt(ref).tasks;
         for (uint32_t i = 0; i < tasks.size(); i++) {
+            if (tasks[i].phase == state::RunPhase::Running)
+                continue;
+            planWorkers_.markChanged(tasks[i].worker);
             const auto session = sessions_.find(tasks[i].worker);
-            if (tasks[i].phase != state::RunPhase::Running && session != sessions_.end())
+            if (session != sessions_.end())
                 session->second->removeRun({ ref, i }, tasks[i].run);
         }
+        checkStopsOf(work->serial);
     }
 }
 
@@ -152,8 +179,10 @@
                         schema::RunOutcome outcome, const std::string &checkpoint) {
                         recordEnd(number, task, run, outcome, checkpoint);
                     },
+                .onEndsListed = [this, number] { workersWithListedEnds_.insert(number); },
                 .onAvailabilityChanged =
-                    [this] {
+                    [this, number] {
+                        planWorkers_.markChanged(number);
                         isPlanDue_ = true;
                         scheduleBatch();
                     },
@@ -181,6 +210,7 @@
         .with("worker", session == sessions_.end() ? "" : session->second->endpoint().id)
         .with("outcome", schema::RunOutcome_Name(outcome));
     recordOutcome(worker, task, outcome);
+    planWorkers_.markChanged(worker);
     schema::RunEnd &end = pendingEnds_.emplace_back();
     end.set_work(task.step.work.value());
     end.set_occurrence(task.step.occurrence);
@@ -265,9 +295,7 @@
 {
     if (isBatchPending_ || fenced_ || !options_.replica.isLeading())
         return;
-    std::map<state::WorkerNumber, uint64_t> ends;
-    for (const auto &[number, session] : sessions_)
-        ends[number] = session->highestEndSequence();
+    std::map<state::WorkerNumber, uint64_t> ends = takeListedEnds();
     schema::Command command;
     schema::RunBatch *batch = command.mutable_runs();
     const bool hasEnds = !pendingEnds_.empty();
@@ -287,14 +315,30 @@
     options_.replica.propose(
         std::move(command), guarded([this, sent, ends](const schema::CommandOutcome &outcome) {
             isBatchPending_ = false;
-            if (outcome.code() != schema::ACCEPTED)
+            if (outcome.code() != schema::ACCEPTED) {
+                for (const auto &[number, end] : ends)
+                    workersWithListedEnds_.insert(number);
                 return;
+            }
             ackEnds(ends);
             sendStarts(sent);
             scheduleBatch();
         }));
 }
 
+// The ends that go into the next record, by the highest number of each worker.
+std::map<state::WorkerNumber, uint64_t> WorkDispatcher::takeListedEnds()
+{
+    std::map<state::WorkerNumber, uint64_t> ends;
+    for (const state::WorkerNumber number : workersWithListedEnds_) {
+        const auto session = sessions_.find(number);
+        if (session != sessions_.end())
+            ends[number] = session->second->highestEndSequence();
+    }
+    workersWithListedEnds_.clear();
+    return ends;
+}
+
 void WorkDispatcher::ackEnds(const std::map<state::WorkerNumber, uint64_t> &ends)
 {
     for (const auto &[number, end] : ends) {
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -10,6 +10,7 @@
 
 #include "Basilgap/Control/Replica.h"
 #include "Basilgap/Dispatch/AdvicePool.h"
+#include "Basilgap/Dispatch/PlanWorkers.h"
 #include "Basilgap/Dispatch/WorkerSession.h"
 #include "Basilgap/Scheduling/BackfillThrottle.h"
 #include "Basilgap/Scheduling/DurationEstimator.h"
@@ -86,18 +87,26 @@
     void rebuildWorkers();
     // The planner's view of all workers, with current usage.
     std::vector<scheduling::StepWorker> &refreshWorkers(Millis now);
+    void refreshWorker(scheduling::StepWorker *worker, Millis now) const;
     void pruneFinishedWorks(Millis now);
     void recordOutcome(
         state::WorkerNumber worker, const StepTaskRef &task, schema::RunOutcome outcome);
     const std::set<state::StepRef> &endingSteps(Millis now);
+    bool endsBefore(const state::Work &work, const state::StepRef &step, Millis latestEnd) const;
     Millis pollDelay(state::WorkerNumber worker);
     std::optional<Millis> expectedStepEnd(const state::Work &work, const state::StepRef &step);
     void stopStragglers();
     void throttleBackfill();
-    std::vector<scheduling::PreemptibleRun> preemptibleRuns(Millis now) const;
+    std::vector<scheduling::PreemptibleRun> preemptibleRunsOn(
+        state::WorkerNumber worker, Millis now) const;
+    std::vector<scheduling::PreemptibleRun> preemptibleRunsOf(
+        const state::AccountName &account, Millis now) const;
+    // Absent if the run must not be preempted.
+    std::optional<scheduling::PreemptibleRun> toPreemptibleRun(
+        const WorkerSession &session, const StepTaskRef &task, Millis now) const;
     void preempt(const StepTaskRef &task, Millis now);
     bool requestAdvice(const AdviceTarget &target, const schema::AdvicePolicy &policy,
-        const std::vector<state::WorkerNumber> &workers,
+        const scheduling::AdviceSelection &selection,
         std::function<void(const AdviceResult &)> done);
     void requestAdvice(const scheduling::AdviceRequest &request);
     void recordAdvice(const state::StepRef &step, const AdviceResult &result);
@@ -105,10 +114,13 @@
         const std::string &id, const schema::QueueConfig &queue, const schema::WorkSpec &spec);
     void usePrefetchedAdvice(const std::string &id);
     void sendStarts(const schema::RunBatch &batch);
+    std::map<state::WorkerNumber, uint64_t> takeListedEnds();
     void ackEnds(const std::map<state::WorkerNumber, uint64_t> &ends);
+    void handleAppliedRuns(const schema::RunBatch &batch);
+    // Has the sessions of the job's runs stop these once the job is no longer active.
+    void checkStopsOf(state::WorkSerial serial);
     void reconcileSessions();
     void openSession(const schema::WorkerLife &incarnation, Millis now);
-    void removeEndedRuns(const schema::RunBatch &batch);
     void recordEnd(state::WorkerNumber worker, const StepTaskRef &task, uint32_t run,
         schema::RunOutcome outcome, const std::string &checkpoint);
     void logCellStatus();
@@ -137,6 +149,7 @@
     AdvicePool advicePool_;
     CallLossTracker callLoss_;
     scheduling::PermitCache permits_;
+    scheduling::AdviceClaims adviceClaims_;
     scheduling::DurationEstimator speeds_;
     scheduling::WorkerHealth health_;
     scheduling::BackfillThrottle backfillThrottle_;
@@ -144,12 +157,14 @@
     std::map<state::WorkerNumber, std::unique_ptr<WorkerSession>> sessions_;
     std::map<uint64_t, network::PeerStream *> streams_;
     std::vector<schema::RunEnd> pendingEnds_;
+    // Workers that have listed ends which are not acknowledged yet.
+    std::set<state::WorkerNumber> workersWithListedEnds_;
     // Tickets of starts whose log record is not committed yet.
     std::map<StepTaskRef, std::string> pendingTickets_;
     // Advice for jobs that are not logged yet, by job id and step; empty until the answer arrives.
     std::map<std::string, std::map<uint32_t, std::optional<AdviceResult>>> prefetchedAdvice_;
-    // Ordered by worker number; rebuilt when incarnations or zones change.
-    std::vector<scheduling::StepWorker> planWorkers_;
+    PlanWorkers planWorkers_;
+    // Incarnations or zones have changed, so that the list of workers must be built again.
     bool workersChanged_ = true;
     // Result of the last call of endingSteps().
     std::set<state::StepRef> endingSteps_;
--- a/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
@@ -74,7 +74,11 @@
         }
     }
     scheduling::StragglerFindings findings = scheduling::detectStragglers(runs);
+    for (const auto &[number, factor] : slowWorkers_)
+        planWorkers_.markChanged(number);
     slowWorkers_ = std::move(findings.slowWorkers);
+    for (const auto &[number, factor] : slowWorkers_)
+        planWorkers_.markChanged(number);
     for (const scheduling::Straggler &straggler : findings.stragglers) {
         const state::Work *work = state_.works().find(straggler.task.step.work);
         const bool isStalled = straggler.kind == scheduling::StragglerKind::Stalled;
--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -28,13 +28,13 @@
 // rebuilt only then.
 void WorkDispatcher::rebuildWorkers()
 {
-    planWorkers_.clear();
+    std::vector<scheduling::StepWorker> workers;
     for (const auto &[number, session] : sessions_) {
         const schema::WorkerLife *incarnation = state_.works().findIncarnation(number);
         if (incarnation == nullptr || incarnation->gone() || incarnation->leaving()
             || state_.workConfig().isZoneOut(ZoneName(incarnation->zone())))
             continue;
-        scheduling::StepWorker &worker = planWorkers_.emplace_back();
+        scheduling::StepWorker &worker = workers.emplace_back();
         worker.number = number;
         worker.pool = incarnation->pool();
         worker.rack = incarnation->rack();
@@ -43,6 +43,7 @@
             static_cast<int64_t>(incarnation->memory_mb()),
             static_cast<int64_t>(incarnation->accelerators()) };
     }
+    planWorkers_.assign(std::move(workers));
 }
 
 std::vector<scheduling::StepWorker> &WorkDispatcher::refreshWorkers(Millis now)
@@ -50,19 +51,25 @@
     if (workersChanged_)
         rebuildWorkers();
     workersChanged_ = false;
-    for (scheduling::StepWorker &worker : planWorkers_) {
-        const WorkerSession &session = *sessions_.at(worker.number);
-        worker.reserved = state_.works().reservedOn(worker.number);
-        worker.backfillMillicores = session.backfillMillicores();
-        worker.slowdown = speeds_.slowdown(worker.number);
-        const auto slow = slowWorkers_.find(worker.number);
-        if (slow != slowWorkers_.end())
-            worker.slowdown = std::max(worker.slowdown, slow->second);
-        worker.schedulable = session.isUsable()
-            && health_.mayStart(worker.number, state_.works().runsOn(worker.number).size(), now);
-        worker.remainingStarts = health_.isOnProbation(worker.number) ? 1 : UINT32_MAX;
-    }
-    return planWorkers_;
+    // Quarantines end with time.
+    for (const state::WorkerNumber number : health_.workersWithFailures())
+        planWorkers_.markChanged(number);
+    return planWorkers_.refresh(
+        [this, now](scheduling::StepWorker &worker) { refreshWorker(&worker, now); });
+}
+
+void WorkDispatcher::refreshWorker(scheduling::StepWorker *worker, Millis now) const
+{
+    const WorkerSession &session = *sessions_.at(worker->number);
+    worker->reserved = state_.works().reservedOn(worker->number);
+    worker->backfillMillicores = session.backfillMillicores();
+    worker->slowdown = speeds_.slowdown(worker->number);
+    const auto slow = slowWorkers_.find(worker->number);
+    if (slow != slowWorkers_.end())
+        worker->slowdown = std::max(worker->slowdown, slow->second);
+    const size_t running = state_.works().runsOn(worker->number).size();
+    worker->schedulable = session.isUsable() && health_.mayStart(worker->number, running, now);
+    worker->remainingStarts = health_.isOnProbation(worker->number) ? 1 : UINT32_MAX;
 }
 
 // Removes data of jobs that have finished.
@@ -103,9 +110,15 @@
             .workers = refreshWorkers(now),
             .now = now,
             .wallMs = static_cast<uint64_t>(wallNow().count()),
+            .adviceClaims = adviceClaims_,
+            .advisors = advicePool_.callSlots(),
             .freeAdvisors = advicePool_.availableCallSlots(now),
             .endingSteps = endingSteps(now),
-            .preemptibleRuns = [this, now] { return preemptibleRuns(now); },
+            .preemptibleRunsOn =
+                [this, now](state::WorkerNumber worker) { return preemptibleRunsOn(worker, now); },
+            .preemptibleRunsOf =
+                [this, now](
+                    const state::AccountName &account) { return preemptibleRunsOf(account, now); },
             .pendingEnds = scheduling::collectPendingRunEnds(state_.works(), *batch),
         })
                                     .run();
@@ -118,6 +131,8 @@
         start->set_run(planned.run);
         start->set_worker(planned.worker.value());
         pendingTickets_[planned.task] = planned.ticket;
+        // The planner has reserved the capacity in its list; the record may still fail.
+        planWorkers_.markChanged(planned.worker);
     }
     capacityDemand_ = plan.capacityDemand;
     for (const scheduling::AdviceRequest &request : plan.adviceRequests)
@@ -128,65 +143,105 @@
     planTime_ += std::chrono::steady_clock::now() - planStart;
 }
 
-std::vector<scheduling::PreemptibleRun> WorkDispatcher::preemptibleRuns(Millis now) const
+std::vector<scheduling::PreemptibleRun> WorkDispatcher::preemptibleRunsOn(
+    state::WorkerNumber worker, Millis now) const
 {
     std::vector<scheduling::PreemptibleRun> runs;
-    for (const auto &[number, session] : sessions_) {
-        for (const auto &[task, run] : session->runs()) {
-            const state::Work *work = state_.works().find(task.step.work);
-            const schema::QueueConfig *queue =
-                work == nullptr ? nullptr : state_.workConfig().findQueue(work->queue);
-            if (queue == nullptr || queue->priority() < scheduling::DeferrablePriority)
-                continue;
-            const schema::StepSpec &spec = work->specOf(task.step);
-            const bool isStopping = run.isStopPending || run.knownState == KnownRunState::Stopped
-                || run.knownState == KnownRunState::Indeterminate || !work->isActive();
-            const bool keepsProgress = spec.checkpointing() && !spec.gang() && !spec.service()
-                && !spec.backfill() && run.knownState == KnownRunState::Confirmed;
-            if (!isStopping && (!keepsProgress || !session->isUsable()))
-                continue;
-            const Millis progressSavedAt = std::max(run.knownStateSince, run.checkpointAt);
-            runs.push_back({ task, number, work->account, state::reservationOf(spec),
-                (now - progressSavedAt).count(), isStopping });
-        }
+    const auto session = sessions_.find(worker);
+    if (session == sessions_.end())
+        return runs;
+    for (const auto &[task, known] : session->second->runs()) {
+        if (const auto run = toPreemptibleRun(*session->second, task, now))
+            runs.push_back(*run);
     }
     return runs;
 }
 
-// Steps without waiting tasks whose last running task should end soon.
+std::vector<scheduling::PreemptibleRun> WorkDispatcher::preemptibleRunsOf(
+    const state::AccountName &account, Millis now) const
+{
+    std::vector<scheduling::PreemptibleRun> runs;
+    for (const state::StepTaskRef &task : state_.works().runsOf(account)) {
+        const auto session = sessions_.find(state_.works().find(task)->worker);
+        if (session == sessions_.end())
+            continue;
+        if (const auto run = toPreemptibleRun(*session->second, task, now))
+            runs.push_back(*run);
+    }
+    return runs;
+}
+
+std::optional<scheduling::PreemptibleRun> WorkDispatcher::toPreemptibleRun(
+    const WorkerSession &session, const StepTaskRef &task, Millis now) const
+{
+    const auto known = session.runs().find(task);
+    const state::Work *work = state_.works().find(task.step.work);
+    const schema::QueueConfig *queue =
+        work == nullptr ? nullptr : state_.workConfig().findQueue(work->queue);
+    if (known == session.runs().end() || queue == nullptr
+        || queue->priority() < scheduling::DeferrablePriority)
+        return std::nullopt;
+    const SessionRun &run = known->second;
+    const schema::StepSpec &spec = work->specOf(task.step);
+    const bool isStopping = run.isStopPending || run.knownState == KnownRunState::Stopped
+        || run.knownState == KnownRunState::Indeterminate || !work->isActive();
+    const bool keepsProgress = spec.checkpointing() && !spec.gang() && !spec.service()
+        && !spec.backfill() && run.knownState == KnownRunState::Confirmed;
+    if (!isStopping && (!keepsProgress || !session.isUsable()))
+        return std::nullopt;
+    const Millis progressSavedAt = std::max(run.knownStateSince, run.checkpointAt);
+    return scheduling::PreemptibleRun{ task, session.number(), work->account,
+        state::reservationOf(spec), (now - progressSavedAt).count(), isStopping };
+}
+
+// Steps without waiting tasks whose last running task should end soon, if others wait for them.
 const std::set<state::StepRef> &WorkDispatcher::endingSteps(Millis now)
 {
     if (now < nextEndingStepsUpdate_)
         return endingSteps_;
     nextEndingStepsUpdate_ = now + EndingStepsInterval;
-    std::map<state::StepRef, Millis> left;
-    for (const auto &[number, session] : sessions_) {
-        const double slowdown = speeds_.slowdown(number);
-        for (const auto &[task, run] : session->runs()) {
-            const state::Work *work = state_.works().find(task.step.work);
-            if (work == nullptr || work->stepAt(task.step).waiting > 0)
-                continue;
-            const auto expected = static_cast<int64_t>(
-                static_cast<double>(speeds_.expectedDuration(*work, task.step).count()) * slowdown);
-            const Millis remaining =
-                run.expectedEnd().value_or(run.knownStateSince + Millis(expected)) - now;
-            Millis &longest = left[task.step];
-            longest = std::max(longest, remaining);
-        }
-    }
     endingSteps_.clear();
-    for (const auto &[step, remaining] : left) {
-        const state::Work *work = state_.works().find(step.work);
-        const schema::QueueConfig *queue = state_.workConfig().findQueue(work->queue);
-        if (queue == nullptr || !queue->has_advice())
+    for (const state::WorkSerial serial : state_.works().waiting()) {
+        const state::Work &work = *state_.works().find(serial);
+        const schema::QueueConfig *queue = state_.workConfig().findQueue(work.queue);
+        if (work.runningTasks == 0 || queue == nullptr || !queue->has_advice())
             continue;
         const double callMs = queue->advice().decision_ms() + 30 * queue->advice().per_worker_ms();
-        if (remaining <= AdviceLead + Millis(static_cast<int64_t>(callMs)))
-            endingSteps_.insert(step);
+        const Millis latestEnd = now + AdviceLead + Millis(static_cast<int64_t>(callMs));
+        for (uint32_t occurrence = 0; occurrence < work.occurrences.size(); occurrence++) {
+            for (uint32_t step = 0; step < work.occurrences[occurrence].size(); step++) {
+                const state::StepRef ref{ serial, occurrence, step };
+                if (endsBefore(work, ref, latestEnd))
+                    endingSteps_.insert(ref);
+            }
+        }
     }
     return endingSteps_;
 }
 
+// Whether tasks of the step are running and all of them should end by the given time.
+bool WorkDispatcher::endsBefore(
+    const state::Work &work, const state::StepRef &step, Millis latestEnd) const
+{
+    const state::WorkStep &state = work.stepAt(step);
+    if (state.running == 0 || state.waiting > 0)
+        return false;
+    const auto expected = static_cast<double>(speeds_.expectedDuration(work, step).count());
+    for (uint32_t i = 0; i < state.tasks.size(); i++) {
+        const auto session = sessions_.find(state.tasks[i].worker);
+        if (state.tasks[i].phase != state::RunPhase::Running || session == sessions_.end())
+            continue;
+        const auto run = session->second->runs().find({ step, i });
+        if (run == session->second->runs().end())
+            continue;
+        const Millis typicalEnd = run->second.knownStateSince
+            + Millis(static_cast<int64_t>(expected * speeds_.slowdown(state.tasks[i].worker)));
+        if (run->second.expectedEnd().value_or(typicalEnd) > latestEnd)
+            return false;
+    }
+    return true;
+}
+
 void WorkDispatcher::preempt(const StepTaskRef &task, Millis now)
 {
     const state::WorkTask *state = state_.works().find(task);
@@ -204,8 +259,9 @@
 }
 
 bool WorkDispatcher::requestAdvice(const AdviceTarget &target, const schema::AdvicePolicy &policy,
-    const std::vector<state::WorkerNumber> &workers, std::function<void(const AdviceResult &)> done)
+    const scheduling::AdviceSelection &selection, std::function<void(const AdviceResult &)> done)
 {
+    const std::vector<state::WorkerNumber> &workers = selection.workers;
     std::vector<std::string> ids;
     std::map<std::string, state::WorkerNumber> numbers;
     for (const state::WorkerNumber number : workers) {
@@ -219,11 +275,12 @@
             * 2);
     const Millis askedAt = steadyNow();
     const Millis defaultValidity(static_cast<int64_t>(policy.validity_ms()));
-    return advicePool_.requestAdvice(
+    const bool isRequested = advicePool_.requestAdvice(
         options_.advice.stepName(target.work, target.occurrence, target.step), ids, timeout,
-        guarded([this, target, workers, numbers, askedAt, defaultValidity, done](
-                    const AdviceAnswer &answer) {
+        guarded([this, target, workers, claims = selection.claims, numbers, askedAt,
+                    defaultValidity, done](const AdviceAnswer &answer) {
             const Millis now = steadyNow();
+            adviceClaims_.remove(claims);
             LogEvent("advice")
                 .with("work", target.work)
                 .with("step", target.step)
@@ -243,6 +300,9 @@
             result.ticketsExpireAt = now + validity - TicketMargin;
             done(result);
         }));
+    if (isRequested)
+        adviceClaims_.add(selection.claims);
+    return isRequested;
 }
 
 void WorkDispatcher::recordAdvice(const state::StepRef &step, const AdviceResult &result)
@@ -261,7 +321,7 @@
     if (queue == nullptr)
         return;
     const bool asked = requestAdvice({ work->id, request.step.occurrence, request.step.step },
-        queue->advice(), request.workers,
+        queue->advice(), { request.workers, request.claims },
         [this, step = request.step](const AdviceResult &result) { recordAdvice(step, result); });
     if (asked)
         permits_.markRequested(request.step);
@@ -279,8 +339,9 @@
         const schema::StepSpec &first = spec.steps(static_cast<int>(step));
         if (first.after_size() > 0)
             continue;
-        const auto asked = scheduling::selectInitialAdviceWorkers(first, queue.pool(), workers);
-        if (asked.empty())
+        const auto asked =
+            scheduling::selectInitialAdviceWorkers(first, queue.pool(), workers, adviceClaims_);
+        if (asked.workers.empty())
             continue;
         const bool isAsked = requestAdvice(
             { id, 0, step }, queue.advice(), asked, [this, id, step](const AdviceResult &result) {
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -11,6 +11,9 @@
 // Added to the end of a lease to allow for the resolution of clocks and timers.
 constexpr Millis LeaseMargin{ 60 };
 
+// Changes that require a stop are reported as they happen; this finds what was missed.
+constexpr Millis StopCheckInterval{ 500 };
+
 // Assumed speed limit, in percent, of a backfill task that an earlier leader started. Throttling
 // continues from this value.
 constexpr uint32_t AdoptedSpeedPercent = 50;
@@ -144,8 +147,10 @@
     if (work == nullptr || state == nullptr || !work->isActive() || !leaseEnd || superseded_)
         return endRun(task, schema::RUN_LOST);
     known->isStartPending = !options_.events.maySendOrders();
-    if (known->isStartPending)
+    if (known->isStartPending) {
+        hasPendingStarts_ = true;
         return;
+    }
     recordLeaseEnd(*leaseEnd);
     known->checkpoint = state->checkpoint;
     known->sendCount++;
@@ -190,6 +195,7 @@
     if (answer.result == OrderResult::Dropped) {
         known.sendCount--;
         known.isStartPending = true;
+        hasPendingStarts_ = true;
         return;
     }
     known.unansweredSends += answer.result == OrderResult::Unanswered ? 1 : 0;
@@ -224,6 +230,7 @@
             .with("run", run)
             .with("worker", options_.endpoint.id);
         known.knownState = KnownRunState::Indeterminate;
+        nextStopCheck_ = now;
         known.knownStateSince = now;
         stop(task, now);
         return setSuspect(true);
@@ -326,27 +333,44 @@
     const bool needsSecondPoll = suspect_ && now - lastPollAt_ >= retryAfter(now);
     if ((pendingPolls_ == 0 && now >= nextPollAt_) || (pendingPolls_ == 1 && needsSecondPoll))
         poll(now);
-    std::vector<StepTaskRef> pendingStarts;
+    if (hasPendingStarts_)
+        sendPendingStarts(now);
+    if (now >= nextStopCheck_)
+        sendDueStops(now);
+    const Millis answerDue = lastAnswerAt_ + options_.times.pollWait
+        + options_.times.pollTimeoutMargin + options_.times.minPollInterval;
+    if (now <= answerDue || !hasLeaseExpired(now))
+        return;
+    for (const auto &[task, known] : std::map(runs_))
+        endRun(task, schema::RUN_LAPSED);
+}
+
+void WorkerSession::sendPendingStarts(Millis now)
+{
+    hasPendingStarts_ = false;
+    std::vector<StepTaskRef> pending;
     for (const auto &[task, known] : runs_) {
         if (known.isStartPending)
-            pendingStarts.push_back(task);
+            pending.push_back(task);
     }
-    for (const StepTaskRef &task : pendingStarts)
+    for (const StepTaskRef &task : pending)
         sendStart(task, &runs_.at(task), now);
+}
+
+void WorkerSession::sendDueStops(Millis now)
+{
+    nextStopCheck_ = now + StopCheckInterval;
     for (auto &[task, known] : runs_) {
         const state::Work *work = options_.table.find(task.step.work);
         const bool mustStop = known.knownState == KnownRunState::Indeterminate || work == nullptr
             || !work->isActive();
-        if (mustStop && !known.isStopPending && known.knownState != KnownRunState::Stopped
+        if (!mustStop)
+            continue;
+        nextStopCheck_ = now;
+        if (!known.isStopPending && known.knownState != KnownRunState::Stopped
             && now - known.lastStopAt >= options_.times.stopRetryInterval)
             stop(task, now);
     }
-    const Millis answerDue = lastAnswerAt_ + options_.times.pollWait
-        + options_.times.pollTimeoutMargin + options_.times.minPollInterval;
-    if (now <= answerDue || !hasLeaseExpired(now))
-        return;
-    for (const auto &[task, known] : std::map(runs_))
-        endRun(task, schema::RUN_LAPSED);
 }
 
 void WorkerSession::endRun(const StepTaskRef &task, schema::RunOutcome outcome)
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -68,6 +68,8 @@
     // A run in the table has ended.
     std::function<void(const StepTaskRef &, uint32_t run, schema::RunOutcome, const std::string &)>
         onRunEnd;
+    // The worker has listed ends that were not listed before.
+    std::function<void()> onEndsListed = [] {};
     // The worker has become usable or suspect.
     std::function<void()> onAvailabilityChanged;
     // The worker has seen orders of a newer leader.
@@ -177,6 +179,9 @@
     // expired.
     void tick(Millis now);
 
+    // Called when a run of the table may have to be stopped, because its job is no longer active.
+    void checkStops() { nextStopCheck_ = Millis(); }
+
     // Called once ends up to this number are committed.
     void ackEnds(uint64_t number);
     // Called when the record of a run's end has been applied.
@@ -192,6 +197,7 @@
     const std::map<StepTaskRef, SessionRun> &runs() const { return runs_; }
     // Sum over the worker's backfill tasks.
     int64_t backfillMillicores() const;
+    WorkerNumber number() const { return options_.number; }
     const WorkerEndpoint &endpoint() const { return options_.endpoint; }
     uint64_t incarnationStartMs() const { return options_.incarnationStartMs; }
     uint64_t highestEndSequence() const { return highestEndSequence_; }
@@ -220,6 +226,8 @@
     void applyEnds(const PollAnswer &answer);
     bool isStartWanted(const StepTaskRef &task, uint32_t run) const;
     void handleStartAnswer(const StepTaskRef &task, uint32_t run, const OrderAnswer &answer);
+    void sendPendingStarts(Millis now);
+    void sendDueStops(Millis now);
     void sendStop(const StepTaskRef &task, uint32_t run, const TaskName &name);
     void stopStrayRun(const TaskName &name, uint32_t run, Millis now);
     void endRun(const StepTaskRef &task, schema::RunOutcome outcome);
@@ -255,6 +263,9 @@
     uint64_t ackedEndSequence_ = 0;
     uint64_t highestEndSequence_ = 0;
     std::map<StepTaskRef, SessionRun> runs_;
+    bool hasPendingStarts_ = false;
+    // When the runs are next searched for those that must be stopped.
+    Millis nextStopCheck_;
     // Runs that have ended and whose end is not applied yet.
     std::set<state::RunRef> unappliedEnds_;
     std::map<TaskName, Millis> strayStops_;
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -109,7 +109,10 @@
 void WorkerSession::applyEnds(const PollAnswer &answer)
 {
     for (const EndReport &report : answer.ended) {
-        highestEndSequence_ = std::max(highestEndSequence_, report.sequence);
+        if (report.sequence > highestEndSequence_) {
+            highestEndSequence_ = report.sequence;
+            options_.events.onEndsListed();
+        }
         const auto task = taskOf(report.task);
         if (!task)
             continue;
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -9,6 +9,7 @@
 
 #include "Basilgap/Common/Ids.h"
 #include "Basilgap/Common/Millis.h"
+#include "Basilgap/Scheduling/AdviceClaims.h"
 #include "Basilgap/Scheduling/DurationEstimator.h"
 #include "Basilgap/Scheduling/PendingRunEnds.h"
 #include "Basilgap/Scheduling/PermitCache.h"
@@ -72,13 +73,17 @@
     std::vector<StepWorker> &workers;
     Millis now;
     uint64_t wallMs = 0;
-    // Advice requests that may start now.
+    const AdviceClaims &adviceClaims;
+    // Processes that can request advice, and how many of them are free.
+    size_t advisors = 0;
     size_t freeAdvisors = 0;
     // Steps whose running tasks are expected to end soon: advice for their successors is
     // prefetched.
     std::set<StepRef> endingSteps;
-    // Returns the preemptible runs; called when urgent work finds no capacity.
-    std::function<std::vector<PreemptibleRun>()> preemptibleRuns;
+    // Return the preemptible runs on a worker and of an account; called when urgent work finds no
+    // capacity there.
+    std::function<std::vector<PreemptibleRun>(WorkerNumber)> preemptibleRunsOn;
+    std::function<std::vector<PreemptibleRun>(const state::AccountName &)> preemptibleRunsOf;
     // Run ends that go into the same log record as the plan.
     PendingRunEnds pendingEnds;
 };
@@ -98,12 +103,14 @@
 {
     StepRef step;
     std::vector<WorkerNumber> workers;
+    std::vector<AdviceClaim> claims;
 };
 
 // A worker that advice may be requested for.
 struct AdviceCandidate
 {
     WorkerNumber number;
+    // Free capacity that no other step has claimed.
     Resources freeCapacity;
     // Advice has granted the worker before, but its ticket has expired.
     bool wasGranted = false;
@@ -111,14 +118,21 @@
 
 bool hasRequiredLabel(const StepWorker &worker, const schema::StepSpec &spec);
 
+// The workers that a request names, and the capacity that it claims on them.
+struct AdviceSelection
+{
+    std::vector<WorkerNumber> workers;
+    std::vector<AdviceClaim> claims;
+};
+
 // Selects the workers to request advice for, given the number of tasks of the step that need one.
-std::vector<WorkerNumber> selectAdviceWorkers(
+AdviceSelection selectAdviceWorkers(
     const schema::StepSpec &spec, std::vector<AdviceCandidate> options, uint32_t missing);
 
 // Selects the workers for the first request of a step, while its job is still being written to the
 // log.
-std::vector<WorkerNumber> selectInitialAdviceWorkers(
-    const schema::StepSpec &spec, const std::string &pool, const std::vector<StepWorker> &workers);
+AdviceSelection selectInitialAdviceWorkers(const schema::StepSpec &spec, const std::string &pool,
+    const std::vector<StepWorker> &workers, const AdviceClaims &claims);
 
 struct StepPlan
 {
@@ -157,6 +171,14 @@
         bool operator<(const Candidate &other) const;
     };
 
+    // Runs that may be preempted, those that lose the least progress first.
+    struct PreemptibleRuns
+    {
+        std::vector<PreemptibleRun> runs;
+        // Capacity that stopping runs will free, less what is already planned for other tasks.
+        Resources stopping;
+    };
+
     void collectCandidates();
     void addCandidates(const state::Work &work);
     void loadCapacity();
@@ -176,12 +198,20 @@
     void preemptForCapacity(const Candidate &candidate, uint32_t missing);
     bool preemptOnWorker(
         const Candidate &candidate, const Resources &reservation, const StepWorker &worker);
-    void loadPreemptibleRuns();
-    void preemptRun(PreemptibleRun *run);
+    PreemptibleRuns &preemptibleOn(WorkerNumber worker);
+    PreemptibleRuns &preemptibleOf(const state::AccountName &account);
+    PreemptibleRuns toPreemptibleRuns(std::vector<PreemptibleRun> runs) const;
+    bool isStopping(const PreemptibleRun &run) const;
+    void preemptRun(const PreemptibleRun &run);
     void planStart(const Candidate &candidate, uint32_t index, uint32_t run, StepWorker *worker);
     // Undoes the changes of planStart() to the worker.
     void undoStart(const Candidate &candidate, StepWorker *worker);
     void requestAdvice(const Candidate &candidate, uint32_t missing);
+    bool mayRequestAdvice(const Candidate &candidate) const;
+    std::vector<AdviceCandidate> prefetchOptions(const Candidate &candidate);
+    std::vector<AdviceCandidate> adviceOptions(const Candidate &candidate);
+    void loadUnclaimedRoom();
+    void addClaims(const std::vector<AdviceClaim> &claims);
     void recordCapacityDemand(const Candidate &candidate);
     uint32_t tasksOn(const StepRef &step, WorkerNumber worker) const;
 
@@ -189,13 +219,18 @@
     StepPlan plan_;
     Resources capacity_;
     Resources freeCapacity_;
-    // Loaded when urgent work finds no capacity; runs that lose the least progress come first.
-    std::optional<std::vector<PreemptibleRun>> preemptibleRuns_;
-    std::map<WorkerNumber, std::vector<PreemptibleRun *>> preemptibleByWorker_;
-    std::map<state::AccountName, std::vector<PreemptibleRun *>> preemptibleByAccount_;
-    // Capacity that stopping runs will free, less what is already planned for other tasks.
-    std::map<state::AccountName, Resources> stoppingByAccount_;
-    std::map<WorkerNumber, Resources> stoppingByWorker_;
+    // Workers with free capacity when the first step asks for advice, and what steps claim there.
+    struct UnclaimedRoom
+    {
+        StepWorker *worker = nullptr;
+        Resources claimed;
+
+        Resources unclaimed() const { return worker->freeCapacity() - claimed; }
+    };
+    std::optional<std::vector<UnclaimedRoom>> unclaimedRoom_;
+    std::map<WorkerNumber, PreemptibleRuns> preemptibleByWorker_;
+    std::map<state::AccountName, PreemptibleRuns> preemptibleByAccount_;
+    std::set<StepTaskRef> preempted_;
     std::vector<Candidate> candidates_;
     std::map<state::AccountName, Resources> plannedUsage_;
     std::map<std::pair<StepRef, WorkerNumber>, uint32_t> plannedTasks_;
--- a/Source/Basilgap/Scheduling/StepPreemption.cpp
+++ b/Source/Basilgap/Scheduling/StepPreemption.cpp
@@ -7,31 +7,51 @@
 
 namespace basilgap::scheduling {
 
-void StepPlanner::loadPreemptibleRuns()
+bool StepPlanner::isStopping(const PreemptibleRun &run) const
 {
-    if (preemptibleRuns_)
-        return;
-    preemptibleRuns_ = input_.preemptibleRuns();
-    std::sort(preemptibleRuns_->begin(), preemptibleRuns_->end(),
+    return run.isStopping || preempted_.contains(run.task);
+}
+
+StepPlanner::PreemptibleRuns StepPlanner::toPreemptibleRuns(std::vector<PreemptibleRun> runs) const
+{
+    PreemptibleRuns result{ .runs = std::move(runs) };
+    std::sort(result.runs.begin(), result.runs.end(),
         [](const PreemptibleRun &left, const PreemptibleRun &right) {
             return std::tie(left.lostWorkMs, left.task) < std::tie(right.lostWorkMs, right.task);
         });
-    for (PreemptibleRun &run : *preemptibleRuns_) {
-        preemptibleByWorker_[run.worker].push_back(&run);
-        preemptibleByAccount_[run.account].push_back(&run);
-        if (!run.isStopping)
-            continue;
-        stoppingByAccount_[run.account] += run.reservation;
-        stoppingByWorker_[run.worker] += run.reservation;
+    for (const PreemptibleRun &run : result.runs) {
+        if (isStopping(run))
+            result.stopping += run.reservation;
     }
+    return result;
+}
+
+StepPlanner::PreemptibleRuns &StepPlanner::preemptibleOn(WorkerNumber worker)
+{
+    const auto known = preemptibleByWorker_.find(worker);
+    if (known != preemptibleByWorker_.end())
+        return known->second;
+    return preemptibleByWorker_[worker] = toPreemptibleRuns(input_.preemptibleRunsOn(worker));
+}
+
+StepPlanner::PreemptibleRuns &StepPlanner::preemptibleOf(const state::AccountName &account)
+{
+    const auto known = preemptibleByAccount_.find(account);
+    if (known != preemptibleByAccount_.end())
+        return known->second;
+    return preemptibleByAccount_[account] = toPreemptibleRuns(input_.preemptibleRunsOf(account));
 }
 
-void StepPlanner::preemptRun(PreemptibleRun *run)
+void StepPlanner::preemptRun(const PreemptibleRun &run)
 {
-    run->isStopping = true;
-    plan_.preemptions.push_back(run->task);
-    stoppingByAccount_[run->account] += run->reservation;
-    stoppingByWorker_[run->worker] += run->reservation;
+    preempted_.insert(run.task);
+    plan_.preemptions.push_back(run.task);
+    const auto ofWorker = preemptibleByWorker_.find(run.worker);
+    if (ofWorker != preemptibleByWorker_.end())
+        ofWorker->second.stopping += run.reservation;
+    const auto ofAccount = preemptibleByAccount_.find(run.account);
+    if (ofAccount != preemptibleByAccount_.end())
+        ofAccount->second.stopping += run.reservation;
 }
 
 // The account's limit is reached: its own deferrable runs are preempted for its urgent ones.
@@ -39,19 +59,15 @@
 {
     if (candidate.priority >= DeferrablePriority || candidate.latenessBand > 1)
         return;
-    loadPreemptibleRuns();
     const Resources wanted = state::reservationOf(candidate.work->specOf(candidate.ref)) * missing;
-    Resources &stopping = stoppingByAccount_[candidate.work->account];
-    std::vector<PreemptibleRun *> &own = preemptibleByAccount_[candidate.work->account];
-    for (PreemptibleRun *run : own) {
-        if (wanted.fitsIn(stopping))
+    PreemptibleRuns &own = preemptibleOf(candidate.work->account);
+    for (const PreemptibleRun &run : own.runs) {
+        if (wanted.fitsIn(own.stopping))
             break;
-        if (!run->isStopping)
+        if (!isStopping(run))
             preemptRun(run);
     }
-    // Drop the runs that are stopping by now.
-    std::erase_if(own, [](const PreemptibleRun *run) { return run->isStopping; });
-    stopping -= wanted;
+    own.stopping -= wanted;
 }
 
 // No eligible worker has free capacity: deferrable runs are preempted on workers where that frees
@@ -60,7 +76,6 @@
 {
     if (candidate.priority >= DeferrablePriority || candidate.latenessBand > 1)
         return;
-    loadPreemptibleRuns();
     const Resources reservation = state::reservationOf(candidate.work->specOf(candidate.ref));
     if (candidate.queue->has_advice()) {
         for (const auto &[number, ticket] : input_.permits.permitsFor(candidate.ref).tickets()) {
@@ -83,21 +98,22 @@
 {
     if (!mayRun(worker, candidate))
         return false;
-    Resources freeCapacity = worker.freeCapacity() + stoppingByWorker_[worker.number];
-    std::vector<PreemptibleRun *> victims;
-    for (PreemptibleRun *run : preemptibleByWorker_[worker.number]) {
+    PreemptibleRuns &preemptible = preemptibleOn(worker.number);
+    Resources freeCapacity = worker.freeCapacity() + preemptible.stopping;
+    std::vector<const PreemptibleRun *> victims;
+    for (const PreemptibleRun &run : preemptible.runs) {
         if (reservation.fitsIn(freeCapacity))
             break;
-        if (run->isStopping)
+        if (isStopping(run))
             continue;
-        victims.push_back(run);
-        freeCapacity += run->reservation;
+        victims.push_back(&run);
+        freeCapacity += run.reservation;
     }
     if (!reservation.fitsIn(freeCapacity))
         return false;
-    for (PreemptibleRun *victim : victims)
-        preemptRun(victim);
-    stoppingByWorker_[worker.number] -= reservation;
+    for (const PreemptibleRun *victim : victims)
+        preemptRun(*victim);
+    preemptible.stopping -= reservation;
     return true;
 }
 
--- a/Source/Basilgap/Scheduling/WorkerHealth.cpp
+++ b/Source/Basilgap/Scheduling/WorkerHealth.cpp
@@ -46,6 +46,14 @@
     return found != records_.end() && now < found->second.quarantinedUntil;
 }
 
+std::vector<state::WorkerNumber> WorkerHealth::workersWithFailures() const
+{
+    std::vector<state::WorkerNumber> workers;
+    for (const auto &[worker, record] : records_)
+        workers.push_back(worker);
+    return workers;
+}
+
 bool WorkerHealth::isOnProbation(state::WorkerNumber worker) const
 {
     const auto found = records_.find(worker);
--- a/Source/Basilgap/Scheduling/WorkerHealth.h
+++ b/Source/Basilgap/Scheduling/WorkerHealth.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <vector>
 
 #include "Basilgap/Common/Ids.h"
 #include "Basilgap/Common/Millis.h"
@@ -45,6 +46,7 @@
     bool isQuarantined(state::WorkerNumber worker, Millis now) const;
     // No task has failed there since the last success.
     bool hasNoFailures(state::WorkerNumber worker) const { return !records_.contains(worker); }
+    std::vector<state::WorkerNumber> workersWithFailures() const;
     // Quarantined before, without a success since.
     bool isOnProbation(state::WorkerNumber worker) const;
 
--- a/Source/Basilgap/State/WorkSnapshot.cpp
+++ b/Source/Basilgap/State/WorkSnapshot.cpp
@@ -96,7 +96,9 @@
                     step.running++;
                     work.runningTasks++;
                     running_++;
-                    runs_[task.worker][{ { work.serial, occurrence, i }, t }] = task.run;
+                    const StepTaskRef ref{ { work.serial, occurrence, i }, t };
+                    runs_[task.worker][ref] = task.run;
+                    runsByAccount_[work.account].insert(ref);
                     reserved_[task.worker] += reservationOf(spec);
                     usage_[work.account] += Resources{ static_cast<int64_t>(spec.millicores()),
                         static_cast<int64_t>(spec.memory_mb()),
@@ -108,7 +110,9 @@
             finished_.emplace(work.finishedMs, work.serial);
         byId_[work.id] = work.serial;
         const WorkSerial serial = work.serial;
-        updateIndexes(works_.emplace(serial, std::move(work)).first->second);
+        Work &stored = works_.emplace(serial, std::move(work)).first->second;
+        addToIndex(&stored);
+        updateIndexes(stored);
     }
 }
 
--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -48,10 +48,20 @@
     byId_[work.id] = work.serial;
     outcome.set_job(work.serial.value());
     const WorkSerial serial = work.serial;
-    updateIndexes(works_.emplace(serial, std::move(work)).first->second);
+    Work &stored = works_.emplace(serial, std::move(work)).first->second;
+    addToIndex(&stored);
+    updateIndexes(stored);
     return outcome;
 }
 
+void WorkTable::addToIndex(Work *work)
+{
+    if (bySerial_.empty())
+        firstIndexed_ = work->serial.value();
+    bySerial_.resize(work->serial.value() - firstIndexed_ + 1, nullptr);
+    bySerial_.back() = work;
+}
+
 void WorkTable::buildSteps(Work *work)
 {
     const uint32_t occurrences = std::max(1U, work->spec.occurrences());
@@ -141,6 +151,7 @@
     work.started = true;
     const schema::StepSpec &spec = work.specOf(ref.step);
     runs_[worker][ref] = start.run();
+    runsByAccount_[work.account].insert(ref);
     reserved_[worker] += reservationOf(spec);
     usage_[work.account] += Resources{ static_cast<int64_t>(spec.millicores()),
         static_cast<int64_t>(spec.memory_mb()), static_cast<int64_t>(spec.accelerators()) };
@@ -168,6 +179,10 @@
             }
         }
     }
+    const auto ofAccount = runsByAccount_.find(work->account);
+    ofAccount->second.erase(ref);
+    if (ofAccount->second.empty())
+        runsByAccount_.erase(ofAccount);
     usage_[work->account] -= Resources{ static_cast<int64_t>(spec.millicores()),
         static_cast<int64_t>(spec.memory_mb()), static_cast<int64_t>(spec.accelerators()) };
     step.running--;
@@ -294,7 +309,12 @@
         if (found == works_.end())
             continue;
         byId_.erase(found->second.id);
+        bySerial_[found->first.value() - firstIndexed_] = nullptr;
         works_.erase(found);
+        while (!bySerial_.empty() && bySerial_.front() == nullptr) {
+            bySerial_.pop_front();
+            firstIndexed_++;
+        }
     }
 }
 
@@ -306,8 +326,9 @@
 
 const Work *WorkTable::find(WorkSerial serial) const
 {
-    const auto found = works_.find(serial);
-    return found == works_.end() ? nullptr : &found->second;
+    const uint64_t position = serial.value() - firstIndexed_;
+    return serial.value() < firstIndexed_ || position >= bySerial_.size() ? nullptr
+                                                                          : bySerial_[position];
 }
 
 const WorkTask *WorkTable::find(const StepTaskRef &task) const
@@ -356,6 +377,13 @@
     return found == reserved_.end() ? Resources() : found->second;
 }
 
+const std::set<StepTaskRef> &WorkTable::runsOf(const AccountName &account) const
+{
+    static const std::set<StepTaskRef> none;
+    const auto found = runsByAccount_.find(account);
+    return found == runsByAccount_.end() ? none : found->second;
+}
+
 Resources WorkTable::usageOf(const AccountName &account) const
 {
     const auto found = usage_.find(account);
--- a/Source/Basilgap/State/WorkTable.h
+++ b/Source/Basilgap/State/WorkTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -122,6 +123,12 @@
 class WorkTable
 {
 public:
+    WorkTable() = default;
+    WorkTable(const WorkTable &) = delete;
+    WorkTable &operator=(const WorkTable &) = delete;
+    WorkTable(WorkTable &&) = default;
+    WorkTable &operator=(WorkTable &&) = default;
+
     schema::CommandOutcome submit(const schema::SubmitWork &command, uint64_t stampMs);
     schema::CommandOutcome cancel(const schema::CancelWork &command, uint64_t stampMs);
     void apply(const schema::RunBatch &batch, uint64_t stampMs);
@@ -150,6 +157,8 @@
     // numbers.
     const std::map<StepTaskRef, uint32_t> &runsOn(WorkerNumber worker) const;
     Resources reservedOn(WorkerNumber worker) const;
+    // Tasks of the account that have a run which has not ended.
+    const std::set<StepTaskRef> &runsOf(const AccountName &account) const;
     Resources usageOf(const AccountName &account) const;
     size_t runningTasks() const { return running_; }
     uint64_t oldestFinishMs() const;
@@ -168,8 +177,12 @@
     void finishIfDone(Work *work, uint64_t stampMs);
     void updateIndexes(const Work &work);
     static void buildSteps(Work *work);
+    void addToIndex(Work *work);
 
     std::map<WorkSerial, Work> works_;
+    // The entries of works_ by serial number, from firstIndexed_ on; null for removed ones.
+    std::deque<Work *> bySerial_;
+    uint64_t firstIndexed_ = 1;
     std::unordered_map<std::string, WorkSerial> byId_;
     uint64_t nextSerial_ = 1;
     std::set<WorkSerial> waiting_;
@@ -180,6 +193,7 @@
     std::map<WorkerNumber, std::map<StepTaskRef, uint32_t>> runs_;
     std::map<WorkerNumber, Resources> reserved_;
     std::map<AccountName, Resources> usage_;
+    std::map<AccountName, std::set<StepTaskRef>> runsByAccount_;
     std::multimap<uint64_t, WorkSerial> finished_;
     size_t running_ = 0;
 };
--- a/Source/Benchmarks/PlacementBench.cpp
+++ b/Source/Benchmarks/PlacementBench.cpp
@@ -70,7 +70,7 @@
     return reserved.dominantShareOf(capacity);
 }
 
-double packingOfNaive(SchedulerFixture cell, scheduling::ReferenceScheduler *naive)
+double packingOfNaive(const SchedulerFixture &cell, scheduling::ReferenceScheduler *naive)
 {
     Resources reserved;
     Resources capacity;
--- a/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
@@ -203,6 +203,21 @@
     EXPECT_EQ(port.stops.size(), stops);
 }
 
+// A change that nobody reports to the session is found too, a little later.
+TEST_F(WorkerSessionTest, runsOfACanceledJobAreStoppedWithoutAReport)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    schema::CancelWork cancel;
+    cancel.set_id(WorkId);
+    table.cancel(cancel, 3);
+    advanceAndTick(1000);
+    EXPECT_EQ(port.stops.size(), 1U);
+}
+
 TEST_F(WorkerSessionTest, runsOfACanceledJobAreStopped)
 {
     openSession();
@@ -213,6 +228,7 @@
     schema::CancelWork cancel;
     cancel.set_id(WorkId);
     table.cancel(cancel, 3);
+    session->checkStops();
     advanceAndTick(20);
     ASSERT_EQ(port.stops.size(), 1U);
     port.stops[0].done({ OrderResult::Accepted, now });
@@ -223,7 +239,6 @@
     ASSERT_EQ(ends.size(), 1U);
 }
 
-} // namespace
 // A start that waits for a connection is not given up: it is sent once there is one.
 TEST_F(WorkerSessionTest, droppedStartIsSentAgainOnceOrdersAreAllowed)
 {
@@ -264,4 +279,5 @@
     EXPECT_EQ(port.polls.size(), 3U);
 }
 
+} // namespace
 } // namespace basilgap::dispatch
--- a/Source/UnitTests/Scheduling/StepAdviceTest.cpp
+++ b/Source/UnitTests/Scheduling/StepAdviceTest.cpp
@@ -44,14 +44,14 @@
     spec.set_count(3);
     spec.set_millicores(1000);
     spec.set_required_label("even");
-    const auto requested = selectInitialAdviceWorkers(spec, "pool", workers);
+    const auto requested = selectInitialAdviceWorkers(spec, "pool", workers, adviceClaims).workers;
     EXPECT_EQ(requested.size(), 13U);
     for (const WorkerNumber number : requested) {
         EXPECT_EQ(number.value() % 2, 0U);
         EXPECT_GT(number.value(), 4U);
         EXPECT_LE(number.value(), 30U);
     }
-    EXPECT_TRUE(selectInitialAdviceWorkers(spec, "other", workers).empty());
+    EXPECT_TRUE(selectInitialAdviceWorkers(spec, "other", workers, adviceClaims).workers.empty());
 }
 
 TEST_F(StepAdviceTest, urgentWorkAtTheAccountLimitPreemptsItsOwnDeferrableRuns)
@@ -142,5 +142,68 @@
     EXPECT_EQ(prefetched.adviceRequests[0].step.step, 1U);
 }
 
+// Load pattern: overload. Many steps wait for capacity; each request for advice takes long, and its
+// tickets expire. Asking for every step would keep all advisors busy for nothing.
+TEST_F(StepAdviceTest, requestsFollowTheFreeCapacityNotTheNumberOfWaitingSteps)
+{
+    constexpr size_t FullSteps = 20;
+    addWorkers(40, 4000);
+    configCommand.mutable_config()->mutable_queues(0)->mutable_advice()->set_validity_ms(2000);
+    advisors = freeAdvisors = 1000;
+    for (int i = 0; i < 500; i++)
+        submit("urgent", 4, 2000);
+    const StepPlan first = plan();
+    EXPECT_GE(first.adviceRequests.size(), FullSteps);
+    EXPECT_LE(first.adviceRequests.size(), 2 * FullSteps);
+    // While these are pending, a later plan asks for little more.
+    size_t requests = first.adviceRequests.size();
+    for (const AdviceRequest &request : first.adviceRequests) {
+        permits.markRequested(request.step);
+        adviceClaims.add(request.claims);
+    }
+    requests += plan().adviceRequests.size();
+    EXPECT_LE(requests, 2 * FullSteps);
+    // Once they are answered, their claims are free again.
+    for (const AdviceRequest &request : first.adviceRequests)
+        adviceClaims.remove(request.claims);
+    EXPECT_GE(plan().adviceRequests.size(), FullSteps);
+}
+
+// Load pattern: many steps are submitted at once. Without claims all would ask for the same
+// workers, those with the most free capacity.
+TEST_F(StepAdviceTest, firstRequestsOfABurstAreSpreadOverTheWorkers)
+{
+    addWorkers(200, 8000);
+    schema::StepSpec spec;
+    spec.set_count(8);
+    spec.set_millicores(4000);
+    std::set<WorkerNumber> named;
+    for (int step = 0; step < 40; step++) {
+        const AdviceSelection selection =
+            selectInitialAdviceWorkers(spec, "pool", workers, adviceClaims);
+        named.insert(selection.workers.begin(), selection.workers.end());
+        adviceClaims.add(selection.claims);
+    }
+    EXPECT_EQ(named.size(), 200U);
+}
+
+TEST_F(StepAdviceTest, deferrableStepsLeaveAdvisorsToUrgentOnes)
+{
+    addWorkers(100, 64000);
+    for (int queue = 0; queue < 2; queue++)
+        configCommand.mutable_config()->mutable_queues(queue)->mutable_advice()->set_validity_ms(
+            2000);
+    advisors = freeAdvisors = 16;
+    for (int i = 0; i < 40; i++)
+        submit("deferrable", 1, 1000);
+    EXPECT_EQ(plan().adviceRequests.size(), 12U);
+    freeAdvisors = 4;
+    EXPECT_TRUE(plan().adviceRequests.empty());
+    const StepRef urgentStep = submit("urgent", 1, 1000);
+    const StepPlan urgentPlan = plan();
+    ASSERT_EQ(urgentPlan.adviceRequests.size(), 1U);
+    EXPECT_EQ(urgentPlan.adviceRequests[0].step, urgentStep);
+}
+
 } // namespace
 } // namespace basilgap::scheduling
--- a/Source/UnitTests/Scheduling/StepPlannerFixture.h
+++ b/Source/UnitTests/Scheduling/StepPlannerFixture.h
@@ -81,14 +81,36 @@
                                .workers = current,
                                .now = Now,
                                .wallMs = Wall,
-                               .freeAdvisors = 4,
+                               .adviceClaims = adviceClaims,
+                               .advisors = advisors,
+                               .freeAdvisors = freeAdvisors,
                                .endingSteps = endingSteps,
-                               .preemptibleRuns = [this] { return preemptibleRuns; },
+                               .preemptibleRunsOn =
+                                   [this](WorkerNumber worker) {
+                                       return preemptibleRunsWith([&](const PreemptibleRun &run) {
+                                           return run.worker == worker;
+                                       });
+                                   },
+                               .preemptibleRunsOf =
+                                   [this](const state::AccountName &account) {
+                                       return preemptibleRunsWith([&](const PreemptibleRun &run) {
+                                           return run.account == account;
+                                       });
+                                   },
                                .pendingEnds = collectPendingRunEnds(table, ends),
                            })
             .run();
     }
 
+    std::vector<PreemptibleRun> preemptibleRunsWith(
+        const std::function<bool(const PreemptibleRun &)> &matches) const
+    {
+        std::vector<PreemptibleRun> matching;
+        std::copy_if(
+            preemptibleRuns.begin(), preemptibleRuns.end(), std::back_inserter(matching), matches);
+        return matching;
+    }
+
     void apply(const StepPlan &plan)
     {
         schema::RunBatch batch;
@@ -125,6 +147,9 @@
     state::WorkTable table;
     state::WorkConfigState config;
     PermitCache permits;
+    AdviceClaims adviceClaims;
+    size_t advisors = 4;
+    size_t freeAdvisors = 4;
     WorkerHealth health;
     DurationEstimator durations;
     UrgentDemand urgent{ DeferrablePriority };
--- a/Source/UnitTests/State/CellStateTest.cpp
+++ b/Source/UnitTests/State/CellStateTest.cpp
@@ -125,7 +125,7 @@
         if (i % 17 == 0) {
             CellState restored;
             RC_ASSERT(restored.restore(other.save()));
-            other = restored;
+            other = std::move(restored);
         }
         RC_ASSERT(other.save() == state.save());
     }
--- a/Source/UnitTests/State/WorkTableTest.cpp
+++ b/Source/UnitTests/State/WorkTableTest.cpp
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <numeric>
 #include <random>
+#include <set>
 
 #include "Basilgap/State/CellState.h"
 
@@ -210,11 +212,47 @@
                 static_cast<int64_t>(running) * 1000);
             EXPECT_EQ(state->works().usageOf(AccountName("team")).memoryMb,
                 static_cast<int64_t>(running) * 100);
+            EXPECT_EQ(state->works().runsOf(AccountName("team")).size(), running);
             EXPECT_EQ(state->works().waiting(), waiting);
         }
     }
 }
 
+// Load pattern: thousands of jobs a minute, of which the finished ones are removed in an order that
+// is not that of their submission.
+TEST(WorkTable, findsJobsBySerialWhileOthersExpire)
+{
+    constexpr uint64_t Jobs = 200;
+    constexpr uint64_t Retention = 100;
+    WorkTable table;
+    for (uint64_t i = 1; i <= Jobs; i++)
+        table.submit(submitWorkCommand("job" + std::to_string(i), { 1 }), i);
+    std::vector<uint64_t> order(Jobs);
+    std::iota(order.begin(), order.end(), 1);
+    std::shuffle(order.begin(), order.end(), std::mt19937(20261204));
+    std::set<uint64_t> left(order.begin(), order.end());
+    uint64_t now = 1000;
+    for (const uint64_t serial : order) {
+        schema::CancelWork cancel;
+        cancel.set_id("job" + std::to_string(serial));
+        table.cancel(cancel, now);
+        table.expire(now + Retention + 1, Retention);
+        now += Retention + 2;
+        left.erase(serial);
+        if (serial % 20 == 0)
+            table.restore(table.save());
+        for (uint64_t i = 0; i <= Jobs + 1; i++) {
+            const Work *found = table.find(WorkSerial(i));
+            ASSERT_EQ(found != nullptr, left.contains(i)) << i;
+            if (found != nullptr) {
+                ASSERT_EQ(found->serial, WorkSerial(i));
+            }
+        }
+    }
+    table.submit(submitWorkCommand("next", { 1 }), now);
+    EXPECT_NE(table.find(WorkSerial(Jobs + 1)), nullptr);
+}
+
 TEST(WorkConfigState, keepsTheHighestVersion)
 {
     WorkConfigState state;
