Scan only workers with room for a step, and measure planning rounds by fleet size

Cause: a queue without an advisor scanned all workers for each task, and each urgent step that found no room tried preemption on every worker, in each round.

Ruled out: an index by free capacity kept between rounds (a round reads each worker once for the totals anyway).

Change: the workers with room are collected once a round, those that fit a step once a step. A step whose reservation is not below one for which preemption found no worker is not tried again in that round.

--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -66,11 +66,14 @@
 
 void StepPlanner::loadCapacity()
 {
-    for (const StepWorker &worker : input_.workers) {
+    for (StepWorker &worker : input_.workers) {
         if (!worker.schedulable)
             continue;
         capacity_ += worker.capacity;
         freeCapacity_ += worker.freeCapacity();
+        // A backfill task needs memory only.
+        if (worker.freeCapacity().memoryMb > 0)
+            workersWithRoom_.push_back(&worker);
     }
 }
 
@@ -201,24 +204,28 @@
 }
 
 std::vector<StepWorker *> StepPlanner::candidateWorkers(
-    const Candidate &candidate, bool needsTicket)
+    const Candidate &candidate, const Resources &reservation)
 {
     std::vector<StepWorker *> options;
-    if (needsTicket) {
-        for (const auto &[number, ticket] : input_.permits.permitsFor(candidate.ref).tickets()) {
-            StepWorker *worker = ticket.expiresAt > input_.now ? findWorker(number) : nullptr;
-            if (worker != nullptr)
-                options.push_back(worker);
-        }
+    const auto addIfFits = [&](StepWorker *worker) {
+        if (worker != nullptr && reservation.fitsIn(worker->freeCapacity())
+            && mayRun(*worker, candidate))
+            options.push_back(worker);
+    };
+    if (!candidate.queue->has_advice()) {
+        for (StepWorker *worker : workersWithRoom_)
+            addIfFits(worker);
         return options;
     }
-    for (StepWorker &worker : input_.workers)
-        options.push_back(&worker);
+    for (const auto &[number, ticket] : input_.permits.permitsFor(candidate.ref).tickets()) {
+        if (ticket.expiresAt > input_.now)
+            addIfFits(findWorker(number));
+    }
     return options;
 }
 
-StepWorker *StepPlanner::chooseWorker(
-    const Candidate &candidate, const Resources &reservation, bool needsTicket)
+StepWorker *StepPlanner::chooseWorker(const Candidate &candidate, const Resources &reservation,
+    const std::vector<StepWorker *> &options)
 {
     const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
     const auto failedOn = input_.health.failedOn().find(JobId(candidate.work->serial.value()));
@@ -228,7 +235,7 @@
     std::tuple<bool, double, int64_t> bestScore;
     if (!leavesHeadroom(candidate, reservation))
         return nullptr;
-    for (StepWorker *option : candidateWorkers(candidate, needsTicket)) {
+    for (StepWorker *option : options) {
         StepWorker &worker = *option;
         if (!reservation.fitsIn(worker.freeCapacity()) || !mayRun(worker, candidate))
             continue;
@@ -289,6 +296,7 @@
     const state::WorkStep &step = candidate.work->stepAt(candidate.ref);
     const Resources reservation = state::reservationOf(spec);
     const bool needsTicket = candidate.queue->has_advice();
+    const std::vector<StepWorker *> options = candidateWorkers(candidate, reservation);
     uint32_t missing = waitingOf(candidate);
     for (uint32_t i = 0; i < step.tasks.size() && missing > 0; i++) {
         if (!input_.pendingEnds.isWaiting(*candidate.work, { candidate.ref, i }))
@@ -297,7 +305,7 @@
             recordCapacityDemand(candidate);
             return preemptWithinAccount(candidate, missing);
         }
-        StepWorker *worker = chooseWorker(candidate, reservation, needsTicket);
+        StepWorker *worker = chooseWorker(candidate, reservation, options);
         if (worker == nullptr)
             break;
         planStart(candidate, i, step.tasks[i].run + 1, worker);
@@ -336,6 +344,7 @@
         return;
     const Resources reservation = state::reservationOf(spec);
     const bool needsTicket = candidate.queue->has_advice();
+    const std::vector<StepWorker *> options = candidateWorkers(candidate, reservation);
     uint32_t run = 0;
     for (const state::WorkTask &task : step.tasks)
         run = std::max(run, task.run);
@@ -348,7 +357,7 @@
         if (step.tasks[i].phase != state::RunPhase::Waiting)
             continue;
         StepWorker *worker =
-            fitsAccountCap(candidate) ? chooseWorker(candidate, reservation, needsTicket) : nullptr;
+            fitsAccountCap(candidate) ? chooseWorker(candidate, reservation, options) : nullptr;
         if (worker == nullptr)
             break;
         planStart(candidate, i, run + 1, worker);
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -187,11 +187,13 @@
     uint32_t waitingOf(const Candidate &candidate) const;
     void placeStep(const Candidate &candidate);
     void placeGang(const Candidate &candidate);
-    StepWorker *chooseWorker(
-        const Candidate &candidate, const Resources &reservation, bool needsTicket);
+    // Chooses among workers that candidateWorkers() returned for the step.
+    StepWorker *chooseWorker(const Candidate &candidate, const Resources &reservation,
+        const std::vector<StepWorker *> &options);
     StepWorker *findWorker(WorkerNumber number);
-    // Workers on which a task of the step may start.
-    std::vector<StepWorker *> candidateWorkers(const Candidate &candidate, bool needsTicket);
+    // Workers on which tasks of the step may start.
+    std::vector<StepWorker *> candidateWorkers(
+        const Candidate &candidate, const Resources &reservation);
     bool mayRun(const StepWorker &worker, const Candidate &candidate) const;
     bool fitsAccountCap(const Candidate &candidate) const;
     void preemptWithinAccount(const Candidate &candidate, uint32_t missing);
@@ -219,6 +221,8 @@
     StepPlan plan_;
     Resources capacity_;
     Resources freeCapacity_;
+    // Workers with free capacity at the start of the round, by number.
+    std::vector<StepWorker *> workersWithRoom_;
     // Workers with free capacity when the first step asks for advice, and what steps claim there.
     struct UnclaimedRoom
     {
@@ -231,6 +235,8 @@
     std::map<WorkerNumber, PreemptibleRuns> preemptibleByWorker_;
     std::map<state::AccountName, PreemptibleRuns> preemptibleByAccount_;
     std::set<StepTaskRef> preempted_;
+    // The reservation of a step for which preemption frees enough on no worker.
+    std::optional<Resources> unattainable_;
     std::vector<Candidate> candidates_;
     std::map<state::AccountName, Resources> plannedUsage_;
     std::map<std::pair<StepRef, WorkerNumber>, uint32_t> plannedTasks_;
--- a/Source/Basilgap/Scheduling/StepPreemption.cpp
+++ b/Source/Basilgap/Scheduling/StepPreemption.cpp
@@ -86,10 +86,15 @@
         }
         return;
     }
+    if (unattainable_ && unattainable_->fitsIn(reservation))
+        return;
     for (const StepWorker &worker : input_.workers) {
         if (missing > 0 && preemptOnWorker(candidate, reservation, worker))
             missing--;
     }
+    const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
+    if (missing > 0 && spec.required_label().empty() && spec.max_per_worker() == 0)
+        unattainable_ = reservation;
 }
 
 // Preempts runs on the worker if that frees enough for one task; returns whether it does.
--- a/Source/Benchmarks/Bench.h
+++ b/Source/Benchmarks/Bench.h
@@ -55,6 +55,7 @@
 void benchConfig();
 void benchFailover();
 void benchPlacement();
+void benchStepPlan();
 void benchFairness();
 void benchEntry();
 void benchOverload();
--- a/Source/Benchmarks/Main.cpp
+++ b/Source/Benchmarks/Main.cpp
@@ -12,6 +12,7 @@
         { "config", benchConfig },
         { "failover", benchFailover },
         { "placement", benchPlacement },
+        { "step-plan", benchStepPlan },
         { "fairness", benchFairness },
         { "entry", benchEntry },
         { "overload", benchOverload },
