--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -153,6 +153,7 @@
         if (incarnation.gone() || newest == nullptr || newest->number() != incarnation.number())
             sessions_.at(number)->supersede(now);
     }
+    callLoss_.setSessionCount(sessions_.size());
 }
 
 void WorkDispatcher::openSession(const schema::WorkerLife &incarnation, Millis now)
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -331,7 +331,7 @@
     }
     // A suspect worker gets a second poll, because the pending long poll may be lost as well.
     const bool needsSecondPoll = suspect_ && now - lastPollAt_ >= retryAfter(now);
-    if ((pendingPolls_ == 0 && now >= nextPollAt_) || (pendingPolls_ == 1 && needsSecondPoll))
+    if ((pendingPolls_ == 0 && isPollDue(now)) || (pendingPolls_ == 1 && needsSecondPoll))
         poll(now);
     if (hasPendingStarts_)
         sendPendingStarts(now);
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -38,6 +39,9 @@
     Millis stalledPollWait{ 300 };
     // Maximum delay before a poll; the poll then waits that much less.
     Millis maxPollDelay{ 1000 };
+    // How long a poll is put off for the acknowledgement of ends that were listed before it. A
+    // worker answers a poll at once while it has ends that are not acknowledged.
+    Millis maxAckWait{ 100 };
     // Minimum time between two polls of one worker, so that ends close together are reported in one
     // answer.
     Millis minPollInterval{ 80 };
@@ -48,18 +52,31 @@
     Millis stopRetryInterval{ 300 };
 };
 
-// Tells whether calls to workers have recently gone unanswered; shared by all sessions.
+// Tells whether calls to workers have recently gone unanswered; shared by all sessions. Load
+// pattern: answers get lost in a large fleet, where short polls of all workers would use up the
+// leader's processor.
 class CallLossTracker
 {
 public:
     void recordLoss(Millis now) { lossyUntil_ = now + LossyPeriod; }
     bool isLossy(Millis now) const { return now < lossyUntil_; }
 
+    void setSessionCount(size_t count) { sessionCount_ = count; }
+    // The wait of a poll while answers get lost: no shorter than the sessions can afford together.
+    Millis lossyWait(Millis minimum) const
+    {
+        return std::max(
+            minimum, Millis(static_cast<int64_t>(sessionCount_ * 1000 / MaxPollsPerSecond)));
+    }
+
 private:
     // Answers get lost in periods of several seconds.
     static constexpr Millis LossyPeriod{ 3000 };
+    // Bounds the processor time that a leader spends on them, at about 0.1 ms a poll.
+    static constexpr size_t MaxPollsPerSecond = 1500;
 
     Millis lossyUntil_;
+    size_t sessionCount_ = 0;
 };
 
 // Callbacks of a session to the leader.
@@ -218,6 +235,7 @@
     void sendStart(const StepTaskRef &task, SessionRun *known, Millis now);
     Millis retryAfter(Millis now) const;
     void poll(Millis now);
+    bool isPollDue(Millis now) const;
     bool hasStoppedRun() const;
     bool hasStalledRun() const;
     void handlePollAnswer(PollAnswer answer, Millis sentAt, uint64_t number);
@@ -262,6 +280,8 @@
     Millis latestLeaseEnd_;
     uint64_t ackedEndSequence_ = 0;
     uint64_t highestEndSequence_ = 0;
+    // Until then no poll is sent while listed ends are not acknowledged.
+    Millis ackWaitEnd_;
     std::map<StepTaskRef, SessionRun> runs_;
     bool hasPendingStarts_ = false;
     // When the runs are next searched for those that must be stopped.
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -24,6 +24,12 @@
         options_.times.maxRetryInterval);
 }
 
+bool WorkerSession::isPollDue(Millis now) const
+{
+    const bool isAckDue = highestEndSequence_ > ackedEndSequence_ && now < ackWaitEnd_;
+    return now >= nextPollAt_ && !isAckDue;
+}
+
 void WorkerSession::poll(Millis now)
 {
     if (fenced_ || superseded_ || !options_.events.maySendOrders())
@@ -36,8 +42,10 @@
     if (leaseEnd)
         recordLeaseEnd(*leaseEnd);
     const bool isImmediate = suspect_ || !synced_ || hasStoppedRun();
-    const Millis normalWait = options_.callLoss.isLossy(now) ? options_.times.lossyPollWait
-                                                             : options_.times.pollWait - pollDelay_;
+    const Millis normalWait = options_.callLoss.isLossy(now)
+        ? std::min(
+            options_.callLoss.lossyWait(options_.times.lossyPollWait), options_.times.pollWait)
+        : options_.times.pollWait - pollDelay_;
     const Millis longPollWait =
         hasStalledRun() ? std::min(normalWait, options_.times.stalledPollWait) : normalWait;
     const Millis wait = isImmediate ? Millis(0) : longPollWait;
@@ -111,6 +119,7 @@
     for (const EndReport &report : answer.ended) {
         if (report.sequence > highestEndSequence_) {
             highestEndSequence_ = report.sequence;
+            ackWaitEnd_ = options_.clock() + options_.times.maxAckWait;
             options_.events.onEndsListed();
         }
         const auto task = taskOf(report.task);
--- a/Source/UnitTests/Dispatch/WorkerSessionReportsTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionReportsTest.cpp
@@ -127,7 +127,7 @@
     PollAnswer answer = pollAnswer({});
     answer.ended.push_back({ 12, { WorkId, 0, 0, 0 }, 1, schema::RUN_FAILED, "c1" });
     port.polls.back().done(answer);
-    advanceAndTick(MinPollIntervalMs);
+    advanceAndTick(SessionTimes().maxAckWait.count());
     EXPECT_EQ(port.polls.back().order.ackedEndSequence, 0U);
     port.polls.back().done(answer);
     ASSERT_EQ(ends.size(), 1U);
@@ -153,5 +153,54 @@
     EXPECT_FALSE(session->isUsable());
 }
 
+// Load pattern: many short tasks. A worker answers at once while it has ends that are not
+// acknowledged, so that a poll sent before their record is committed says nothing new.
+TEST_F(WorkerSessionReportsTest, theNextPollWaitsForTheAcknowledgementOfListedEnds)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    advanceAndTick(MinPollIntervalMs);
+    PollAnswer answer = pollAnswer({});
+    answer.ended.push_back({ 1, { WorkId, 0, 0, 0 }, 1, schema::RUN_DONE, "" });
+    now += Millis(500);
+    port.polls.back().done(answer);
+    const size_t polls = port.polls.size();
+    advanceAndTick(25);
+    EXPECT_EQ(port.polls.size(), polls);
+    session->ackEnds(1);
+    advanceAndTick(25);
+    ASSERT_EQ(port.polls.size(), polls + 1);
+    EXPECT_EQ(port.polls.back().order.ackedEndSequence, 1U);
+}
+
+// The lease is renewed even if the record is not committed for long.
+TEST_F(WorkerSessionReportsTest, aLateAcknowledgementDoesNotStopThePolls)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    advanceAndTick(MinPollIntervalMs);
+    PollAnswer answer = pollAnswer({});
+    answer.ended.push_back({ 1, { WorkId, 0, 0, 0 }, 1, schema::RUN_DONE, "" });
+    port.polls.back().done(answer);
+    const size_t polls = port.polls.size();
+    advanceAndTick(SessionTimes().maxAckWait.count() + 25);
+    EXPECT_EQ(port.polls.size(), polls + 1);
+}
+
+TEST(CallLossTracker, shortPollsOfALargeFleetAreBounded)
+{
+    CallLossTracker tracker;
+    tracker.setSessionCount(48);
+    EXPECT_EQ(tracker.lossyWait(Millis(200)), Millis(200));
+    tracker.setSessionCount(3000);
+    EXPECT_EQ(tracker.lossyWait(Millis(200)), Millis(2000));
+}
+
 } // namespace
 } // namespace basilgap::dispatch
