--- a/Source/Basilgap/Common/EventLog.cpp
+++ b/Source/Basilgap/Common/EventLog.cpp
@@ -69,7 +69,11 @@
     : level_(level)
     , admitted_(sink() == nullptr || level == LogLevel::Error || sink()->admit(event))
 {
-    line_ << "time=" << wallNow().count() << " process=" << processName() << " event=" << event;
+    if (!admitted_)
+        return;
+    line_ = "time=" + std::to_string(wallNow().count());
+    withRaw("process", processName());
+    withRaw("event", event);
 }
 
 LogEvent::~LogEvent()
@@ -78,27 +82,29 @@
         return;
     switch (level_) {
     case LogLevel::Info:
-        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink(), INFO) << line_.str();
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink(), INFO) << line_;
         return;
     case LogLevel::Warning:
-        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink(), WARNING) << "level=warning " << line_.str();
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink(), WARNING) << "level=warning " << line_;
         return;
     case LogLevel::Error:
-        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink(), ERROR) << "level=error " << line_.str();
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink(), ERROR) << "level=error " << line_;
         return;
     }
 }
 
-LogEvent &LogEvent::with(std::string_view key, std::string_view value)
+LogEvent &LogEvent::withRaw(std::string_view key, std::string_view text)
 {
-    line_ << ' ' << key << '=';
-    if (needsQuotes(value))
-        line_ << quoted(value);
-    else
-        line_ << value;
+    if (admitted_)
+        line_.append(1, ' ').append(key).append(1, '=').append(text);
     return *this;
 }
 
+LogEvent &LogEvent::with(std::string_view key, std::string_view value)
+{
+    return needsQuotes(value) ? withRaw(key, quoted(value)) : withRaw(key, value);
+}
+
 LogEvent &LogEvent::with(std::string_view key, const char *value)
 {
     return with(key, std::string_view(value));
@@ -106,8 +112,7 @@
 
 LogEvent &LogEvent::with(std::string_view key, Millis value)
 {
-    line_ << ' ' << key << '=' << value.count();
-    return *this;
+    return withRaw(key, std::to_string(value.count()));
 }
 
 LogEvent &LogEvent::with(const basilgap::Error &error)
--- a/Source/Basilgap/Common/EventLog.h
+++ b/Source/Basilgap/Common/EventLog.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <concepts>
-#include <sstream>
 #include <string>
 #include <string_view>
 
@@ -34,14 +33,16 @@
     template<std::integral Number>
     LogEvent &with(std::string_view key, Number value)
     {
-        line_ << ' ' << key << '=' << +value;
-        return *this;
+        return withRaw(key, std::to_string(+value));
     }
 
 private:
-    std::ostringstream line_;
+    LogEvent &withRaw(std::string_view key, std::string_view text);
+
     LogLevel level_;
+    // A line beyond the rate limit is only counted, so its text is not made.
     bool admitted_;
+    std::string line_;
 };
 
 } // namespace basilgap
