Probe where a follower's log agrees before sending it records

A follower with records of its own rejected each message and named the last record of its own log. The leader stepped back one record and sent all that follows, up to 256 KB, for every message under way, so that each rejection made the next storm.

Ruled out: a slow follower (it answered each message), a small queue (the missing records were under 1 MB).

Change: a rejection names the commit index of the follower, which every leader's log contains. After a rejection, or three heartbeats without an answer, the leader sends messages without records, one at a time, until one is accepted.

Test: RaftCore.deposedLeaderCatchesUpWithoutAStormOfResends, at six times between two resends.

--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -161,6 +161,10 @@
         uint64_t incarnation = 0;
         uint64_t matchIndex = 0;
         uint64_t nextIndex = 1;
+        // Where the member's log agrees with this one is not known: messages without records are
+        // sent, one at a time, until one is accepted.
+        bool isProbing = false;
+        bool isProbeSent = false;
         uint64_t ackedRound = 0;
         uint64_t snapshotOffset = 0;
         uint64_t snapshotIndex = 0;
@@ -190,6 +194,7 @@
     void appendRecord(schema::LogRecord::Kind kind, std::string data);
     void broadcast(bool heartbeat);
     void replicateTo(const schema::Member &member, bool heartbeat);
+    static void startProbing(Progress *progress, uint64_t agreedIndex);
     void sendSnapshotChunk(const schema::Member &member, Progress *progress);
     void handleAppend(const schema::RaftMessage &message);
     void storeRecords(const schema::AppendRequest &request);
--- a/Source/Basilgap/Replication/RaftReplication.cpp
+++ b/Source/Basilgap/Replication/RaftReplication.cpp
@@ -62,14 +62,16 @@
     Progress &progress = trackMember(member);
     if (heartbeat && ++progress.unansweredHeartbeats >= ResendHeartbeats) {
         progress.unansweredHeartbeats = 0;
-        progress.nextIndex = progress.matchIndex + 1;
+        startProbing(&progress, progress.matchIndex);
     }
     if (progress.nextIndex <= log_.baseIndex().value()) {
         if (heartbeat)
             sendSnapshotChunk(member, &progress);
         return;
     }
-    if (!heartbeat && progress.nextIndex > log_.lastIndex().value())
+    const bool isNothingDue =
+        progress.isProbing ? progress.isProbeSent : progress.nextIndex > log_.lastIndex().value();
+    if (!heartbeat && isNothingDue)
         return;
     schema::RaftMessage message = makeMessage(member);
     schema::AppendRequest *request = message.mutable_append_request();
@@ -77,8 +79,10 @@
     request->set_previous_term(log_.termAt(LogIndex(progress.nextIndex - 1)).value());
     request->set_commit_index(commitIndex_.value());
     request->set_round(round_);
+    progress.isProbeSent = progress.isProbing;
     size_t bytes = 0;
-    while (progress.nextIndex <= log_.lastIndex().value() && bytes < options_.maxBatchBytes) {
+    while (!progress.isProbing && progress.nextIndex <= log_.lastIndex().value()
+        && bytes < options_.maxBatchBytes) {
         const schema::LogRecord &record = log_.at(LogIndex(progress.nextIndex));
         bytes += record.ByteSizeLong();
         *request->add_records() = record;
@@ -87,6 +91,15 @@
     output_.messagesBeforeSync.push_back(std::move(message));
 }
 
+// Finds out where the member's log agrees with this one before records are sent. Each rejected
+// message would otherwise be answered with all records that follow.
+void RaftCore::startProbing(Progress *progress, uint64_t agreedIndex)
+{
+    progress->nextIndex = agreedIndex + 1;
+    progress->isProbing = true;
+    progress->isProbeSent = false;
+}
+
 void RaftCore::sendSnapshotChunk(const schema::Member &member, Progress *progress)
 {
     if (progress->snapshotIndex != snapshotMeta_.index()) {
@@ -124,7 +137,8 @@
     const bool matches = isPreviousCommitted
         || (log_.holds(previous) && log_.termAt(previous).value() == request.previous_term());
     if (!matches) {
-        answer->set_match_index(std::min(log_.lastIndex().value(), previous.value() - 1));
+        // Every leader holds the committed records; those after them may differ from its own.
+        answer->set_match_index(std::min(commitIndex_.value(), previous.value() - 1));
         output_.messages.push_back(std::move(reply));
         return;
     }
@@ -184,14 +198,13 @@
     progress->ackedRound = std::max(progress->ackedRound, reply.round());
     progress->unansweredHeartbeats = 0;
     if (!reply.success()) {
-        progress->nextIndex =
-            std::max(progress->matchIndex, std::min(reply.match_index(), progress->nextIndex - 1))
-            + 1;
-        return;
+        return startProbing(progress,
+            std::max(progress->matchIndex, std::min(reply.match_index(), progress->nextIndex - 1)));
     }
     if (reply.match_index() > progress->matchIndex)
         progress->matchIndex = std::min(reply.match_index(), log_.lastIndex().value());
     progress->nextIndex = std::max(progress->nextIndex, progress->matchIndex + 1);
+    progress->isProbing = false;
     advanceCommit();
 }
 
--- a/Source/UnitTests/Replication/RaftCluster.cpp
+++ b/Source/UnitTests/Replication/RaftCluster.cpp
@@ -95,6 +95,8 @@
 void RaftCluster::send(const std::vector<schema::RaftMessage> &messages)
 {
     inFlight_.insert(inFlight_.end(), messages.begin(), messages.end());
+    for (const schema::RaftMessage &message : messages)
+        nodes_[indexOf(message.to())].bytesSentTo += message.ByteSizeLong();
 }
 
 size_t RaftCluster::indexOf(const std::string &id) const
--- a/Source/UnitTests/Replication/RaftCluster.h
+++ b/Source/UnitTests/Replication/RaftCluster.h
@@ -35,6 +35,8 @@
     std::optional<size_t> leader() const;
     const std::vector<schema::LogRecord> &appliedRecords() const { return referenceLog_; }
     uint64_t appliedOf(size_t index) const { return nodes_[index].applied; }
+    // Bytes of all messages that were sent to the replica, whether they arrived or not.
+    uint64_t bytesSentTo(size_t index) const { return nodes_[index].bytesSentTo; }
 
     void advance(Millis time);
     void deliverAll();
@@ -62,6 +64,7 @@
         Disk disk;
         std::unique_ptr<RaftCore> core;
         uint64_t applied = 0;
+        uint64_t bytesSentTo = 0;
     };
 
     void start(size_t index);
--- a/Source/UnitTests/Replication/RaftCoreTest.cpp
+++ b/Source/UnitTests/Replication/RaftCoreTest.cpp
@@ -57,6 +57,44 @@
     EXPECT_TRUE(cluster.converge());
 }
 
+// Load pattern: a leader that was cut off returns with records that nobody else has, while the new
+// leader goes on. Each record that it lacks is sent about once, not once for each rejected message.
+TEST(RaftCore, deposedLeaderCatchesUpWithoutAStormOfResends)
+{
+    constexpr size_t RecordBytes = 4000;
+    constexpr int LostRecords = 100;
+    constexpr int MissedRecords = 200;
+    constexpr int RecordsMeanwhile = 50;
+    const std::string data(RecordBytes, 'x');
+    // The link is back at different times between two resends of the new leader.
+    for (int phase = 0; phase < 6; phase++) {
+        RaftCluster cluster(3, 2);
+        ASSERT_TRUE(cluster.converge());
+        const size_t old = *cluster.leader();
+        cluster.isolate(old, true);
+        for (int i = 0; i < LostRecords; i++)
+            ASSERT_TRUE(cluster.core(old).propose(schema::LogRecord::COMMAND, data).has_value());
+        cluster.processOutput(old);
+        cluster.advance(Millis(3000));
+        ASSERT_TRUE(cluster.leader().has_value());
+        const size_t leader = *cluster.leader();
+        ASSERT_NE(leader, old);
+        for (int i = 0; i < MissedRecords; i++)
+            proposeAtLeader(cluster, data);
+        cluster.advance(Millis(60 * phase));
+        const uint64_t before = cluster.bytesSentTo(old);
+        cluster.isolate(old, false);
+        for (int i = 0; i < RecordsMeanwhile; i++) {
+            proposeAtLeader(cluster, data);
+            cluster.advance(Millis(10));
+        }
+        ASSERT_TRUE(cluster.converge());
+        EXPECT_EQ(cluster.core(old).lastIndex(), cluster.core(leader).lastIndex());
+        const uint64_t missing = (MissedRecords + RecordsMeanwhile) * RecordBytes;
+        EXPECT_LT(cluster.bytesSentTo(old) - before, 2 * missing) << "phase " << phase;
+    }
+}
+
 TEST(RaftCore, oneWayPartitionDoesNotDisturbTheLeader)
 {
     RaftCluster cluster(3, 3);
