--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -235,7 +235,7 @@
     std::map<WorkerNumber, PreemptibleRuns> preemptibleByWorker_;
     std::map<state::AccountName, PreemptibleRuns> preemptibleByAccount_;
     std::set<StepTaskRef> preempted_;
-    // The reservation of a step for which preemption frees enough on no worker.
+    // Reservation of a step for which preemption found no worker in this round.
     std::optional<Resources> unattainable_;
     std::vector<Candidate> candidates_;
     std::map<state::AccountName, Resources> plannedUsage_;
