--- a/Source/Basilgap/Dispatch/PlanWorkers.h
+++ b/Source/Basilgap/Dispatch/PlanWorkers.h
@@ -20,8 +20,8 @@
 
     void markChanged(state::WorkerNumber number) { changed_.insert(number); }
 
-    // Calls `update` for each worker marked since the last call, and returns the list. A caller that
-    // changes entries of the list marks them, so that they are read again.
+    // Calls `update` for each worker marked since the last call, and returns the list. A caller
+    // that changes entries of the list marks them, so that they are read again.
     std::vector<scheduling::StepWorker> &refresh(const Update &update);
 
 private:
