Copy the dispatcher's options, which hold nothing to move any more

Cause: the linter found it: without the address for announcements the options are trivially copyable.

Change: one std::move less.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 WorkDispatcher::WorkDispatcher(network::EventLoop &loop, Options options)
-    : options_(std::move(options))
+    : options_(options)
     , state_(options_.replica.state())
     , advicePool_(options_.advice)
     , health_({ .minFailedJobs = FailedJobsToQuarantine,
