--- a/Source/Basilgap/Dispatch/Ports.h
+++ b/Source/Basilgap/Dispatch/Ports.h
@@ -10,8 +10,7 @@
 #include "Basilgap/State/WorkTable.h"
 #include "Work.pb.h"
 
-// Ports through which the dispatcher reaches workers and the advisor. An adapter implements them
-// for one platform.
+// Ports through which the dispatcher reaches workers and the advisor. An adapter implements them.
 namespace basilgap::dispatch {
 
 // Name of a task in messages between processes.
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -72,7 +72,7 @@
 private:
     // Answers get lost in periods of several seconds.
     static constexpr Millis LossyPeriod{ 3000 };
-    // Bounds the processor time that a leader spends on them, at about 0.1 ms a poll.
+    // Of all sessions together; bounds the processor time of the leader.
     static constexpr size_t MaxPollsPerSecond = 1500;
 
     Millis lossyUntil_;
