Decide the members of an open cell in a class without clock and sockets

Cause: which replicas become voters, learners or leave was decided inside Replica, next to links and timers, so that a sequence of lost hosts could only be tried with real processes and real waits. Change: OpenMembership in Replication takes join requests and the Raft core and returns the next change; Replica proposes and logs it. Limits, order and log events are the same. Ruled out: a test of whole processes alone, as each loss takes seconds and the leader can't be chosen.

--- a/Source/Basilgap/Control/Replica.cpp
+++ b/Source/Basilgap/Control/Replica.cpp
@@ -34,6 +34,7 @@
     , options_(std::move(options))
     , self_(options_.settings.id())
     , storage_(std::move(storage))
+    , openMembership_(self_)
     , tickTimer_(loop, [this] { tick(); })
     , flushTimer_(loop, [this] { flush(); })
     , probeTimer_(loop, [this] { sendProbes(); })
--- a/Source/Basilgap/Control/Replica.h
+++ b/Source/Basilgap/Control/Replica.h
@@ -12,6 +12,7 @@
 #include "Basilgap/Network/PeerLink.h"
 #include "Basilgap/Network/PeerServer.h"
 #include "Basilgap/Replication/LogStorage.h"
+#include "Basilgap/Replication/OpenMembership.h"
 #include "Basilgap/Replication/RaftCore.h"
 #include "Basilgap/State/CellState.h"
 #include "Settings.pb.h"
@@ -134,9 +135,6 @@
     void reconcileMembership();
     bool reconcileMember(const schema::ReplicaConfig &wanted);
     void reconcileOpenMembership();
-    bool addJoiningLearner();
-    bool removeSilentMember(Millis now);
-    bool promoteLearner(Millis now);
     bool shouldJoin() const;
     void recordMemberAddresses(const schema::ProbeReply &reply);
     schema::Member selfMember() const;
@@ -146,6 +144,7 @@
     ReplicaId self_;
     std::unique_ptr<replication::LogStorage> storage_;
     std::unique_ptr<replication::RaftCore> core_;
+    replication::OpenMembership openMembership_;
     state::CellState state_;
     std::map<ReplicaId, std::unique_ptr<network::PeerLink>> links_;
     std::map<uint64_t, PendingProposal> pendingProposals_;
@@ -164,12 +163,10 @@
     replication::RaftOutput failedOutput_;
     // Replies of the other replicas since the last probe; used while this one is uninitialized.
     std::map<ReplicaId, schema::ProbeReply> probeReplies_;
-    // Probes of replicas that are not members and want to join.
+    // Probes of replicas that are not members and want to join a cell of listed replicas.
     std::map<ReplicaId, schema::Probe> joinRequests_;
     // Addresses of replicas learned from probe replies, besides members and settings.
     std::map<ReplicaId, std::string> learnedAddresses_;
-    // When each member was last heard from while this replica led.
-    std::map<ReplicaId, Millis> lastHeardAt_;
     // When a leader was last known.
     Millis leaderLastKnownAt_;
     network::Timer tickTimer_;
--- a/Source/Basilgap/Control/ReplicaMembership.cpp
+++ b/Source/Basilgap/Control/ReplicaMembership.cpp
@@ -13,13 +13,6 @@
 // Number of records that a learner may be behind when it is promoted to voter.
 constexpr uint64_t MaxPromotionLagRecords = 100;
 
-// With five voters an open cell survives the loss of two, and a commit needs three syncs.
-constexpr size_t MaxOpenVoters = 5;
-
-// Silence after which a member is removed: a voter only while a learner can replace it. Longer
-// than a restart takes.
-constexpr Millis MemberSilenceTimeout{ 15000 };
-
 // A replica that has known no leader for this time probes the others, in case it is no longer a
 // member. Longer than an election takes.
 constexpr Millis NoLeaderTimeout{ 3000 };
@@ -103,8 +96,17 @@
         *form.mutable_form()->mutable_membership() = *forming;
         sendTo(ReplicaId(probe.id()), form);
     }
-    if (!known)
+    if (known)
+        return;
+    if (options_.membership == MembershipMode::Listed) {
         joinRequests_[ReplicaId(probe.id())] = probe;
+        return;
+    }
+    schema::Member learner;
+    learner.set_id(probe.id());
+    learner.set_address(probe.address());
+    learner.set_incarnation(probe.incarnation());
+    openMembership_.requestJoin(learner);
 }
 
 void Replica::handleProbeReply(const schema::ProbeReply &reply)
@@ -208,77 +210,14 @@
 // Proposes at most one change: the next one follows only after this one is committed.
 void Replica::reconcileOpenMembership()
 {
-    const Millis now = steadyNow();
-    for (const auto &member : core_->membership().members()) {
-        const ReplicaId id(member.id());
-        Millis &heard = lastHeardAt_.try_emplace(id, now).first->second;
-        if (id == self_ || core_->isRecentlyHeard(id, now))
-            heard = now;
-    }
-    if (addJoiningLearner() || promoteLearner(now))
+    const auto change = openMembership_.nextChange(*core_, steadyNow());
+    if (!change)
         return;
-    removeSilentMember(now);
-}
-
-bool Replica::addJoiningLearner()
-{
-    while (!joinRequests_.empty()) {
-        const auto [id, probe] = *joinRequests_.begin();
-        joinRequests_.erase(joinRequests_.begin());
-        const schema::Member *member = replication::findMember(core_->membership(), id);
-        if (id == self_ || (member != nullptr && member->incarnation() == probe.incarnation()))
-            continue;
-        schema::Member learner;
-        learner.set_id(id.value());
-        learner.set_address(probe.address());
-        learner.set_incarnation(probe.incarnation());
-        if (!core_->proposeMembership(replication::withMember(core_->membership(), learner)))
-            continue;
-        lastHeardAt_[id] = steadyNow();
-        LogEvent("learner-added").with("peer", id.value());
-        return true;
-    }
-    return false;
-}
-
-bool Replica::promoteLearner(Millis now)
-{
-    if (replication::voterCount(core_->membership()) >= MaxOpenVoters)
-        return false;
-    for (const auto &member : core_->membership().members()) {
-        const ReplicaId id(member.id());
-        const uint64_t match = core_->matchIndexOf(id).value();
-        if (member.voter() || match == 0 || !core_->isRecentlyHeard(id, now)
-            || match + MaxPromotionLagRecords < core_->lastIndex().value())
-            continue;
-        schema::Member voter = member;
-        voter.set_voter(true);
-        LogEvent("learner-promoted").with("peer", id.value());
-        return core_->proposeMembership(replication::withMember(core_->membership(), voter))
-            .has_value();
-    }
-    return false;
-}
-
-bool Replica::removeSilentMember(Millis now)
-{
-    const schema::Member *silent = nullptr;
-    bool spare = false;
-    for (const auto &member : core_->membership().members()) {
-        const ReplicaId id(member.id());
-        spare = spare || (!member.voter() && core_->isRecentlyHeard(id, now));
-        if (now - lastHeardAt_[id] > MemberSilenceTimeout)
-            silent = &member;
-    }
-    if (silent == nullptr || (silent->voter() && !spare))
-        return false;
-    LogEvent("member-removed")
-        .with("peer", silent->id())
-        .with("silentMs", now - lastHeardAt_[ReplicaId(silent->id())]);
-    const ReplicaId id(silent->id());
-    lastHeardAt_.erase(id);
-    return core_->proposeMembership(replication::withoutMember(core_->membership(), id))
-        .has_value();
+    LogEvent line(replication::toText(change->kind));
+    line.with("peer", change->member.value());
+    if (change->silence > Millis())
+        line.with("silentMs", change->silence);
+    core_->proposeMembership(change->membership);
 }
 
 // Proposes the next change that a configured replica needs. Returns true if one was proposed.
--- /dev/null
+++ b/Source/Basilgap/Replication/OpenMembership.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "Basilgap/Replication/RaftCore.h"
+
+namespace basilgap::replication {
+
+// A change of the membership for the leader to propose.
+struct MembershipChange
+{
+    enum class Kind { AddLearner, PromoteLearner, RemoveMember };
+
+    Kind kind = Kind::AddLearner;
+    ReplicaId member;
+    // How long the member has been silent.
+    Millis silence;
+    schema::Membership membership;
+};
+
+const char *toText(MembershipChange::Kind kind);
+
+// Decides on the leader which replicas are members of an open cell, in which every replica that
+// asks becomes a learner. Without clock or sockets.
+class OpenMembership
+{
+public:
+    explicit OpenMembership(ReplicaId self);
+
+    // A replica asks to become a member: its id, incarnation and address.
+    void requestJoin(const schema::Member &replica);
+
+    // The next change to propose, if any. Only called on an established leader while all earlier
+    // changes are committed, and often, because each call notes which members were heard.
+    std::optional<MembershipChange> nextChange(const RaftCore &core, Millis now);
+
+private:
+    std::optional<MembershipChange> addJoiningLearner(const RaftCore &core, Millis now);
+    static std::optional<MembershipChange> promoteLearner(const RaftCore &core, Millis now);
+    std::optional<MembershipChange> removeSilentMember(const RaftCore &core, Millis now);
+
+    ReplicaId self_;
+    std::map<ReplicaId, schema::Member> joinRequests_;
+    // When each member was last heard from while this replica led.
+    std::map<ReplicaId, Millis> lastHeardAt_;
+};
+
+} // namespace basilgap::replication
