Add a failing test of hosts that are lost one by one

Test: OpenMembership.quorumSurvivesHostsThatAreLostOneByOne, five simulated replicas that lose hosts for good and disks, one by one, each after the last one's successor has been up for 4 s, with the leader at each place of the series, 20 seeds.

--- /dev/null
+++ b/Source/UnitTests/Replication/OpenMembershipTest.cpp
@@ -0,0 +1,187 @@
+#include "Basilgap/Replication/OpenMembership.h"
+
+#include <array>
+
+#include <gtest/gtest.h>
+
+#include "Basilgap/Replication/Membership.h"
+#include "UnitTests/Replication/RaftCluster.h"
+
+namespace basilgap::replication {
+namespace {
+
+constexpr size_t Voters = 5;
+constexpr size_t Spares = 4;
+constexpr Millis Step{ 20 };
+constexpr Millis JoinInterval{ 200 };
+
+// The platform's bounds: a lost host's successor starts this long after the loss, and the loss
+// counts until the successor has been up for the catch-up time.
+constexpr Millis SuccessorDelay{ 1000 };
+constexpr Millis WipedRestartDelay{ 500 };
+constexpr Millis CatchUpTime{ 4000 };
+
+enum class Loss { Host, Disk };
+
+std::string nameOf(size_t index)
+{
+    return "r" + std::to_string(index);
+}
+
+// An open cell of simulated replicas that lose hosts and disks and get new ones. Spares are started
+// one after the other.
+class OpenCell
+{
+public:
+    explicit OpenCell(uint64_t seed)
+        : cluster_(Voters, seed, Spares)
+    {
+        for (size_t i = 0; i < cluster_.size(); i++) {
+            policies_.emplace_back(ReplicaId(nameOf(i)));
+            up_.push_back(i < Voters);
+            wasLost_.push_back(false);
+            cluster_.isolate(i, i >= Voters);
+        }
+        run(Millis(3000));
+    }
+
+    void run(Millis time)
+    {
+        for (const Millis end = cluster_.now() + time; cluster_.now() < end;) {
+            cluster_.advance(Step);
+            if (cluster_.now() >= nextJoin_)
+                sendJoinRequests();
+            reconcile();
+        }
+    }
+
+    void lose(Loss loss, size_t index)
+    {
+        if (loss == Loss::Host)
+            replaceHost(index);
+        else
+            wipeDisk(index);
+    }
+
+    // The replica that leads, if it is up and still able to commit a record.
+    std::optional<size_t> servingLeader()
+    {
+        for (size_t i = 0; i < cluster_.size(); i++) {
+            RaftCore &core = cluster_.core(i);
+            if (!up_[i] || !core.isEstablishedLeader())
+                continue;
+            const auto index = core.propose(schema::LogRecord::COMMAND, "command");
+            cluster_.processOutput(i);
+            run(Millis(500));
+            if (index && core.isLeader() && core.commitIndex() >= *index)
+                return i;
+        }
+        return std::nullopt;
+    }
+
+    // The first replica that does not lead and was not lost before.
+    size_t anyFollower(size_t leader) const
+    {
+        size_t index = 0;
+        while (index == leader || !up_[index] || wasLost_[index])
+            index++;
+        return index;
+    }
+
+    RaftCluster &cluster() { return cluster_; }
+
+private:
+    // A host is lost for good; an empty one comes at another address.
+    void replaceHost(size_t index)
+    {
+        wasLost_[index] = true;
+        setUp(index, false);
+        run(SuccessorDelay);
+        setUp(nextSpare_++, true);
+        run(CatchUpTime);
+    }
+
+    void wipeDisk(size_t index)
+    {
+        wasLost_[index] = true;
+        setUp(index, false);
+        run(WipedRestartDelay);
+        cluster_.wipe(index);
+        setUp(index, true);
+        run(CatchUpTime);
+    }
+
+    void setUp(size_t index, bool up)
+    {
+        up_[index] = up;
+        for (size_t other = 0; other < cluster_.size(); other++) {
+            const bool cut = !up || !up_[other];
+            if (other == index)
+                continue;
+            cluster_.setLinkCut(index, other, cut);
+            cluster_.setLinkCut(other, index, cut);
+        }
+    }
+
+    void sendJoinRequests()
+    {
+        nextJoin_ = cluster_.now() + JoinInterval;
+        for (size_t i = 0; i < cluster_.size(); i++) {
+            if (!up_[i] || !cluster_.core(i).leader().value().empty())
+                continue;
+            schema::Member self;
+            self.set_id(nameOf(i));
+            self.set_incarnation(cluster_.incarnationOf(i).value());
+            for (size_t other = 0; other < cluster_.size(); other++) {
+                if (other != i && up_[other])
+                    policies_[other].requestJoin(self);
+            }
+        }
+    }
+
+    void reconcile()
+    {
+        for (size_t i = 0; i < cluster_.size(); i++) {
+            RaftCore &core = cluster_.core(i);
+            if (!core.isEstablishedLeader() || !core.isMembershipCommitted())
+                continue;
+            if (const auto change = policies_[i].nextChange(core, cluster_.now()))
+                core.proposeMembership(change->membership);
+            cluster_.processOutput(i);
+        }
+    }
+
+    RaftCluster cluster_;
+    std::vector<OpenMembership> policies_;
+    std::vector<bool> up_;
+    std::vector<bool> wasLost_;
+    size_t nextSpare_ = Voters;
+    Millis nextJoin_;
+};
+
+// Guards against a cell that never has a leader again: hosts were lost one by one, each after the
+// last one's successor had the time to catch up, but those that were gone still counted as voters.
+TEST(OpenMembership, quorumSurvivesHostsThatAreLostOneByOne)
+{
+    constexpr uint64_t Seeds = 20;
+    constexpr std::array Losses = { Loss::Host, Loss::Host, Loss::Disk, Loss::Disk, Loss::Host,
+        Loss::Disk, Loss::Host };
+    for (uint64_t seed = 1; seed <= Seeds; seed++) {
+        for (size_t leaderLost = 0; leaderLost <= Losses.size(); leaderLost++) {
+            SCOPED_TRACE("seed " + std::to_string(seed) + ", the leader is lost in loss "
+                + std::to_string(leaderLost));
+            OpenCell cell(seed);
+            for (size_t i = 0; i < Losses.size(); i++) {
+                const auto leader = cell.servingLeader();
+                ASSERT_TRUE(leader.has_value()) << "no leader before loss " << i;
+                const size_t lost = i == leaderLost ? *leader : cell.anyFollower(*leader);
+                cell.lose(Losses[i], lost);
+            }
+            EXPECT_TRUE(cell.servingLeader().has_value()) << "no leader after the last loss";
+            EXPECT_EQ(cell.cluster().violation().value_or(""), "");
+        }
+    }
+}
+
+} // namespace
+} // namespace basilgap::replication
--- a/Source/UnitTests/Replication/RaftCluster.cpp
+++ b/Source/UnitTests/Replication/RaftCluster.cpp
@@ -10,20 +10,21 @@
 
 } // namespace
 
-RaftCluster::RaftCluster(size_t size, uint64_t seed)
+RaftCluster::RaftCluster(size_t size, uint64_t seed, size_t spares)
     : random_(seed)
-    , nodes_(size)
+    , nodes_(size + spares)
 {
     schema::Membership membership;
     membership.set_cell_id(7);
+    for (Node &node : nodes_)
+        node.disk.incarnation = Incarnation(nextIncarnation_++);
     for (size_t i = 0; i < size; i++) {
-        nodes_[i].disk.incarnation = Incarnation(nextIncarnation_++);
         schema::Member *member = membership.add_members();
         member->set_id("r" + std::to_string(i));
         member->set_incarnation(nodes_[i].disk.incarnation.value());
         member->set_voter(true);
     }
-    for (size_t i = 0; i < size; i++)
+    for (size_t i = 0; i < nodes_.size(); i++)
         start(i);
     for (size_t i = 0; i < size; i++) {
         nodes_[i].core->bootstrap(membership, now_);
--- a/Source/UnitTests/Replication/RaftCluster.h
+++ b/Source/UnitTests/Replication/RaftCluster.h
@@ -16,7 +16,8 @@
 class RaftCluster
 {
 public:
-    RaftCluster(size_t size, uint64_t seed);
+    // Starts `size` voters, and `spares` uninitialized replicas that are no members yet.
+    RaftCluster(size_t size, uint64_t seed, size_t spares = 0);
 
     // Takes one random step: advances the clock, delivers, loses, duplicates or reorders a message,
     // proposes a record, transfers leadership, compacts a log, crashes a replica, or cuts or
@@ -35,6 +36,8 @@
     std::optional<size_t> leader() const;
     const std::vector<schema::LogRecord> &appliedRecords() const { return referenceLog_; }
     uint64_t appliedOf(size_t index) const { return nodes_[index].applied; }
+    Incarnation incarnationOf(size_t index) const { return nodes_[index].disk.incarnation; }
+    Millis now() const { return now_; }
     // Bytes of all messages that were sent to the replica, whether they arrived or not.
     uint64_t bytesSentTo(size_t index) const { return nodes_[index].bytesSentTo; }
 
