Log which voters a replica misses while it has no leader

Change: event=no-leader after 3 s without a known leader and each 5 s from then on, with the voters of the membership in effect, how many are reachable, the ids of the others, and whether this replica has a vote. Test: ReplicasFailure.replicaWithoutAQuorumLogsWhichVotersItMisses, written with the change. Ruled out: a line for each vote refused, which repeats several times a second.

--- a/Source/Basilgap/Control/Replica.cpp
+++ b/Source/Basilgap/Control/Replica.cpp
@@ -188,6 +188,7 @@
         core_->tick(steadyNow());
     if (!core_->leader().value().empty())
         leaderLastKnownAt_ = steadyNow();
+    reportMissingLeader();
     refreshConfirmation();
     flush();
     reconcileMembership();
--- a/Source/Basilgap/Control/Replica.h
+++ b/Source/Basilgap/Control/Replica.h
@@ -136,6 +136,7 @@
     bool reconcileMember(const schema::ReplicaConfig &wanted);
     void reconcileOpenMembership();
     bool shouldJoin() const;
+    void reportMissingLeader();
     void recordMemberAddresses(const schema::ProbeReply &reply);
     schema::Member selfMember() const;
 
@@ -169,6 +170,7 @@
     std::map<ReplicaId, std::string> learnedAddresses_;
     // When a leader was last known.
     Millis leaderLastKnownAt_;
+    Millis nextNoLeaderReport_;
     network::Timer tickTimer_;
     network::Timer flushTimer_;
     network::Timer probeTimer_;
--- a/Source/Basilgap/Control/ReplicaMembership.cpp
+++ b/Source/Basilgap/Control/ReplicaMembership.cpp
@@ -16,6 +16,7 @@
 // A replica that has known no leader for this time probes the others, in case it is no longer a
 // member. Longer than an election takes.
 constexpr Millis NoLeaderTimeout{ 3000 };
+constexpr Millis NoLeaderReportInterval{ 5000 };
 
 // A replica reports itself as leader only if a quorum confirmed its leadership within this time.
 constexpr Millis MaxLeaderConfirmationAge{ 800 };
@@ -47,6 +48,39 @@
         && steadyNow() - leaderLastKnownAt_ > NoLeaderTimeout;
 }
 
+// Tells whether a quorum is missing, or is there and elects no leader.
+void Replica::reportMissingLeader()
+{
+    const Millis now = steadyNow();
+    const Millis silence = now - leaderLastKnownAt_;
+    if (silence < NoLeaderTimeout || now < nextNoLeaderReport_ || core_->isUninitialized())
+        return;
+    nextNoLeaderReport_ = now + NoLeaderReportInterval;
+    size_t reachable = 0;
+    std::string unreachable;
+    bool isSelfVoter = false;
+    for (const auto &member : core_->membership().members()) {
+        if (!member.voter())
+            continue;
+        const auto link = links_.find(ReplicaId(member.id()));
+        const bool isSelf = member.id() == self_.value();
+        isSelfVoter =
+            isSelfVoter || (isSelf && member.incarnation() == storage_->incarnation().value());
+        if (isSelf || (link != links_.end() && link->second->isUp()))
+            reachable++;
+        else
+            unreachable += (unreachable.empty() ? "" : ",") + member.id();
+    }
+    LogEvent("no-leader", LogLevel::Warning)
+        .with("silentMs", silence)
+        .with("term", core_->term().value())
+        .with("role", replication::toText(core_->role()))
+        .with("voters", replication::voterCount(core_->membership()))
+        .with("reachable", reachable)
+        .with("unreachable", unreachable)
+        .with("votes", isSelfVoter ? 1 : 0);
+}
+
 void Replica::sendProbes()
 {
     if (!shouldJoin())
--- a/Source/FailureTests/ReplicasFailureTest.cpp
+++ b/Source/FailureTests/ReplicasFailureTest.cpp
@@ -82,6 +82,22 @@
     }));
 }
 
+// Guards against an outage whose logs can't tell a missing quorum from an election that fails.
+TEST_F(ReplicasFailure, replicaWithoutAQuorumLogsWhichVotersItMisses)
+{
+    startCell({ .controls = 3, .entries = 1 });
+    control(1).process.kill();
+    control(2).process.kill();
+    ASSERT_TRUE(waitUntil(
+        DefaultTimeout, [&] { return readLog(0).find("event=no-leader") != std::string::npos; }));
+    const std::string log = readLog(0);
+    const std::string line = log.substr(log.find("event=no-leader"));
+    EXPECT_NE(line.find("voters=3 reachable=1 unreachable=" + control(1).id + "," + control(2).id
+                  + " votes=1"),
+        std::string::npos)
+        << line;
+}
+
 TEST_F(ReplicasFailure, uninitializedReplicasBootstrapNoSecondCell)
 {
     startCell({ .controls = 3, .entries = 1 });
