Count a host that lost its disk as a missing voter in no-leader

Cause: the first form of event=no-leader counted every voter with an open connection as reachable. Change: replicas remember the incarnation of the newest probe of each other one; 'reachable' needs the incarnation of the membership, 'missing' names the other voters.

--- a/Source/Basilgap/Control/Replica.h
+++ b/Source/Basilgap/Control/Replica.h
@@ -137,6 +137,7 @@
     void reconcileOpenMembership();
     bool shouldJoin() const;
     void reportMissingLeader();
+    bool canReachVoter(const schema::Member &voter) const;
     void recordMemberAddresses(const schema::ProbeReply &reply);
     schema::Member selfMember() const;
 
@@ -166,6 +167,8 @@
     std::map<ReplicaId, schema::ProbeReply> probeReplies_;
     // Probes of replicas that are not members and want to join a cell of listed replicas.
     std::map<ReplicaId, schema::Probe> joinRequests_;
+    // Incarnations of the replicas that have probed this one, by their newest probe.
+    std::map<ReplicaId, uint64_t> probedIncarnations_;
     // Addresses of replicas learned from probe replies, besides members and settings.
     std::map<ReplicaId, std::string> learnedAddresses_;
     // When a leader was last known.
--- a/Source/Basilgap/Control/ReplicaMembership.cpp
+++ b/Source/Basilgap/Control/ReplicaMembership.cpp
@@ -57,19 +57,12 @@
         return;
     nextNoLeaderReport_ = now + NoLeaderReportInterval;
     size_t reachable = 0;
-    std::string unreachable;
-    bool isSelfVoter = false;
+    std::string missing;
     for (const auto &member : core_->membership().members()) {
-        if (!member.voter())
-            continue;
-        const auto link = links_.find(ReplicaId(member.id()));
-        const bool isSelf = member.id() == self_.value();
-        isSelfVoter =
-            isSelfVoter || (isSelf && member.incarnation() == storage_->incarnation().value());
-        if (isSelf || (link != links_.end() && link->second->isUp()))
+        if (member.voter() && canReachVoter(member))
             reachable++;
-        else
-            unreachable += (unreachable.empty() ? "" : ",") + member.id();
+        else if (member.voter())
+            missing += (missing.empty() ? "" : ",") + member.id();
     }
     LogEvent("no-leader", LogLevel::Warning)
         .with("silentMs", silence)
@@ -77,8 +70,20 @@
         .with("role", replication::toText(core_->role()))
         .with("voters", replication::voterCount(core_->membership()))
         .with("reachable", reachable)
-        .with("unreachable", unreachable)
-        .with("votes", isSelfVoter ? 1 : 0);
+        .with("missing", missing);
+}
+
+// A host that came back without its disk answers, but has lost its vote.
+bool Replica::canReachVoter(const schema::Member &voter) const
+{
+    const ReplicaId id(voter.id());
+    if (id == self_)
+        return voter.incarnation() == storage_->incarnation().value();
+    const auto probed = probedIncarnations_.find(id);
+    if (probed != probedIncarnations_.end() && probed->second != voter.incarnation())
+        return false;
+    const auto link = links_.find(id);
+    return link != links_.end() && link->second->isUp();
 }
 
 void Replica::sendProbes()
@@ -118,6 +123,7 @@
     stream.send(makeProbeReply());
     if (core_->isUninitialized() || probe.id().empty())
         return;
+    probedIncarnations_[ReplicaId(probe.id())] = probe.incarnation();
     // The replica has acknowledged nothing under this incarnation, so the membership record is all
     // that it needs to take part in the first election.
     const schema::Member *member =
