Let a learner take the place of a voter that has fallen silent

Cause: a host that was gone for good stayed a voter for 15 s of silence, counted anew by each new leader, although its successor had caught up as a learner within a second. Hosts are lost one by one, each after the last one's successor has been up for 4 s. With two dead voters of five, the next lost disk leaves two that may vote, and a quorum that is lost never comes back: a replica without its disk has another incarnation. Ruled out: replicas that don't know each other's addresses, elections that end in a draw, a leader that gives no orders (the event no-leader says which voters are missing; none of them could vote). Change: a voter that is silent for 2 s and a caught-up learner change places, by two single-voter changes; the old voter stays a learner, so that a host that was only frozen goes on at once. Learners are removed after 15 s of silence as before. Silence is counted within a term only. Without a learner nothing is demoted: fewer voters would mean fewer copies. Why it works: 2 s after the successor's start a lost host counts no more, before the next one may be lost.

--- a/Source/Basilgap/Replication/OpenMembership.h
+++ b/Source/Basilgap/Replication/OpenMembership.h
@@ -10,7 +10,7 @@
 // A change of the membership for the leader to propose.
 struct MembershipChange
 {
-    enum class Kind { AddLearner, PromoteLearner, RemoveMember };
+    enum class Kind { AddLearner, PromoteLearner, DemoteVoter, RemoveLearner };
 
     Kind kind = Kind::AddLearner;
     ReplicaId member;
@@ -22,7 +22,8 @@
 const char *toText(MembershipChange::Kind kind);
 
 // Decides on the leader which replicas are members of an open cell, in which every replica that
-// asks becomes a learner. Without clock or sockets.
+// asks becomes a learner. Learners become voters up to a fixed number; one that is ready takes the
+// place of a voter that has fallen silent. Without clock or sockets.
 class OpenMembership
 {
 public:
@@ -36,14 +37,20 @@
     std::optional<MembershipChange> nextChange(const RaftCore &core, Millis now);
 
 private:
+    void noteHeardMembers(const RaftCore &core, Millis now);
     std::optional<MembershipChange> addJoiningLearner(const RaftCore &core, Millis now);
+    static const schema::Member *promotableLearner(const RaftCore &core, Millis now);
     static std::optional<MembershipChange> promoteLearner(const RaftCore &core, Millis now);
-    std::optional<MembershipChange> removeSilentMember(const RaftCore &core, Millis now);
+    std::optional<MembershipChange> demoteSilentVoter(const RaftCore &core, Millis now) const;
+    std::optional<MembershipChange> removeSilentLearner(const RaftCore &core, Millis now) const;
+    const schema::Member *longestSilent(
+        const RaftCore &core, bool voter, Millis minSilence, Millis now) const;
 
     ReplicaId self_;
     std::map<ReplicaId, schema::Member> joinRequests_;
-    // When each member was last heard from while this replica led.
+    // When each member was last heard from in the term in which this replica leads.
     std::map<ReplicaId, Millis> lastHeardAt_;
+    Term term_;
 };
 
 } // namespace basilgap::replication
--- a/Source/UnitTests/Replication/OpenMembershipTest.cpp
+++ b/Source/UnitTests/Replication/OpenMembershipTest.cpp
@@ -88,6 +88,37 @@
         return index;
     }
 
+    void setUp(size_t index, bool up)
+    {
+        up_[index] = up;
+        for (size_t other = 0; other < cluster_.size(); other++) {
+            const bool cut = !up || !up_[other];
+            if (other == index)
+                continue;
+            cluster_.setLinkCut(index, other, cut);
+            cluster_.setLinkCut(other, index, cut);
+        }
+    }
+
+    void transferLeadership(size_t from, size_t to)
+    {
+        std::set<ReplicaId> others;
+        for (size_t i = 0; i < cluster_.size(); i++) {
+            if (i != to)
+                others.insert(ReplicaId(nameOf(i)));
+        }
+        ASSERT_TRUE(cluster_.core(from).transferLeadership(others));
+        cluster_.processOutput(from);
+        run(Millis(500));
+        ASSERT_TRUE(cluster_.core(to).isEstablishedLeader());
+    }
+
+    // Null if the replica is no member.
+    const schema::Member *member(size_t leader, size_t index)
+    {
+        return findMember(cluster_.core(leader).membership(), ReplicaId(nameOf(index)));
+    }
+
     RaftCluster &cluster() { return cluster_; }
 
 private:
@@ -111,18 +142,6 @@
         run(CatchUpTime);
     }
 
-    void setUp(size_t index, bool up)
-    {
-        up_[index] = up;
-        for (size_t other = 0; other < cluster_.size(); other++) {
-            const bool cut = !up || !up_[other];
-            if (other == index)
-                continue;
-            cluster_.setLinkCut(index, other, cut);
-            cluster_.setLinkCut(other, index, cut);
-        }
-    }
-
     void sendJoinRequests()
     {
         nextJoin_ = cluster_.now() + JoinInterval;
@@ -183,5 +202,62 @@
     }
 }
 
+// Guards against a host that was only frozen and then has to ask to join again.
+TEST(OpenMembership, frozenVoterStaysAMemberAndCatchesUp)
+{
+    OpenCell cell(1);
+    cell.setUp(Voters, true);
+    cell.run(Millis(1000));
+    const size_t leader = *cell.servingLeader();
+    const size_t frozen = cell.anyFollower(leader);
+    cell.setUp(frozen, false);
+    cell.run(Millis(4000));
+    ASSERT_NE(cell.member(leader, frozen), nullptr);
+    EXPECT_FALSE(cell.member(leader, frozen)->voter());
+    EXPECT_TRUE(cell.member(leader, Voters)->voter());
+    EXPECT_EQ(voterCount(cell.cluster().core(leader).membership()), Voters);
+
+    cell.setUp(frozen, true);
+    cell.run(Millis(1000));
+    ASSERT_EQ(cell.servingLeader(), leader);
+    EXPECT_EQ(cell.cluster().core(frozen).commitIndex(), cell.cluster().core(leader).commitIndex());
+    EXPECT_EQ(cell.cluster().core(frozen).leader(), ReplicaId(nameOf(leader)));
+}
+
+// Guards against a quorum made smaller by hosts that nothing can replace.
+TEST(OpenMembership, silentVoterStaysAVoterWithoutALearner)
+{
+    OpenCell cell(1);
+    const size_t leader = *cell.servingLeader();
+    const size_t silent = cell.anyFollower(leader);
+    cell.setUp(silent, false);
+    cell.run(Millis(20000));
+    ASSERT_EQ(cell.servingLeader(), leader);
+    EXPECT_TRUE(cell.member(leader, silent)->voter());
+}
+
+// Guards against members judged by the silence of an earlier term: a replica that leads again has
+// heard nobody for as long as another one led.
+TEST(OpenMembership, silenceIsCountedWithinATermOnly)
+{
+    OpenCell cell(1);
+    cell.setUp(Voters, true);
+    cell.run(Millis(1000));
+    const size_t leader = *cell.servingLeader();
+    const size_t other = cell.anyFollower(leader);
+    OpenMembership policy{ ReplicaId(nameOf(leader)) };
+    EXPECT_FALSE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
+
+    cell.transferLeadership(leader, other);
+    cell.run(Millis(20000));
+    cell.transferLeadership(other, leader);
+    cell.run(Millis(500));
+    ASSERT_EQ(cell.servingLeader(), leader);
+    cell.setUp(other, false);
+    cell.run(Millis(1000));
+    ASSERT_TRUE(cell.cluster().core(leader).isEstablishedLeader());
+    EXPECT_FALSE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
+}
+
 } // namespace
 } // namespace basilgap::replication
