Forget requests to join from before the term

Cause: every replica keeps the requests of replicas that are no members, and only the leader uses them up. One that came to lead later still held requests from before a disk was lost or a host had joined through another leader, and replaced a healthy voter by a learner with an incarnation that no longer exists; the host took 3 s without a leader to ask again. The same in cells whose replicas are listed. Test: OpenMembership.joinRequestsFromBeforeTheTermAreForgotten failed before the change and passes with it. The listed cell has no test of its own for it.

--- a/Source/Basilgap/Control/Replica.cpp
+++ b/Source/Basilgap/Control/Replica.cpp
@@ -309,6 +309,8 @@
         .with("term", core_->term().value())
         .with("index", core_->commitIndex().value());
     if (leads) {
+        // Those kept from before may name a disk that has been lost since; requests are repeated.
+        joinRequests_.clear();
         // A quorum has just accepted a record of this term.
         confirmedAt_ = steadyNow();
         return options_.onLeadershipGained();
--- a/Source/Basilgap/Replication/OpenMembership.cpp
+++ b/Source/Basilgap/Replication/OpenMembership.cpp
@@ -50,6 +50,8 @@
 
 std::optional<MembershipChange> OpenMembership::nextChange(const RaftCore &core, Millis now)
 {
+    if (term_ != core.term())
+        beginTerm(core.term());
     noteHeardMembers(core, now);
     if (auto change = addJoiningLearner(core, now))
         return change;
@@ -60,11 +62,16 @@
     return removeSilentLearner(core, now);
 }
 
+// Forgets what was learned while another replica may have led. Requests to join are repeated.
+void OpenMembership::beginTerm(Term term)
+{
+    term_ = term;
+    lastHeardAt_.clear();
+    joinRequests_.clear();
+}
+
 void OpenMembership::noteHeardMembers(const RaftCore &core, Millis now)
 {
-    if (term_ != core.term())
-        lastHeardAt_.clear();
-    term_ = core.term();
     for (const auto &member : core.membership().members()) {
         const ReplicaId id(member.id());
         Millis &heard = lastHeardAt_.try_emplace(id, now).first->second;
--- a/Source/Basilgap/Replication/OpenMembership.h
+++ b/Source/Basilgap/Replication/OpenMembership.h
@@ -37,6 +37,7 @@
     std::optional<MembershipChange> nextChange(const RaftCore &core, Millis now);
 
 private:
+    void beginTerm(Term term);
     void noteHeardMembers(const RaftCore &core, Millis now);
     std::optional<MembershipChange> addJoiningLearner(const RaftCore &core, Millis now);
     static const schema::Member *promotableLearner(const RaftCore &core, Millis now);
--- a/Source/UnitTests/Replication/OpenMembershipTest.cpp
+++ b/Source/UnitTests/Replication/OpenMembershipTest.cpp
@@ -259,5 +259,24 @@
     EXPECT_FALSE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
 }
 
+// Guards against a healthy voter that loses its vote to a request from before its disk was lost: a
+// replica that did not lead had kept the request and acted on it when it came to lead.
+TEST(OpenMembership, joinRequestsFromBeforeTheTermAreForgotten)
+{
+    OpenCell cell(1);
+    const size_t leader = *cell.servingLeader();
+    OpenMembership policy{ ReplicaId(nameOf(leader)) };
+    schema::Member formerSelf = *cell.member(leader, cell.anyFollower(leader));
+    formerSelf.set_incarnation(formerSelf.incarnation() + 1000);
+    policy.requestJoin(formerSelf);
+    EXPECT_FALSE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
+
+    schema::Member newcomer;
+    newcomer.set_id(nameOf(Voters));
+    newcomer.set_incarnation(cell.cluster().incarnationOf(Voters).value());
+    policy.requestJoin(newcomer);
+    EXPECT_TRUE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
+}
+
 } // namespace
 } // namespace basilgap::replication
