Wait until nobody leads before the host without a disk comes back

Cause: ReplicasFailure.replicaWithoutAQuorumLogsWhichVotersItMisses failed once beside builds: the host came back while the first replica still led for half a second, and was taken out of the voters as it should be, so that two and not three were left. The test didn't say which of the two it means. Change: the test waits until no replica leads; what it asks of the log line is unchanged.

--- a/Source/FailureTests/ReplicasFailureTest.cpp
+++ b/Source/FailureTests/ReplicasFailureTest.cpp
@@ -88,6 +88,7 @@
     startCell({ .controls = 3, .entries = 1 });
     control(1).process.kill();
     control(2).process.kill();
+    ASSERT_TRUE(waitUntil(DefaultTimeout, [&] { return cell_->leader() < 0; }));
     // The host answers again, but its new incarnation has no vote.
     std::filesystem::remove_all(control(2).dataFolder);
     cell_->startControl(2);
