Let a control process use seeds that come with a signal

What operators would see: a replaced control host that started while its three seeds were gone never joined, although the settings named others later. Cause: on SIGHUP an entry learned the new seeds, a control process read the settings and did nothing with them. Change: the replica asks the new seeds too; those of the start still decide who bootstraps the cell.

--- a/Source/Basilgap/Control/Replica.h
+++ b/Source/Basilgap/Control/Replica.h
@@ -83,6 +83,9 @@
     // Why records cannot be written; empty if they can.
     const std::string &diskError() const { return diskError_; }
 
+    // Other replicas to ask, by id, besides those of the settings and the members.
+    void addSeeds(const std::map<ReplicaId, std::string> &addresses);
+
     // Sends a message to another replica. Returns false if the link is down.
     bool sendTo(const ReplicaId &replica, const schema::PeerMessage &message);
 
@@ -169,7 +172,8 @@
     std::map<ReplicaId, schema::Probe> joinRequests_;
     // Incarnations of the replicas that have probed this one, by their newest probe.
     std::map<ReplicaId, uint64_t> probedIncarnations_;
-    // Addresses of replicas learned from probe replies, besides members and settings.
+    // Addresses of replicas learned from probe replies and later settings, besides members and the
+    // settings of the start.
     std::map<ReplicaId, std::string> learnedAddresses_;
     // When a leader was last known.
     Millis leaderLastKnownAt_;
--- a/Source/Basilgap/Control/ReplicaMembership.cpp
+++ b/Source/Basilgap/Control/ReplicaMembership.cpp
@@ -169,6 +169,13 @@
         updateLinks();
 }
 
+void Replica::addSeeds(const std::map<ReplicaId, std::string> &addresses)
+{
+    for (const auto &[id, address] : addresses)
+        learnedAddresses_[id] = address;
+    updateLinks();
+}
+
 // Bootstraps the cell, but only on the replica with the lowest id, and only if all others have
 // reported since the last probe that they are uninitialized too.
 void Replica::bootstrapIfAllUninitialized()
