--- a/Source/Basilgap/Control/ReplicaMembership.cpp
+++ b/Source/Basilgap/Control/ReplicaMembership.cpp
@@ -258,13 +258,12 @@
 void Replica::reconcileOpenMembership()
 {
     const auto change = openMembership_.nextChange(*core_, steadyNow());
-    if (!change)
+    if (!change || !core_->proposeMembership(change->membership))
         return;
     LogEvent line(replication::toText(change->kind));
     line.with("peer", change->member.value());
     if (change->silence > Millis())
         line.with("silentMs", change->silence);
-    core_->proposeMembership(change->membership);
 }
 
 // Proposes the next change that a configured replica needs. Returns true if one was proposed.
