Give up tasks that crash their workers, and start suspects alone

What callers saw: a job with such a task never ended, workers crashed one after the other (one every 3.7 s a task), and jobs beside it were crashed along. Cause: only runs that a worker reports as failed counted as attempts. A worker that crashes reports nothing; its runs lapse, and lapsed runs are started again without limit, as they must be after a partition. Tasks that were ordered together with it became free at the same moment and went to the same worker with it again. Ruled out: counts lost at the change of leader (no end of these runs was RUN_FAILED before it either); counting every lapse (a worker that is cut off would use up the attempts); counting every crash alike (the tasks beside the culprit would be given up with it). Change: a lost run is kept with points until another incarnation at the worker's address or under its id shows a crash, or a start on the old one that there was none; two points if the worker was last heard within 0.5 s of the start, else one; a job fails at four points of one task. Suspects start alone and wait up to 4 s for the fate of their last workers. The unit tests were written with the change and not seen failing.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -120,6 +120,8 @@
         if (work == nullptr)
             continue;
         const state::StepRef ref{ work->serial, end.occurrence(), end.step() };
+        if (end.worker_loss() == schema::WORKER_LOST_AT_START)
+            logCrashSuspect({ ref, end.index() });
         const auto &tasks = work->stepAt(ref).tasks;
         for (uint32_t i = 0; i < tasks.size(); i++) {
             if (tasks[i].phase == state::RunPhase::Running)
@@ -175,11 +177,7 @@
             .port = options_.workers,
             .table = state_.works(),
             .events = {
-                .onRunEnd =
-                    [this, number](const StepTaskRef &task, uint32_t run,
-                        schema::RunOutcome outcome, const std::string &checkpoint) {
-                        recordEnd(number, task, run, outcome, checkpoint);
-                    },
+                .onRunEnd = [this, number](const EndedRun &ended) { recordEnd(number, ended); },
                 .onEndsListed = [this, number] { workersWithListedEnds_.insert(number); },
                 .onAvailabilityChanged =
                     [this, number] {
@@ -198,28 +196,29 @@
         now);
 }
 
-void WorkDispatcher::recordEnd(state::WorkerNumber worker, const StepTaskRef &task, uint32_t run,
-    schema::RunOutcome outcome, const std::string &checkpoint)
+void WorkDispatcher::recordEnd(state::WorkerNumber worker, const EndedRun &ended)
 {
+    const StepTaskRef &task = ended.task;
     const state::Work *work = state_.works().find(task.step.work);
     const auto session = sessions_.find(worker);
     LogEvent("run-ended")
         .with("work", work == nullptr ? "" : work->id)
         .with("step", task.step.step)
         .with("task", task.index)
-        .with("run", run)
+        .with("run", ended.run)
         .with("worker", session == sessions_.end() ? "" : session->second->endpoint().id)
-        .with("outcome", schema::RunOutcome_Name(outcome));
-    recordOutcome(worker, task, outcome);
+        .with("outcome", schema::RunOutcome_Name(ended.outcome));
+    recordOutcome(worker, task, ended.outcome);
     planWorkers_.markChanged(worker);
     schema::RunEnd &end = pendingEnds_.emplace_back();
     end.set_work(task.step.work.value());
     end.set_occurrence(task.step.occurrence);
     end.set_step(task.step.step);
     end.set_index(task.index);
-    end.set_run(run);
-    end.set_outcome(outcome);
-    end.set_checkpoint(checkpoint);
+    end.set_run(ended.run);
+    end.set_outcome(ended.outcome);
+    end.set_checkpoint(ended.checkpoint);
+    end.set_worker_loss(ended.workerLoss);
     scheduleBatch();
 }
 
@@ -372,6 +371,8 @@
             .with("run", start.run())
             .with("worker", session->second->endpoint().id);
         startSentAt_[task] = now;
+        if (state->isCrashSuspect())
+            crashProbations_[worker] = now + options_.times.startLossWindow;
         session->second->start(
             task, start.run(), ticket.empty() ? std::string() : ticket.mapped(), now);
     }
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -121,8 +121,9 @@
     void checkStopsOf(state::WorkSerial serial);
     void reconcileSessions();
     void openSession(const schema::WorkerLife &incarnation, Millis now);
-    void recordEnd(state::WorkerNumber worker, const StepTaskRef &task, uint32_t run,
-        schema::RunOutcome outcome, const std::string &checkpoint);
+    void recordEnd(state::WorkerNumber worker, const EndedRun &ended);
+    // Logs what is known about the task's part in crashes of its workers.
+    void logCrashSuspect(const StepTaskRef &task) const;
     void logCellStatus();
     void proposeExpiry();
 
@@ -182,6 +183,9 @@
     std::set<StepTaskRef> movedTasks_;
     // Cache of expected step ends; cleared by each check for stragglers.
     std::map<state::StepRef, std::optional<Millis>> expectedStepEnds_;
+    // Workers on which a task that may crash them has just started; nothing else starts there until
+    // then.
+    std::map<state::WorkerNumber, Millis> crashProbations_;
     scheduling::CapacityDemand capacityDemand_ = scheduling::CapacityDemand::None;
     // When this leader sent the start of each running task.
     std::map<StepTaskRef, Millis> startSentAt_;
--- a/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
@@ -322,8 +322,14 @@
         .with("rack", incarnation->rack())
         .with("kind", incarnation->labels_size() > 0 ? incarnation->labels(0) : "")
         .with("millicores", incarnation->millicores());
+    const std::vector<state::LostRun> lost =
+        state_.works().lostWorkers().runsReplacedBy(*incarnation);
     options_.replica.propose(
-        std::move(command), guarded([this, key](const schema::CommandOutcome &outcome) {
+        std::move(command), guarded([this, key, lost](const schema::CommandOutcome &outcome) {
+            for (const state::LostRun &run : lost) {
+                if (run.isAtStart)
+                    logCrashSuspect(run.task);
+            }
             const auto callbacks = std::move(pendingRegistrations_[key]);
             pendingRegistrations_.erase(key);
             for (const auto &callback : callbacks)
--- a/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
@@ -39,6 +39,22 @@
     startSentAt_.erase(task);
 }
 
+void WorkDispatcher::logCrashSuspect(const StepTaskRef &task) const
+{
+    const state::Work *work = state_.works().find(task.step.work);
+    const state::WorkTask *state = state_.works().find(task);
+    if (work == nullptr || state == nullptr)
+        return;
+    LogEvent("crash-suspect")
+        .with("work", work->id)
+        .with("step", task.step.step)
+        .with("task", task.index)
+        .with("run", state->run)
+        .with("points", state->crashPoints)
+        .with("unconfirmed", state->unconfirmedCrashPoints)
+        .with("failed", work->phase == state::WorkPhase::Failed ? 1 : 0);
+}
+
 // Stops runs that make no progress or are much too slow, so that they start again on another
 // worker.
 void WorkDispatcher::stopStragglers()
--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -54,6 +54,9 @@
     // Quarantines end with time.
     for (const state::WorkerNumber number : health_.workersWithFailures())
         planWorkers_.markChanged(number);
+    for (const auto &[number, end] : crashProbations_)
+        planWorkers_.markChanged(number);
+    std::erase_if(crashProbations_, [now](const auto &entry) { return now >= entry.second; });
     return planWorkers_.refresh(
         [this, now](scheduling::StepWorker &worker) { refreshWorker(&worker, now); });
 }
@@ -70,6 +73,8 @@
     const size_t running = state_.works().runsOn(worker->number).size();
     worker->schedulable = session.isUsable() && health_.mayStart(worker->number, running, now);
     worker->remainingStarts = health_.isOnProbation(worker->number) ? 1 : UINT32_MAX;
+    if (crashProbations_.contains(worker->number))
+        worker->remainingStarts = 0;
 }
 
 // Removes data of jobs that have finished.
@@ -119,6 +124,11 @@
             .preemptibleRunsOf =
                 [this, now](
                     const state::AccountName &account) { return preemptibleRunsOf(account, now); },
+            .hasFreshRun =
+                [this, now](state::WorkerNumber worker) {
+                    const auto session = sessions_.find(worker);
+                    return session != sessions_.end() && session->second->hasFreshRun(now);
+                },
             .pendingEnds = scheduling::collectPendingRunEnds(state_.works(), *batch),
         })
                                     .run();
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -24,6 +24,7 @@
     : options_(std::move(options))
     , nextPollAt_(now)
     , lastAnswerAt_(now)
+    , openedAt_(now)
 {
     adoptRuns(now);
 }
@@ -36,6 +37,8 @@
         known.run = run;
         known.knownStateSince = now;
         known.lastProgressAt = now;
+        const Millis loggedAt(static_cast<int64_t>(options_.table.find(task)->phaseSinceMs));
+        known.startedAt = now - std::max(Millis(0), options_.wallClock() - loggedAt);
         // The speed limit set by an earlier leader is not known.
         setBackfillMillicores(task, &known);
         if (known.backfillMillicores > 0)
@@ -86,6 +89,21 @@
     workerClockAt_ = now;
 }
 
+void WorkerSession::noteHeard(const OrderAnswer &answer, Millis now)
+{
+    if (!answer.workerClock)
+        return;
+    setClock(*answer.workerClock, now);
+    lastHeardAt_ = now;
+}
+
+bool WorkerSession::hasFreshRun(Millis now) const
+{
+    return std::any_of(runs_.begin(), runs_.end(), [&](const auto &entry) {
+        return now - entry.second.startedAt < options_.times.startLossWindow;
+    });
+}
+
 void WorkerSession::setAddress(const std::string &address)
 {
     options_.endpoint.address = address;
@@ -133,6 +151,7 @@
     known = SessionRun{};
     known.run = run;
     known.knownStateSince = now;
+    known.startedAt = now;
     known.lastProgressAt = now;
     known.ticket = ticket;
     setBackfillMillicores(task, &known);
@@ -184,8 +203,7 @@
     const StepTaskRef &task, uint32_t run, const OrderAnswer &answer)
 {
     const Millis now = options_.clock();
-    if (answer.workerClock)
-        setClock(*answer.workerClock, now);
+    noteHeard(answer, now);
     const auto found = runs_.find(task);
     if (found == runs_.end() || found->second.run != run)
         return;
@@ -295,8 +313,7 @@
     options_.port.stop(options_.endpoint, StopOrder{ name, run, options_.fencingToken },
         options_.times.orderTimeout, guarded([this, task, run](const OrderAnswer &answer) {
             const Millis now = options_.clock();
-            if (answer.workerClock)
-                setClock(*answer.workerClock, now);
+            noteHeard(answer, now);
             const auto found = runs_.find(task);
             if (found == runs_.end() || found->second.run != run)
                 return;
@@ -309,7 +326,7 @@
                 return;
             // Only the answer to a poll sent after the stop shows whether the run had started.
             if (superseded_)
-                return endRun(task, schema::RUN_LOST);
+                return endLostRun(task, schema::RUN_LOST);
             if (found->second.knownState != KnownRunState::Stopped) {
                 found->second.knownState = KnownRunState::Stopped;
                 found->second.knownStateSince = now;
@@ -342,7 +359,7 @@
     if (now <= answerDue || !hasLeaseExpired(now))
         return;
     for (const auto &[task, known] : std::map(runs_))
-        endRun(task, schema::RUN_LAPSED);
+        endLostRun(task, schema::RUN_LAPSED);
 }
 
 void WorkerSession::sendPendingStarts(Millis now)
@@ -373,16 +390,34 @@
     }
 }
 
-void WorkerSession::endRun(const StepTaskRef &task, schema::RunOutcome outcome)
+void WorkerSession::endRun(
+    const StepTaskRef &task, schema::RunOutcome outcome, schema::WorkerLoss workerLoss)
 {
     const auto found = runs_.find(task);
     if (found == runs_.end())
         return;
-    const uint32_t run = found->second.run;
-    const std::string checkpoint = found->second.checkpoint;
+    const EndedRun ended{ .task = task,
+        .run = found->second.run,
+        .outcome = outcome,
+        .checkpoint = found->second.checkpoint,
+        .workerLoss = workerLoss };
     runs_.erase(found);
-    unappliedEnds_.insert({ task, run });
-    options_.events.onRunEnd(task, run, outcome, checkpoint);
+    unappliedEnds_.insert({ task, ended.run });
+    options_.events.onRunEnd(ended);
+}
+
+void WorkerSession::endLostRun(const StepTaskRef &task, schema::RunOutcome outcome)
+{
+    const auto found = runs_.find(task);
+    if (found == runs_.end())
+        return;
+    // A worker that this leader has never heard was lost at some time since the last lease that an
+    // earlier leader can have granted.
+    const Millis earliestStart = lastHeardAt_ ? *lastHeardAt_ - options_.times.startLossWindow
+                                              : openedAt_ - options_.times.leaseDuration;
+    endRun(task, outcome,
+        found->second.startedAt >= earliestStart ? schema::WORKER_LOST_AT_START
+                                                 : schema::WORKER_LOST_LATER);
 }
 
 void WorkerSession::ackEnds(uint64_t number)
@@ -408,7 +443,7 @@
         // An unanswered start may still reach the new incarnation, so the run is stopped there
         // first.
         if (known.knownState == KnownRunState::Confirmed)
-            endRun(task, schema::RUN_LOST);
+            endLostRun(task, schema::RUN_LOST);
         else
             stop(task, now);
     }
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -50,6 +50,9 @@
     Millis minRetryInterval{ 150 };
     Millis maxRetryInterval{ 800 };
     Millis stopRetryInterval{ 300 };
+    // A worker that is not heard for longer than this after the start of a run may have been
+    // crashed by it.
+    Millis startLossWindow{ 500 };
 };
 
 // Tells whether calls to workers have recently gone unanswered; shared by all sessions. Load
@@ -79,12 +82,21 @@
     size_t sessionCount_ = 0;
 };
 
+// A run that has ended, as the session reports it.
+struct EndedRun
+{
+    StepTaskRef task;
+    uint32_t run = 0;
+    schema::RunOutcome outcome = schema::RUN_DONE;
+    std::string checkpoint;
+    schema::WorkerLoss workerLoss = schema::WORKER_NOT_LOST;
+};
+
 // Callbacks of a session to the leader.
 struct SessionEvents
 {
     // A run in the table has ended.
-    std::function<void(const StepTaskRef &, uint32_t run, schema::RunOutcome, const std::string &)>
-        onRunEnd;
+    std::function<void(const EndedRun &)> onRunEnd;
     // The worker has listed ends that were not listed before.
     std::function<void()> onEndsListed = [] {};
     // The worker has become usable or suspect.
@@ -118,6 +130,8 @@
     KnownRunState knownState = KnownRunState::Sent;
     // When knownState last changed.
     Millis knownStateSince;
+    // When the start was ordered, or logged by an earlier leader.
+    Millis startedAt;
     // How often the start was sent, and how many of these sends left this process without an
     // answer.
     uint32_t sendCount = 0;
@@ -176,6 +190,7 @@
         const WorkTable &table;
         SessionEvents events;
         std::function<Millis()> clock = steadyNow;
+        std::function<Millis()> wallClock = wallNow;
     };
 
     WorkerSession(Options options, Millis now);
@@ -219,6 +234,8 @@
     uint64_t incarnationStartMs() const { return options_.incarnationStartMs; }
     uint64_t highestEndSequence() const { return highestEndSequence_; }
     Millis lastAnswerAt() const { return lastAnswerAt_; }
+    // Whether a run has started so recently that it may still crash the worker.
+    bool hasFreshRun(Millis now) const;
 
 private:
     template<typename Callback>
@@ -231,6 +248,7 @@
     }
 
     void setClock(Millis workerClock, Millis now);
+    void noteHeard(const OrderAnswer &answer, Millis now);
     void setBackfillMillicores(const StepTaskRef &task, SessionRun *known) const;
     void sendStart(const StepTaskRef &task, SessionRun *known, Millis now);
     Millis retryAfter(Millis now) const;
@@ -248,7 +266,10 @@
     void sendDueStops(Millis now);
     void sendStop(const StepTaskRef &task, uint32_t run, const TaskName &name);
     void stopStrayRun(const TaskName &name, uint32_t run, Millis now);
-    void endRun(const StepTaskRef &task, schema::RunOutcome outcome);
+    void endRun(const StepTaskRef &task, schema::RunOutcome outcome,
+        schema::WorkerLoss workerLoss = schema::WORKER_NOT_LOST);
+    // Ends a run because nothing is heard of the worker any more.
+    void endLostRun(const StepTaskRef &task, schema::RunOutcome outcome);
     void adoptRuns(Millis now);
     bool hasLeaseExpired(Millis now) const;
     std::optional<Millis> nextLeaseEnd(Millis now) const;
@@ -273,6 +294,9 @@
     Millis pollDelay_;
     Millis lastPollAt_;
     Millis lastAnswerAt_;
+    Millis openedAt_;
+    // The last answer to any call; absent if there was none.
+    std::optional<Millis> lastHeardAt_;
     // The worker's clock, and the local time at which it was read.
     std::optional<Millis> workerClock_;
     Millis workerClockAt_;
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -96,6 +96,7 @@
         return setSuspect(true);
     }
     lastAnswerAt_ = now;
+    lastHeardAt_ = now;
     if (answer.workerClock)
         setClock(*answer.workerClock, now);
     applyEnds(answer);
--- a/Source/Basilgap/Scheduling/PendingRunEnds.cpp
+++ b/Source/Basilgap/Scheduling/PendingRunEnds.cpp
@@ -47,7 +47,9 @@
             && !work->specOf(ref).service() && task->failures + 1 >= work->maxAttempts;
         if (isDone && ++done[ref] + work->stepAt(ref).done == work->stepAt(ref).tasks.size())
             pending.doneSteps.insert(ref);
-        else if (!isDone && !isLastAttempt)
+        // A task whose worker was lost waits for the record, which shows whether it is a crash
+        // suspect.
+        else if (!isDone && !isLastAttempt && end.worker_loss() == schema::WORKER_NOT_LOST)
             pending.requeuedTasks[ref].insert(end.index());
     }
     return pending;
--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -21,6 +21,10 @@
 // work.
 constexpr double MaxHeadroomShare = 0.4;
 
+// How long a task waits to learn whether its last workers have crashed. A worker that has crashed
+// usually announces itself again within seconds.
+constexpr uint64_t CrashVerdictWaitMs = 4000;
+
 } // namespace
 
 uint64_t criticalPathMs(const state::Work &work, std::optional<uint32_t> remainingOf)
@@ -263,6 +267,36 @@
     return best;
 }
 
+// Whether the task waits to learn whether its last workers have crashed, after which its job fails.
+bool StepPlanner::isHeldBack(const state::WorkTask &task) const
+{
+    return task.awaitsCrashVerdict() && input_.wallMs < task.phaseSinceMs + CrashVerdictWaitMs;
+}
+
+// A task that may crash its worker goes where that does the least harm, and where no other task has
+// just started, so that a crash shows which of them caused it.
+StepWorker *StepPlanner::chooseWorkerForSuspect(const Candidate &candidate,
+    const Resources &reservation, const std::vector<StepWorker *> &options) const
+{
+    if (!leavesHeadroom(candidate, reservation))
+        return nullptr;
+    StepWorker *best = nullptr;
+    std::tuple<bool, int64_t> bestScore;
+    for (StepWorker *worker : options) {
+        if (!reservation.fitsIn(worker->freeCapacity()) || !mayRun(*worker, candidate))
+            continue;
+        const bool hasFreshRun = input_.hasFreshRun(worker->number)
+            || std::any_of(plan_.starts.begin(), plan_.starts.end(),
+                [&](const PlannedRun &start) { return start.worker == worker->number; });
+        const std::tuple score{ hasFreshRun, worker->reserved.millicores };
+        if (best == nullptr || score < bestScore) {
+            best = worker;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
 void StepPlanner::planStart(
     const Candidate &candidate, uint32_t index, uint32_t run, StepWorker *worker)
 {
@@ -301,14 +335,22 @@
     for (uint32_t i = 0; i < step.tasks.size() && missing > 0; i++) {
         if (!input_.pendingEnds.isWaiting(*candidate.work, { candidate.ref, i }))
             continue;
+        if (isHeldBack(step.tasks[i])) {
+            missing--;
+            continue;
+        }
         if (!fitsAccountCap(candidate)) {
             recordCapacityDemand(candidate);
             return preemptWithinAccount(candidate, missing);
         }
-        StepWorker *worker = chooseWorker(candidate, reservation, options);
+        const bool isSuspect = step.tasks[i].isCrashSuspect();
+        StepWorker *worker = isSuspect ? chooseWorkerForSuspect(candidate, reservation, options)
+                                       : chooseWorker(candidate, reservation, options);
         if (worker == nullptr)
             break;
         planStart(candidate, i, step.tasks[i].run + 1, worker);
+        if (isSuspect)
+            worker->remainingStarts = 0;
         missing--;
     }
     if (missing == 0)
@@ -340,7 +382,9 @@
     const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
     const state::WorkStep &step = candidate.work->stepAt(candidate.ref);
     // Tasks of an earlier run of the gang may still be stopping.
-    if (step.running > 0)
+    if (step.running > 0
+        || std::any_of(step.tasks.begin(), step.tasks.end(),
+            [this](const state::WorkTask &task) { return isHeldBack(task); }))
         return;
     const Resources reservation = state::reservationOf(spec);
     const bool needsTicket = candidate.queue->has_advice();
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -84,6 +84,8 @@
     // capacity there.
     std::function<std::vector<PreemptibleRun>(WorkerNumber)> preemptibleRunsOn;
     std::function<std::vector<PreemptibleRun>(const state::AccountName &)> preemptibleRunsOf;
+    // Whether a task has started on the worker so recently that it may still crash it.
+    std::function<bool(WorkerNumber)> hasFreshRun = [](WorkerNumber) { return false; };
     // Run ends that go into the same log record as the plan.
     PendingRunEnds pendingEnds;
 };
@@ -187,7 +189,10 @@
     uint32_t waitingOf(const Candidate &candidate) const;
     void placeStep(const Candidate &candidate);
     void placeGang(const Candidate &candidate);
+    bool isHeldBack(const state::WorkTask &task) const;
     // Chooses among workers that candidateWorkers() returned for the step.
+    StepWorker *chooseWorkerForSuspect(const Candidate &candidate, const Resources &reservation,
+        const std::vector<StepWorker *> &options) const;
     StepWorker *chooseWorker(const Candidate &candidate, const Resources &reservation,
         const std::vector<StepWorker *> &options);
     StepWorker *findWorker(WorkerNumber number);
--- /dev/null
+++ b/Source/Basilgap/State/WorkRefs.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+
+#include "Basilgap/Common/Ids.h"
+
+namespace basilgap::state {
+
+// Number of a job with steps, assigned in the order of submission.
+using WorkSerial = StrongType<struct WorkSerialTag, uint64_t>;
+
+// Refers to one step of one occurrence of a job.
+struct StepRef
+{
+    WorkSerial work;
+    uint32_t occurrence = 0;
+    uint32_t step = 0;
+
+    auto operator<=>(const StepRef &) const = default;
+};
+
+// Refers to one task of a step.
+struct StepTaskRef
+{
+    StepRef step;
+    uint32_t index = 0;
+
+    auto operator<=>(const StepTaskRef &) const = default;
+};
+
+// Refers to one run of a task.
+struct RunRef
+{
+    StepTaskRef task;
+    uint32_t run = 0;
+
+    auto operator<=>(const RunRef &) const = default;
+};
+
+} // namespace basilgap::state
--- a/Source/Basilgap/State/WorkSnapshot.cpp
+++ b/Source/Basilgap/State/WorkSnapshot.cpp
@@ -11,6 +11,7 @@
     snapshot.set_next_worker(nextWorker_);
     for (const auto &[number, incarnation] : workers_)
         *snapshot.add_workers() = incarnation;
+    lostWorkers_.save(&snapshot);
     for (const auto &[serial, work] : works_) {
         schema::WorkState *state = snapshot.add_works();
         state->set_serial(serial.value());
@@ -35,6 +36,7 @@
                     taskState->set_failures(task.failures);
                     taskState->set_checkpoint(task.checkpoint);
                     taskState->set_since_ms(task.phaseSinceMs);
+                    taskState->set_crash_points(task.crashPoints);
                 }
             }
         }
@@ -48,7 +50,7 @@
     nextSerial_ = std::max<uint64_t>(1, snapshot.next_serial());
     for (const auto &incarnation : snapshot.workers()) {
         const WorkerNumber number(incarnation.number());
-        workers_[number] = incarnation;
+        storeIncarnation(incarnation);
         WorkerNumber &newest = newestIncarnations_[incarnation.id()];
         newest = std::max(newest, number);
     }
@@ -83,6 +85,7 @@
                     task.failures = savedTask.failures();
                     task.checkpoint = savedTask.checkpoint();
                     task.phaseSinceMs = savedTask.since_ms();
+                    task.crashPoints = savedTask.crash_points();
                     if (task.phase == RunPhase::Waiting) {
                         step.waiting++;
                         work.waitingTasks++;
@@ -114,6 +117,11 @@
         addToIndex(&stored);
         updateIndexes(stored);
     }
+    lostWorkers_.restore(snapshot);
+    for (const LostRun &run : lostWorkers_.runs()) {
+        if (WorkTask *task = findMutable(run.task))
+            task->unconfirmedCrashPoints += run.crashPoints;
+    }
 }
 
 } // namespace basilgap::state
--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -1,6 +1,7 @@
 #include "Basilgap/State/WorkTable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace basilgap::state {
 
@@ -96,14 +97,14 @@
 void WorkTable::apply(const schema::RunBatch &batch, uint64_t stampMs)
 {
     for (const auto &incarnation : batch.workers())
-        registerIncarnation(incarnation);
+        registerIncarnation(incarnation, stampMs);
     for (const auto &end : batch.ends())
         endRun(end, stampMs);
     for (const auto &start : batch.starts())
         startRun(start, stampMs);
 }
 
-void WorkTable::registerIncarnation(const schema::WorkerLife &incarnation)
+void WorkTable::registerIncarnation(const schema::WorkerLife &incarnation, uint64_t stampMs)
 {
     const WorkerNumber number(incarnation.number());
     const schema::WorkerLife *newest = newestIncarnation(incarnation.id());
@@ -112,15 +113,57 @@
     nextWorker_ = std::max(nextWorker_, incarnation.number() + 1);
     if (newest == nullptr || newest->number() <= incarnation.number())
         newestIncarnations_[incarnation.id()] = number;
-    workers_[number] = incarnation;
+    storeIncarnation(incarnation);
     if (!incarnation.gone())
-        return;
+        return confirmCrash(lostWorkers_.takeReplacedBy(incarnation), stampMs);
+    // A worker that does not come back counts as crashed by the tasks that it had just started.
+    std::vector<LostRun> lost = lostWorkers_.take(number);
+    const auto later = std::stable_partition(
+        lost.begin(), lost.end(), [](const LostRun &run) { return run.isAtStart; });
+    confirmCrash({ lost.begin(), later }, stampMs);
+    dismissCrash({ later, lost.end() });
     // The runs on this incarnation are ended by their own records; it is kept until then.
-    if (!runs_.contains(number)) {
-        workers_.erase(number);
-        if (newestIncarnations_[incarnation.id()] == number)
-            newestIncarnations_.erase(incarnation.id());
-    }
+    if (!runs_.contains(number))
+        removeIncarnation(workers_.find(number));
+}
+
+void WorkTable::storeIncarnation(const schema::WorkerLife &incarnation)
+{
+    const WorkerNumber number(incarnation.number());
+    const auto known = workers_.find(number);
+    if (known != workers_.end())
+        removeFromAddress(known->second);
+    workers_[number] = incarnation;
+    byAddress_.emplace(incarnation.address(), number);
+}
+
+void WorkTable::removeFromAddress(const schema::WorkerLife &incarnation)
+{
+    auto [it, end] = byAddress_.equal_range(incarnation.address());
+    while (it != end && it->second.value() != incarnation.number())
+        ++it;
+    if (it != end)
+        byAddress_.erase(it);
+}
+
+void WorkTable::removeIncarnation(std::map<WorkerNumber, schema::WorkerLife>::iterator incarnation)
+{
+    const auto newest = newestIncarnations_.find(incarnation->second.id());
+    if (newest != newestIncarnations_.end() && newest->second == incarnation->first)
+        newestIncarnations_.erase(newest);
+    removeFromAddress(incarnation->second);
+    workers_.erase(incarnation);
+}
+
+// Whether another incarnation has taken the worker's id or address.
+bool WorkTable::isReplaced(const schema::WorkerLife &life) const
+{
+    const schema::WorkerLife *newest = newestIncarnation(life.id());
+    if (newest != nullptr && replaces(*newest, life))
+        return true;
+    const auto [first, last] = byAddress_.equal_range(life.address());
+    return std::any_of(
+        first, last, [&](const auto &entry) { return replaces(workers_.at(entry.second), life); });
 }
 
 void WorkTable::startRun(const schema::RunStart &start, uint64_t stampMs)
@@ -149,6 +192,8 @@
     work.waitingTasks--;
     work.runningTasks++;
     work.started = true;
+    // Only a worker that answers is given new runs.
+    dismissCrash(lostWorkers_.take(worker));
     const schema::StepSpec &spec = work.specOf(ref.step);
     runs_[worker][ref] = start.run();
     runsByAccount_[work.account].insert(ref);
@@ -171,12 +216,8 @@
             runs_.erase(runs);
             reserved_.erase(task->worker);
             const auto incarnation = workers_.find(task->worker);
-            if (incarnation != workers_.end() && incarnation->second.gone()) {
-                const std::string id = incarnation->second.id();
-                workers_.erase(incarnation);
-                if (newestIncarnations_[id] == task->worker)
-                    newestIncarnations_.erase(id);
-            }
+            if (incarnation != workers_.end() && incarnation->second.gone())
+                removeIncarnation(incarnation);
         }
     }
     const auto ofAccount = runsByAccount_.find(work->account);
@@ -207,9 +248,12 @@
     const bool isGang = work.specOf(ref.step).gang();
     if (isGang && end.outcome() == schema::RUN_DONE)
         return completeGang(&work, ref.step, end.run(), stampMs);
+    const schema::WorkerLife *incarnation = findIncarnation(task.worker);
+    const schema::WorkerLife life = incarnation == nullptr ? schema::WorkerLife() : *incarnation;
     releaseRun(&work, ref, &task);
     task.phaseSinceMs = stampMs;
     applyRunOutcome(&work, ref.step, &task, end);
+    recordWorkerLoss(&work, ref, life, end, stampMs);
     finishIfDone(&work, stampMs);
     updateIndexes(work);
 }
@@ -272,6 +316,56 @@
         finish(work, WorkPhase::Failed, task->phaseSinceMs);
 }
 
+void WorkTable::recordWorkerLoss(Work *work, const StepTaskRef &ref, const schema::WorkerLife &life,
+    const schema::RunEnd &end, uint64_t stampMs)
+{
+    WorkTask &task = *findMutable(ref);
+    const bool isAtStart = end.worker_loss() == schema::WORKER_LOST_AT_START;
+    const bool hasOutlivedStart = end.worker_loss() == schema::WORKER_LOST_LATER
+        || end.outcome() == schema::RUN_DONE || end.outcome() == schema::RUN_FAILED;
+    if (work->specOf(ref.step).service() && hasOutlivedStart) {
+        // A service runs until its worker ends, so that later losses are no evidence against it.
+        task.crashPoints = 0;
+        return;
+    }
+    if (end.worker_loss() == schema::WORKER_NOT_LOST || life.number() == 0 || !work->isActive())
+        return;
+    const uint32_t points = isAtStart ? StartCrashPoints : LaterCrashPoints;
+    if (isReplaced(life))
+        return addCrashPoints(work, &task, points, stampMs);
+    task.unconfirmedCrashPoints += points;
+    lostWorkers_.add(life, { ref, points, isAtStart });
+}
+
+void WorkTable::confirmCrash(const std::vector<LostRun> &runs, uint64_t stampMs)
+{
+    dismissCrash(runs);
+    for (const LostRun &run : runs) {
+        if (WorkTask *task = findMutable(run.task))
+            addCrashPoints(&works_.at(run.task.step.work), task, run.crashPoints, stampMs);
+    }
+}
+
+void WorkTable::dismissCrash(const std::vector<LostRun> &runs)
+{
+    for (const LostRun &run : runs) {
+        if (WorkTask *task = findMutable(run.task))
+            task->unconfirmedCrashPoints -= run.crashPoints;
+    }
+}
+
+void WorkTable::addCrashPoints(Work *work, WorkTask *task, uint32_t points, uint64_t stampMs)
+{
+    task->crashPoints += points;
+    if (task->crashPoints >= MaxCrashPoints && work->isActive())
+        finish(work, WorkPhase::Failed, stampMs);
+}
+
+WorkTask *WorkTable::findMutable(const StepTaskRef &ref)
+{
+    return const_cast<WorkTask *>(std::as_const(*this).find(ref));
+}
+
 void WorkTable::finish(Work *work, WorkPhase phase, uint64_t stampMs)
 {
     work->phase = phase;
--- a/Source/Basilgap/State/WorkTable.h
+++ b/Source/Basilgap/State/WorkTable.h
@@ -9,7 +9,9 @@
 
 #include "Basilgap/Common/Ids.h"
 #include "Basilgap/State/JobTable.h"
+#include "Basilgap/State/LostWorkers.h"
 #include "Basilgap/State/Resources.h"
+#include "Basilgap/State/WorkRefs.h"
 #include "State.pb.h"
 
 namespace basilgap::state {
@@ -18,27 +20,12 @@
 using QueueName = StrongType<struct QueueNameTag, std::string>;
 using AccountName = StrongType<struct AccountNameTag, std::string>;
 
-// Number of a job with steps, assigned in the order of submission.
-using WorkSerial = StrongType<struct WorkSerialTag, uint64_t>;
-
-// Refers to one step of one occurrence of a job.
-struct StepRef
-{
-    WorkSerial work;
-    uint32_t occurrence = 0;
-    uint32_t step = 0;
-
-    auto operator<=>(const StepRef &) const = default;
-};
-
-// Refers to one task of a step.
-struct StepTaskRef
-{
-    StepRef step;
-    uint32_t index = 0;
-
-    auto operator<=>(const StepTaskRef &) const = default;
-};
+// Evidence that a task crashes the workers that run it. A crash just after the start of its run
+// says more than a later one, which has other tasks as likely causes. A task fails its job after
+// two crashes at its start, or four later ones.
+constexpr uint32_t StartCrashPoints = 2;
+constexpr uint32_t LaterCrashPoints = 1;
+constexpr uint32_t MaxCrashPoints = 4;
 
 enum class WorkPhase { Active, Completed, Failed, Canceled };
 
@@ -57,6 +44,18 @@
     std::string checkpoint;
     // Time of the last change of phase, in Unix milliseconds.
     uint64_t phaseSinceMs = 0;
+    // Evidence that the task crashes its workers. Its job fails at MaxCrashPoints.
+    uint32_t crashPoints = 0;
+    // Points that count once its worker is known to have crashed.
+    uint32_t unconfirmedCrashPoints = 0;
+
+    // Whether the task may have crashed a worker, so that it should start alone.
+    bool isCrashSuspect() const { return crashPoints + unconfirmedCrashPoints >= StartCrashPoints; }
+    // Whether the job fails if the workers whose fate is not known have crashed.
+    bool awaitsCrashVerdict() const
+    {
+        return unconfirmedCrashPoints > 0 && crashPoints + unconfirmedCrashPoints >= MaxCrashPoints;
+    }
 };
 
 struct WorkStep
@@ -109,15 +108,6 @@
 // Resources that a task of the step reserves on its worker. A backfill task reserves no processor.
 Resources reservationOf(const schema::StepSpec &step);
 
-// Refers to one run of a task.
-struct RunRef
-{
-    StepTaskRef task;
-    uint32_t run = 0;
-
-    auto operator<=>(const RunRef &) const = default;
-};
-
 // Jobs with steps, the incarnations of workers and the runs on them. Applying the same records
 // gives the same table on every replica.
 class WorkTable
@@ -153,6 +143,10 @@
     const schema::WorkerLife *newestIncarnation(const std::string &id) const;
     WorkerNumber nextWorker() const { return WorkerNumber(nextWorker_); }
 
+    // Runs that ended when this incarnation of a worker was lost, while it is not known whether it
+    // has crashed.
+    const LostWorkers &lostWorkers() const { return lostWorkers_; }
+
     // Runs that were started on this incarnation of a worker and have not ended, with their
     // numbers.
     const std::map<StepTaskRef, uint32_t> &runsOn(WorkerNumber worker) const;
@@ -167,7 +161,17 @@
     void restore(const schema::WorkSnapshot &snapshot);
 
 private:
-    void registerIncarnation(const schema::WorkerLife &incarnation);
+    void registerIncarnation(const schema::WorkerLife &incarnation, uint64_t stampMs);
+    void storeIncarnation(const schema::WorkerLife &incarnation);
+    void removeFromAddress(const schema::WorkerLife &incarnation);
+    void removeIncarnation(std::map<WorkerNumber, schema::WorkerLife>::iterator incarnation);
+    bool isReplaced(const schema::WorkerLife &life) const;
+    void recordWorkerLoss(Work *work, const StepTaskRef &ref, const schema::WorkerLife &life,
+        const schema::RunEnd &end, uint64_t stampMs);
+    void confirmCrash(const std::vector<LostRun> &runs, uint64_t stampMs);
+    void dismissCrash(const std::vector<LostRun> &runs);
+    void addCrashPoints(Work *work, WorkTask *task, uint32_t points, uint64_t stampMs);
+    WorkTask *findMutable(const StepTaskRef &ref);
     void startRun(const schema::RunStart &start, uint64_t stampMs);
     void endRun(const schema::RunEnd &end, uint64_t stampMs);
     void completeGang(Work *work, const StepRef &ref, uint32_t run, uint64_t stampMs);
@@ -189,6 +193,9 @@
     std::set<WorkSerial> active_;
     std::map<WorkerNumber, schema::WorkerLife> workers_;
     std::unordered_map<std::string, WorkerNumber> newestIncarnations_;
+    // All of workers_ by address.
+    std::unordered_multimap<std::string, WorkerNumber> byAddress_;
+    LostWorkers lostWorkers_;
     uint32_t nextWorker_ = 1;
     std::map<WorkerNumber, std::map<StepTaskRef, uint32_t>> runs_;
     std::map<WorkerNumber, Resources> reserved_;
--- a/Source/UnitTests/Dispatch/WorkerSessionFixture.h
+++ b/Source/UnitTests/Dispatch/WorkerSessionFixture.h
@@ -12,14 +12,6 @@
 const int64_t MinPollIntervalMs = SessionTimes().minPollInterval.count();
 constexpr const char *WorkId = "5c0e7a21d94b36f8";
 
-struct RecordedEnd
-{
-    StepTaskRef task;
-    uint32_t run = 0;
-    schema::RunOutcome outcome = schema::RUN_DONE;
-    std::string checkpoint;
-};
-
 // A session with one worker, over a table with one job of four tasks, on a simulated clock.
 class WorkerSessionTest : public testing::Test
 {
@@ -57,11 +49,7 @@
                 .port = port,
                 .table = table,
                 .events = {
-                    .onRunEnd =
-                        [this](const StepTaskRef &task, uint32_t run, schema::RunOutcome outcome,
-                            const std::string &checkpoint) {
-                            ends.push_back({ task, run, outcome, checkpoint });
-                        },
+                    .onRunEnd = [this](const EndedRun &ended) { ends.push_back(ended); },
                     .onAvailabilityChanged = [] {},
                     .onFenced = [this] { fenced = true; },
                     .maySendOrders = [this] { return isLeaderConfirmed; },
@@ -69,6 +57,7 @@
                     .pollDelay = [this] { return pollDelay; },
                 },
                 .clock = [this] { return now; },
+                .wallClock = [this] { return now; },
             },
             now);
     }
@@ -76,7 +65,7 @@
     StepTaskRef taskOf(uint32_t index) const { return { { state::WorkSerial(1), 0, 0 }, index }; }
 
     // Applies the record of a start, which the leader commits before it sends the start.
-    void logStart(uint32_t index, uint32_t run)
+    void logStart(uint32_t index, uint32_t run, Millis loggedAt = Millis(2))
     {
         schema::RunBatch batch;
         schema::RunStart *start = batch.add_starts();
@@ -84,7 +73,7 @@
         start->set_index(index);
         start->set_run(run);
         start->set_worker(1);
-        table.apply(batch, 2);
+        table.apply(batch, static_cast<uint64_t>(loggedAt.count()));
     }
 
     PollAnswer pollAnswer(const std::vector<uint32_t> &indexes, uint32_t run = 1) const
@@ -123,7 +112,7 @@
     FakeWorkerPort port;
     CallLossTracker callLoss;
     std::unique_ptr<WorkerSession> session;
-    std::vector<RecordedEnd> ends;
+    std::vector<EndedRun> ends;
     bool fenced = false;
     bool isLeaderConfirmed = true;
     Millis pollDelay;
--- a/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
@@ -133,6 +133,58 @@
     EXPECT_GE((now - Millis(100000)).count() * 98, (latestLeaseEnd - Millis(100000)).count() * 100);
 }
 
+// Guards against BUDGET: the runs of a crashed worker all look alike, although only the one that
+// had just started is a likely cause.
+TEST_F(WorkerSessionTest, aLostWorkerIsBlamedOnTheRunsThatHadJustStarted)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    logStart(1, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    now += SessionTimes().startLossWindow + Millis(1);
+    session->start(taskOf(1), 1, "", now);
+    now += Millis(5);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    now += Millis(5);
+    session->supersede(now);
+    ASSERT_EQ(ends.size(), 2U);
+    EXPECT_EQ(ends[0].workerLoss, schema::WORKER_LOST_LATER);
+    EXPECT_EQ(ends[1].workerLoss, schema::WORKER_LOST_AT_START);
+}
+
+TEST_F(WorkerSessionTest, aRunThatALiveWorkerNoLongerListsIsNoLossOfTheWorker)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    now += Millis(10);
+    advanceAndTick(MinPollIntervalMs);
+    port.polls.back().done(pollAnswer({}));
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].workerLoss, schema::WORKER_NOT_LOST);
+}
+
+// The leader changes between the crash of a worker and the end of its lease.
+TEST_F(WorkerSessionTest, aNewLeaderBlamesTheRunsThatWereLoggedWithinTheLastLease)
+{
+    logStart(0, 1, now - Millis(20000));
+    logStart(1, 1, now - Millis(1500));
+    openSession(now + Millis(100));
+    for (int i = 0; i < 100 && ends.size() < 2; i++) {
+        const size_t before = port.polls.size();
+        advanceAndTick(50);
+        if (port.polls.size() > before)
+            port.polls.back().done({});
+    }
+    ASSERT_EQ(ends.size(), 2U);
+    EXPECT_EQ(ends[0].workerLoss, schema::WORKER_LOST_LATER);
+    EXPECT_EQ(ends[1].workerLoss, schema::WORKER_LOST_AT_START);
+}
+
 TEST_F(WorkerSessionTest, leasesOfAnEarlierLeaderDelayLapsingOfRuns)
 {
     logStart(0, 1);
--- a/Source/UnitTests/Scheduling/StepPlannerFixture.h
+++ b/Source/UnitTests/Scheduling/StepPlannerFixture.h
@@ -64,41 +64,44 @@
         return { state::WorkSerial(next_++), 0, 0 };
     }
 
-    StepPlan plan()
+    StepPlan plan() { return planAt(Wall); }
+
+    StepPlan planAt(uint64_t wallMs)
     {
         config.apply(configCommand);
         std::vector<StepWorker> current = workers;
         for (StepWorker &worker : current)
             worker.reserved += table.reservedOn(worker.number);
         urgent.update(table, config, Now);
-        return StepPlanner({
-                               .table = table,
-                               .config = config,
-                               .permits = permits,
-                               .health = health,
-                               .durations = durations,
-                               .urgent = urgent,
-                               .workers = current,
-                               .now = Now,
-                               .wallMs = Wall,
-                               .adviceClaims = adviceClaims,
-                               .advisors = advisors,
-                               .freeAdvisors = freeAdvisors,
-                               .endingSteps = endingSteps,
-                               .preemptibleRunsOn =
-                                   [this](WorkerNumber worker) {
-                                       return preemptibleRunsWith([&](const PreemptibleRun &run) {
-                                           return run.worker == worker;
-                                       });
-                                   },
-                               .preemptibleRunsOf =
-                                   [this](const state::AccountName &account) {
-                                       return preemptibleRunsWith([&](const PreemptibleRun &run) {
-                                           return run.account == account;
-                                       });
-                                   },
-                               .pendingEnds = collectPendingRunEnds(table, ends),
-                           })
+        return StepPlanner(
+            {
+                .table = table,
+                .config = config,
+                .permits = permits,
+                .health = health,
+                .durations = durations,
+                .urgent = urgent,
+                .workers = current,
+                .now = Now,
+                .wallMs = wallMs,
+                .adviceClaims = adviceClaims,
+                .advisors = advisors,
+                .freeAdvisors = freeAdvisors,
+                .endingSteps = endingSteps,
+                .preemptibleRunsOn =
+                    [this](WorkerNumber worker) {
+                        return preemptibleRunsWith(
+                            [&](const PreemptibleRun &run) { return run.worker == worker; });
+                    },
+                .preemptibleRunsOf =
+                    [this](const state::AccountName &account) {
+                        return preemptibleRunsWith(
+                            [&](const PreemptibleRun &run) { return run.account == account; });
+                    },
+                .hasFreshRun = [this](
+                                   WorkerNumber worker) { return freshWorkers.contains(worker); },
+                .pendingEnds = collectPendingRunEnds(table, ends),
+            })
             .run();
     }
 
@@ -143,6 +146,8 @@
         return count;
     }
 
+    // Workers on which a task has just started.
+    std::set<WorkerNumber> freshWorkers;
     schema::PutWorkConfig configCommand;
     state::WorkTable table;
     state::WorkConfigState config;
--- /dev/null
+++ b/Source/UnitTests/State/WorkTableCrashTest.cpp
@@ -0,0 +1,229 @@
+#include <gtest/gtest.h>
+
+#include "Basilgap/State/WorkTable.h"
+
+namespace basilgap::state {
+namespace {
+
+// Guards against BUDGET: a task that crashed its workers was started again without limit, since a
+// worker that crashes reports no failed run.
+class WorkTableCrashTest : public testing::Test
+{
+protected:
+    void submit(bool isService = false)
+    {
+        schema::SubmitWork command;
+        command.set_id("a");
+        command.set_max_attempts(2);
+        schema::StepSpec *step = command.mutable_spec()->add_steps();
+        step->set_count(2);
+        step->set_service(isService);
+        table.submit(command, 1);
+    }
+
+    static schema::WorkerLife life(
+        uint32_t number, const std::string &id, const std::string &address)
+    {
+        schema::WorkerLife life;
+        life.set_number(number);
+        life.set_id(id);
+        life.set_address(address);
+        life.set_born_ms(1000 * number);
+        return life;
+    }
+
+    void registerWorker(uint32_t number, const std::string &id, const std::string &address)
+    {
+        schema::RunBatch batch;
+        *batch.add_workers() = life(number, id, address);
+        table.apply(batch, 5);
+    }
+
+    void dropWorker(uint32_t number, const std::string &id, const std::string &address)
+    {
+        schema::RunBatch batch;
+        *batch.add_workers() = life(number, id, address);
+        batch.mutable_workers(0)->set_gone(true);
+        table.apply(batch, 5);
+    }
+
+    void start(uint32_t worker, uint32_t index = 0)
+    {
+        schema::RunBatch batch;
+        schema::RunStart *start = batch.add_starts();
+        start->set_work(1);
+        start->set_index(index);
+        start->set_run(task(index).run + 1);
+        start->set_worker(worker);
+        table.apply(batch, 6);
+    }
+
+    void end(schema::WorkerLoss loss, schema::RunOutcome outcome = schema::RUN_LAPSED,
+        uint32_t index = 0)
+    {
+        schema::RunBatch batch;
+        schema::RunEnd *end = batch.add_ends();
+        end->set_work(1);
+        end->set_index(index);
+        end->set_run(task(index).run);
+        end->set_outcome(outcome);
+        end->set_worker_loss(loss);
+        table.apply(batch, 7);
+    }
+
+    // Worker `number` is lost at the given moment of the run, and a new life comes at its address.
+    void loseWorkerUnderTask(uint32_t number, schema::WorkerLoss loss)
+    {
+        const std::string address = "address" + std::to_string(number);
+        registerWorker(2 * number, "id" + std::to_string(2 * number), address);
+        start(2 * number);
+        end(loss);
+        registerWorker(2 * number + 1, "id" + std::to_string(2 * number + 1), address);
+    }
+
+    const WorkTask &task(uint32_t index = 0) const { return *table.find({ step, index }); }
+    WorkPhase phase() const { return table.find("a")->phase; }
+
+    const StepRef step{ WorkSerial(1), 0, 0 };
+    WorkTable table;
+};
+
+TEST_F(WorkTableCrashTest, jobFailsAfterTwoCrashesAtTheStartOfOneTask)
+{
+    submit();
+    loseWorkerUnderTask(1, schema::WORKER_LOST_AT_START);
+    EXPECT_EQ(phase(), WorkPhase::Active);
+    EXPECT_TRUE(task().isCrashSuspect());
+    loseWorkerUnderTask(2, schema::WORKER_LOST_AT_START);
+    EXPECT_EQ(phase(), WorkPhase::Failed);
+}
+
+TEST_F(WorkTableCrashTest, laterCrashesCountHalf)
+{
+    submit();
+    for (uint32_t worker = 1; worker <= 3; worker++)
+        loseWorkerUnderTask(worker, schema::WORKER_LOST_LATER);
+    EXPECT_EQ(phase(), WorkPhase::Active);
+    loseWorkerUnderTask(4, schema::WORKER_LOST_LATER);
+    EXPECT_EQ(phase(), WorkPhase::Failed);
+}
+
+TEST_F(WorkTableCrashTest, crashOfOtherTasksIsNotCounted)
+{
+    submit();
+    loseWorkerUnderTask(1, schema::WORKER_LOST_AT_START);
+    registerWorker(10, "other", "other");
+    start(10, 1);
+    end(schema::WORKER_LOST_AT_START, schema::RUN_LAPSED, 1);
+    registerWorker(11, "another", "other");
+    EXPECT_EQ(phase(), WorkPhase::Active);
+    EXPECT_EQ(task(0).crashPoints, StartCrashPoints);
+    EXPECT_EQ(task(1).crashPoints, StartCrashPoints);
+}
+
+TEST_F(WorkTableCrashTest, workerThatWasOnlyCutOffDoesNotCount)
+{
+    submit();
+    registerWorker(1, "w", "address");
+    for (int i = 0; i < 5; i++) {
+        start(1);
+        end(schema::WORKER_LOST_AT_START);
+        EXPECT_EQ(task().unconfirmedCrashPoints, StartCrashPoints);
+    }
+    // The worker answers, since it is given another run.
+    start(1, 1);
+    EXPECT_EQ(task().unconfirmedCrashPoints, 0U);
+    EXPECT_EQ(task().crashPoints, 0U);
+    EXPECT_EQ(phase(), WorkPhase::Active);
+}
+
+TEST_F(WorkTableCrashTest, crashThatIsKnownBeforeTheLeaseEndsCounts)
+{
+    submit();
+    for (uint32_t worker = 1; worker <= 2; worker++) {
+        const std::string address = "address" + std::to_string(worker);
+        registerWorker(2 * worker, "id" + std::to_string(2 * worker), address);
+        start(2 * worker);
+        registerWorker(2 * worker + 1, "id" + std::to_string(2 * worker + 1), address);
+        end(schema::WORKER_LOST_AT_START);
+    }
+    EXPECT_EQ(phase(), WorkPhase::Failed);
+}
+
+TEST_F(WorkTableCrashTest, workerThatRestartsUnderItsIdCounts)
+{
+    submit();
+    registerWorker(1, "w", "address");
+    start(1);
+    schema::RunBatch restart;
+    *restart.add_workers() = life(2, "w", "elsewhere");
+    *restart.add_workers() = life(1, "w", "address");
+    restart.mutable_workers(1)->set_gone(true);
+    table.apply(restart, 5);
+    end(schema::WORKER_LOST_AT_START, schema::RUN_LOST);
+    EXPECT_EQ(task().crashPoints, StartCrashPoints);
+}
+
+TEST_F(WorkTableCrashTest, workerThatNeverComesBackCountsOnlyAtTheStart)
+{
+    submit();
+    registerWorker(1, "w", "address");
+    start(1, 0);
+    start(1, 1);
+    end(schema::WORKER_LOST_AT_START, schema::RUN_LAPSED, 0);
+    end(schema::WORKER_LOST_LATER, schema::RUN_LAPSED, 1);
+    dropWorker(1, "w", "address");
+    EXPECT_EQ(task(0).crashPoints, StartCrashPoints);
+    EXPECT_EQ(task(1).crashPoints, 0U);
+    EXPECT_EQ(task(1).unconfirmedCrashPoints, 0U);
+}
+
+TEST_F(WorkTableCrashTest, earlierLifeAtTheAddressIsNoCrash)
+{
+    submit();
+    registerWorker(5, "new", "address");
+    start(5);
+    // A delayed announcement of the life before registers late.
+    schema::RunBatch late;
+    *late.add_workers() = life(6, "old", "address");
+    late.mutable_workers(0)->set_born_ms(10);
+    table.apply(late, 6);
+    end(schema::WORKER_LOST_AT_START);
+    EXPECT_EQ(task().crashPoints, 0U);
+    EXPECT_EQ(task().unconfirmedCrashPoints, StartCrashPoints);
+}
+
+// A service runs on many workers in its life, and workers crash now and then.
+TEST_F(WorkTableCrashTest, servicesAreJudgedByCrashesAtTheirStartInARowOnly)
+{
+    submit(true);
+    for (uint32_t worker = 1; worker <= 6; worker++) {
+        loseWorkerUnderTask(2 * worker, schema::WORKER_LOST_AT_START);
+        loseWorkerUnderTask(2 * worker + 1, schema::WORKER_LOST_LATER);
+    }
+    EXPECT_EQ(phase(), WorkPhase::Active);
+    loseWorkerUnderTask(20, schema::WORKER_LOST_AT_START);
+    loseWorkerUnderTask(21, schema::WORKER_LOST_AT_START);
+    EXPECT_EQ(phase(), WorkPhase::Failed);
+}
+
+TEST_F(WorkTableCrashTest, countsSurviveASnapshot)
+{
+    submit();
+    loseWorkerUnderTask(1, schema::WORKER_LOST_AT_START);
+    registerWorker(10, "w", "address");
+    start(10);
+    end(schema::WORKER_LOST_AT_START);
+    const schema::WorkSnapshot snapshot = table.save();
+    WorkTable restored;
+    restored.restore(snapshot);
+    EXPECT_EQ(restored.save().SerializeAsString(), snapshot.SerializeAsString());
+    EXPECT_EQ(restored.find({ step, 0 })->unconfirmedCrashPoints, StartCrashPoints);
+    schema::RunBatch batch;
+    *batch.add_workers() = life(11, "next", "address");
+    restored.apply(batch, 8);
+    EXPECT_EQ(restored.find("a")->phase, WorkPhase::Failed);
+}
+
+} // namespace
+} // namespace basilgap::state
