Prove that a timeout was reported as unsent although the request left

Test: HttpConnection.requestSentBetweenTheTimeoutAndItsReportIsReportedAsSent holds the connection back with a full listening queue, until the timeout has fired and its report is pending; the connection then opens and the request leaves before the report. The test now waits for all results before it compares; the comparison is the same.

--- a/Source/UnitTests/Network/NetworkTest.cpp
+++ b/Source/UnitTests/Network/NetworkTest.cpp
@@ -1,6 +1,13 @@
+#include <array>
+#include <optional>
+#include <thread>
+
 #include <event2/bufferevent.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
 #include <rapidcheck/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "Basilgap/Network/BackgroundThread.h"
 #include "Basilgap/Network/HttpConnection.h"
@@ -233,18 +240,96 @@
             responder->answer(jsonResponse(200, "{}"));
         });
     ASSERT_TRUE(server);
+    constexpr int Requests = 200;
     int sent = 0;
-    for (int i = 0; i < 200; i++) {
+    int reported = 0;
+    for (int i = 0; i < Requests; i++) {
         const HttpRequest request{ "POST", "/", {}, "x", "" };
-        fetchOnce(loop, (*server)->address(), request, Millis(i % 3),
-            [&](const ExchangeResult &result) { sent += result.bytesSent ? 1 : 0; });
+        fetchOnce(
+            loop, (*server)->address(), request, Millis(i % 3), [&](const ExchangeResult &result) {
+                sent += result.bytesSent ? 1 : 0;
+                reported++;
+            });
         Timer timer(loop, [&loop] { loop.stop(); });
         timer.startOnce(Millis(4));
         loop.run();
     }
+    // On a busy host the loop may stop before a result is reported.
+    ASSERT_TRUE(runUntil(loop, [&] { return reported == Requests; }));
     EXPECT_GE(sent, seen);
 }
 
+// A listening socket that completes no further connection until it accepts the one that fills its
+// queue. The kernel drops the first packet of a later connection and repeats it after a second.
+class FullListener
+{
+public:
+    FullListener()
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto *generic = reinterpret_cast<sockaddr *>(&address);
+        socklen_t length = sizeof(address);
+        const timeval limit{ 5, 0 };
+        setsockopt(listener_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+        isFull_ = bind(listener_, generic, length) == 0 && listen(listener_, 0) == 0
+            && getsockname(listener_, generic, &length) == 0
+            && connect(filler_, generic, length) == 0;
+        address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    }
+    ~FullListener()
+    {
+        close(listener_);
+        close(filler_);
+    }
+    FullListener(const FullListener &) = delete;
+    FullListener &operator=(const FullListener &) = delete;
+
+    bool isFull() const { return isFull_; }
+    const std::string &address() const { return address_; }
+
+    // Blocks until the next connection is open, and returns its descriptor.
+    int acceptNext() const
+    {
+        close(accept(listener_, nullptr, nullptr));
+        return accept(listener_, nullptr, nullptr);
+    }
+
+private:
+    int listener_ = socket(AF_INET, SOCK_STREAM, 0);
+    int filler_ = socket(AF_INET, SOCK_STREAM, 0);
+    bool isFull_ = false;
+    std::string address_;
+};
+
+// The connection opens after the timeout, in the loop iteration in which the result is reported.
+TEST(HttpConnection, requestSentBetweenTheTimeoutAndItsReportIsReportedAsSent)
+{
+    FullListener server;
+    ASSERT_TRUE(server.isFull());
+    EventLoop loop;
+    std::optional<ExchangeResult> result;
+    fetchOnce(loop, server.address(), { "POST", "/", {}, "x", "" }, Millis(10),
+        [&](ExchangeResult ended) {
+            result = std::move(ended);
+            loop.stop();
+        });
+    int accepted = -1;
+    Timer accepter(loop, [&] { accepted = server.acceptNext(); });
+    accepter.startOnce(Millis(11));
+    // Both timers are due in the first iteration of the loop.
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    loop.run();
+    ASSERT_GE(accepted, 0);
+    std::array<char, 64> received{};
+    const ssize_t size = recv(accepted, received.data(), received.size(), 0);
+    close(accepted);
+    ASSERT_GT(size, 0) << "the request was not sent";
+    EXPECT_EQ(result->end, ExchangeEnd::Timeout);
+    EXPECT_TRUE(result->bytesSent);
+}
+
 TEST(BackgroundThread, runsItemsInOrderAndCallsBackFromTheEventLoop)
 {
     EventLoop loop;
