Add failing tests of starts whose room is released too early

A model of workers as the protocol describes them plays against WorkerSession and WorkTable on a simulated clock: calls are lost, carried out up to 12 s late, in any order, or wait in the process; answers get lost; leaders lose their confirmation, freeze and are replaced; jobs are cancelled and runs preempted. Cause by reading: sendStart() reports a run as lost if its job is no longer active, also when it is called for a resend and an earlier send may still be carried out, or has been confirmed. Two tests of the session show the two ways.

--- /dev/null
+++ b/Source/UnitTests/Dispatch/ModelLeader.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "Basilgap/Dispatch/WorkerSession.h"
+#include "ModelNetwork.h"
+
+namespace basilgap::dispatch {
+
+// A leader that places tasks on workers with enough free capacity in the table. It logs ends and
+// starts as WorkDispatcher does, without a planner's choices.
+class ModelLeader
+{
+public:
+    struct Options
+    {
+        SimulatedTime &time;
+        ModelNetwork::Workers &workers;
+        // The committed state.
+        state::WorkTable &table;
+        uint64_t fencingToken = 0;
+        std::function<int64_t(const state::StepTaskRef &)> millicoresOf;
+    };
+
+    explicit ModelLeader(Options options);
+
+    void setTrouble(const NetworkTrouble &trouble) { network_.setTrouble(trouble); }
+    // While no quorum confirms the leader, it sends no orders.
+    void setConfirmed(bool isConfirmed) { isConfirmed_ = isConfirmed; }
+    void freeze();
+    // Continues without confirmation, as another leader has taken over.
+    void thaw();
+    // The process has ended or follows another leader. Its calls may still be carried out.
+    void retire();
+
+    // Opens sessions with new incarnations, and supersedes the sessions with earlier ones.
+    void reconcile();
+    void handleCanceled();
+    // Stops a running task, as for an urgent one.
+    void preempt(const state::StepTaskRef &task);
+
+private:
+    void tick();
+    void propose();
+    void planStarts(schema::RunBatch *batch);
+    void commit(const schema::RunBatch &batch, const std::map<WorkerNumber, uint64_t> &ends);
+    void handleApplied(const schema::RunBatch &batch);
+    void sendStarts(const schema::RunBatch &batch);
+
+    Options options_;
+    ModelNetwork network_;
+    CallLossTracker callLoss_;
+    std::map<WorkerNumber, std::unique_ptr<WorkerSession>> sessions_;
+    std::vector<schema::RunEnd> pendingEnds_;
+    std::set<WorkerNumber> workersWithListedEnds_;
+    Millis leaderSince_;
+    bool isConfirmed_ = true;
+    bool isFenced_ = false;
+    bool isFrozen_ = false;
+    bool isRetired_ = false;
+    bool isBatchPending_ = false;
+};
+
+} // namespace basilgap::dispatch
--- a/Source/UnitTests/Dispatch/WorkerSessionFixture.h
+++ b/Source/UnitTests/Dispatch/WorkerSessionFixture.h
@@ -87,6 +87,14 @@
         table.apply(batch, 2);
     }
 
+    // The session is not told.
+    void cancelJob()
+    {
+        schema::CancelWork cancel;
+        cancel.set_id(WorkId);
+        table.cancel(cancel, 3);
+    }
+
     PollAnswer pollAnswer(const std::vector<uint32_t> &indexes, uint32_t run = 1) const
     {
         PollAnswer answer;
--- /dev/null
+++ b/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
@@ -0,0 +1,307 @@
+// Plays leaders against model workers over a network that delays, loses and reorders calls, and
+// checks what runs on the workers.
+
+#include <gtest/gtest.h>
+
+#include <iterator>
+#include <memory>
+
+#include "ModelLeader.h"
+
+namespace basilgap::dispatch {
+namespace {
+
+constexpr int64_t WorkerMillicores = 8000;
+constexpr Millis TroubledTime{ 30000 };
+constexpr Millis CalmTime{ 40000 };
+constexpr size_t MaxActiveJobs = 12;
+
+struct Scenario
+{
+    NetworkTrouble trouble;
+    bool changesLeader = false;
+    bool losesConfirmation = false;
+    bool cancelsJobs = false;
+    bool preempts = false;
+    bool restartsWorkers = false;
+};
+
+// A cell with three workers and, at each time, one leader.
+class ModelCell
+{
+public:
+    ModelCell(const Scenario &scenario, uint64_t seed)
+        : scenario_(scenario)
+        , time_(seed)
+    {
+        for (const char *id : { "w1", "w2", "w3" }) {
+            workers_[id] = std::make_unique<ModelWorker>(ModelWorker::Options{
+                .time = time_,
+                .id = id,
+                .millicores = WorkerMillicores,
+                .model = [this](const TaskName &task) { return modelOf(task); },
+                .onStart = [this](const TaskName &task, uint32_t run) { checkStart(task, run); },
+                .onViolation = [this](const std::string &text) { report(text); },
+            });
+            registerIncarnation(*workers_[id]);
+        }
+        lead();
+    }
+
+    void play()
+    {
+        const Millis troubleEnd = time_.now() + TroubledTime;
+        while (time_.now() < troubleEnd && violations_.empty()) {
+            time_.runUntil(time_.now() + time_.millisBetween(10, 200));
+            act();
+        }
+        isCalm_ = true;
+        leader().setTrouble({});
+        leader().setConfirmed(true);
+        time_.runUntil(time_.now() + CalmTime);
+        if (!violations_.empty())
+            return;
+        if (!table_.active().empty())
+            report("jobs left over: " + std::to_string(table_.active().size()));
+        if (table_.runningTasks() > 0)
+            report("runs left over in the table: " + std::to_string(table_.runningTasks()));
+        for (const auto &[id, worker] : workers_) {
+            if (worker->runningCount() > 0)
+                report("runs left over on " + id);
+        }
+    }
+
+    const std::vector<std::string> &violations() const { return violations_; }
+    size_t starts() const { return starts_; }
+
+private:
+    ModelLeader &leader() { return *leaders_.back(); }
+
+    void report(const std::string &text)
+    {
+        violations_.push_back(std::to_string(time_.now().count()) + " ms: " + text);
+    }
+
+    void act()
+    {
+        if (table_.active().size() < MaxActiveJobs)
+            submit();
+        if (scenario_.cancelsJobs && time_.chance(30))
+            cancelOne();
+        if (scenario_.preempts && time_.chance(20))
+            preemptOne();
+        if (scenario_.losesConfirmation && time_.chance(10))
+            loseConfirmation();
+        if (scenario_.changesLeader && time_.chance(2))
+            changeLeader();
+        if (scenario_.restartsWorkers && time_.chance(3))
+            restartOne();
+    }
+
+    void submit()
+    {
+        schema::SubmitWork submit;
+        std::string id = std::to_string(++jobs_);
+        id.insert(0, 16 - id.size(), '0');
+        submit.set_id(id);
+        submit.set_max_attempts(2);
+        schema::StepSpec *step = submit.mutable_spec()->add_steps();
+        step->set_count(static_cast<uint32_t>(time_.between(1, 5)));
+        step->set_millicores(static_cast<uint32_t>(time_.between(500, 4000)));
+        table_.submit(submit, static_cast<uint64_t>(time_.now().count()));
+    }
+
+    std::optional<state::WorkSerial> randomJob()
+    {
+        if (table_.active().empty())
+            return std::nullopt;
+        auto job = table_.active().begin();
+        std::advance(job, time_.between(0, static_cast<int64_t>(table_.active().size()) - 1));
+        return *job;
+    }
+
+    void cancelOne()
+    {
+        const auto job = randomJob();
+        if (!job)
+            return;
+        schema::CancelWork cancel;
+        cancel.set_id(table_.find(*job)->id);
+        table_.cancel(cancel, static_cast<uint64_t>(time_.now().count()));
+        leader().handleCanceled();
+    }
+
+    void preemptOne()
+    {
+        const auto job = randomJob();
+        if (!job)
+            return;
+        const state::StepRef step{ *job, 0, 0 };
+        const auto &tasks = table_.find(*job)->stepAt(step).tasks;
+        for (uint32_t i = 0; i < tasks.size(); i++) {
+            if (tasks[i].phase == state::RunPhase::Running)
+                return leader().preempt({ step, i });
+        }
+    }
+
+    void loseConfirmation()
+    {
+        leader().setConfirmed(false);
+        time_.after(time_.millisBetween(50, 900), [this, number = leaders_.size()] {
+            if (leaders_.size() == number)
+                leader().setConfirmed(true);
+        });
+    }
+
+    void changeLeader()
+    {
+        ModelLeader &old = leader();
+        const bool isFrozen = time_.chance(50);
+        if (isFrozen)
+            old.freeze();
+        else
+            old.retire();
+        // Another replica is elected after a minimum silence.
+        time_.runUntil(time_.now() + time_.millisBetween(400, 1500));
+        lead();
+        if (!isFrozen)
+            return;
+        time_.after(time_.millisBetween(0, 8000), [this, &old] {
+            old.thaw();
+            time_.after(Millis(200), [&old] { old.retire(); });
+        });
+    }
+
+    void lead()
+    {
+        leaders_.push_back(std::make_unique<ModelLeader>(ModelLeader::Options{
+            .time = time_,
+            .workers = workers_,
+            .table = table_,
+            .fencingToken = leaders_.size() + 1,
+            .millicoresOf =
+                [this](const StepTaskRef &task) {
+                    return static_cast<int64_t>(
+                        table_.find(task.step.work)->specOf(task.step).millicores());
+                },
+        }));
+        if (!isCalm_)
+            leader().setTrouble(scenario_.trouble);
+    }
+
+    void restartOne()
+    {
+        auto worker = workers_.begin();
+        std::advance(worker, time_.between(0, static_cast<int64_t>(workers_.size()) - 1));
+        ModelWorker &target = *worker->second;
+        if (!target.isUp())
+            return;
+        target.restart(time_.millisBetween(1, 3000), [this, &target] {
+            // Its announcement takes a while to be logged.
+            time_.after(time_.millisBetween(5, 1500), [this, &target] {
+                if (target.isUp() && registerIncarnation(target))
+                    leader().reconcile();
+            });
+        });
+    }
+
+    // False if the incarnation is registered already.
+    bool registerIncarnation(const ModelWorker &worker)
+    {
+        const schema::WorkerLife *previous = table_.newestIncarnation(worker.id());
+        if (previous != nullptr && previous->born_ms() == worker.incarnationStartMs())
+            return false;
+        schema::RunBatch batch;
+        schema::WorkerLife *incarnation = batch.add_workers();
+        incarnation->set_number(table_.nextWorker().value());
+        incarnation->set_id(worker.id());
+        incarnation->set_born_ms(worker.incarnationStartMs());
+        incarnation->set_millicores(static_cast<uint64_t>(worker.millicores()));
+        if (previous != nullptr) {
+            schema::WorkerLife *gone = batch.add_workers();
+            *gone = *previous;
+            gone->set_gone(true);
+        }
+        table_.apply(batch, static_cast<uint64_t>(time_.now().count()));
+        return true;
+    }
+
+    ModelWorker::TaskModel modelOf(const TaskName &task)
+    {
+        const state::Work *work = table_.find(task.work);
+        return {
+            .millicores = static_cast<int64_t>(work->spec.steps(0).millicores()),
+            .duration = time_.millisBetween(20, 4000),
+            .outcome = time_.chance(10) ? schema::RUN_FAILED : schema::RUN_DONE,
+        };
+    }
+
+    void checkStart(const TaskName &task, uint32_t run)
+    {
+        starts_++;
+        const std::string name = task.work + "." + std::to_string(task.index);
+        for (const auto &[id, worker] : workers_) {
+            if (worker->isUp() && worker->isRunning(task))
+                report("TWICE: run " + std::to_string(run) + " of " + name
+                    + " starts while it runs on " + id);
+        }
+        const state::Work *work = table_.find(task.work);
+        if (work->occurrences[0][0].tasks[task.index].phase == state::RunPhase::Done)
+            report("TWICE: " + name + " starts after its end was logged");
+    }
+
+    Scenario scenario_;
+    SimulatedTime time_;
+    state::WorkTable table_;
+    ModelNetwork::Workers workers_;
+    // The current one last; earlier ones may still be frozen.
+    std::vector<std::unique_ptr<ModelLeader>> leaders_;
+    std::vector<std::string> violations_;
+    uint64_t jobs_ = 0;
+    size_t starts_ = 0;
+    bool isCalm_ = false;
+};
+
+constexpr NetworkTrouble Lossy{
+    .lost = 3, .answerLost = 5, .late = 5, .notSent = 2, .queued = 10, .unavailable = 1
+};
+
+void playSeeds(const Scenario &scenario)
+{
+    constexpr uint64_t Seeds = 60;
+    size_t starts = 0;
+    for (uint64_t seed = 1; seed <= Seeds; seed++) {
+        ModelCell cell(scenario, seed);
+        cell.play();
+        starts += cell.starts();
+        for (const std::string &violation : cell.violations())
+            ADD_FAILURE() << "seed " << seed << ", " << violation;
+    }
+    testing::Test::RecordProperty("starts", static_cast<int>(starts));
+    EXPECT_GE(starts, Seeds * 50);
+}
+
+TEST(WorkerSessionModel, noWorkerIsOverItsCapacityInACalmNetwork)
+{
+    playSeeds({ .cancelsJobs = true, .preempts = true });
+}
+
+TEST(WorkerSessionModel, noWorkerIsOverItsCapacityWhileCallsAreLostAndLate)
+{
+    playSeeds({ .trouble = Lossy, .preempts = true });
+}
+
+TEST(WorkerSessionModel, noWorkerIsOverItsCapacityWhileJobsAreCanceled)
+{
+    playSeeds(
+        { .trouble = Lossy, .losesConfirmation = true, .cancelsJobs = true, .preempts = true });
+}
+
+TEST(WorkerSessionModel, noWorkerIsOverItsCapacityWhileLeadersChange)
+{
+    playSeeds(
+        { .trouble = Lossy, .changesLeader = true, .losesConfirmation = true, .preempts = true });
+}
+
+} // namespace
+} // namespace basilgap::dispatch
--- a/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
@@ -239,6 +239,44 @@
     ASSERT_EQ(ends.size(), 1U);
 }
 
+// The worker may still carry out the first send, so its capacity must not be released.
+TEST_F(WorkerSessionTest, anUnansweredStartOfACanceledJobIsStoppedWhileItsResendWaits)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    isLeaderConfirmed = false;
+    port.starts[0].done({});
+    ASSERT_EQ(port.starts.size(), 1U) << "the resend waits until the leader is confirmed";
+    cancelJob();
+    isLeaderConfirmed = true;
+    advanceAndTick(25);
+    EXPECT_TRUE(ends.empty());
+    ASSERT_EQ(port.stops.size(), 1U);
+    EXPECT_EQ(session->runs().at(taskOf(0)).knownState, KnownRunState::Indeterminate);
+}
+
+// The worker has listed the run while a resend of its start waited for a connection.
+TEST_F(WorkerSessionTest, aDroppedResendDoesNotReleaseAConfirmedRun)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts[0].done({});
+    ASSERT_EQ(port.starts.size(), 2U);
+    advanceAndTick(MinPollIntervalMs);
+    port.polls.back().done(pollAnswer({ 0 }));
+    ASSERT_EQ(session->runs().at(taskOf(0)).knownState, KnownRunState::Confirmed);
+    cancelJob();
+    EXPECT_FALSE(port.starts[1].order.isStillWanted());
+    port.starts[1].done({ OrderResult::Dropped, std::nullopt });
+    advanceAndTick(25);
+    EXPECT_TRUE(ends.empty());
+    EXPECT_EQ(port.stops.size(), 1U);
+}
+
 // A start that waits for a connection is not given up: it is sent once there is one.
 TEST_F(WorkerSessionTest, droppedStartIsSentAgainOnceOrdersAreAllowed)
 {
