Stop a run before its room is released if an earlier send may still run

What callers would see: a worker over its capacity. The room of a run was given to other tasks while the worker still ran it, until the next report listed it as a stray. Cause: sendStart() reports a run as lost if its job is no longer active. It is also called for a resend that has waited, for the confirmation of the leader or for a connection. Then an earlier send that got no answer may still be carried out, or the worker has listed the run by now. Change: a start that is given up ends its run only if no send of it is unanswered; otherwise the run is stopped, and released by a report from after the stop. A resend waits only while the run is neither listed nor stopped. Ruled out: the answer of a start that is late, late calls of all kinds, answers that overtake each other, leaders that freeze, are replaced or lose their confirmation: the model plays these without a break. Tests: aDroppedResendDoesNotReleaseAConfirmedRun now tells the session of the cancelled job, as WorkDispatcher does, since it counts the stops; it fails before as it did. Cancelled jobs join the changes of the leader in the model. Conclusion: one more way to LIMIT is closed.

--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -144,8 +144,9 @@
     const state::Work *work = options_.table.find(task.step.work);
     const state::WorkTask *state = options_.table.find(task);
     const auto leaseEnd = nextLeaseEnd(now);
+    known->isStartPending = false;
     if (work == nullptr || state == nullptr || !work->isActive() || !leaseEnd || superseded_)
-        return endRun(task, schema::RUN_LOST);
+        return abandonStart(task, known, now);
     known->isStartPending = !options_.events.maySendOrders();
     if (known->isStartPending) {
         hasPendingStarts_ = true;
@@ -172,6 +173,16 @@
         }));
 }
 
+void WorkerSession::abandonStart(const StepTaskRef &task, SessionRun *known, Millis now)
+{
+    if (known->unansweredSends == 0)
+        return endRun(task, schema::RUN_LOST);
+    known->knownState = KnownRunState::Indeterminate;
+    known->knownStateSince = now;
+    nextStopCheck_ = now;
+    stop(task, now);
+}
+
 bool WorkerSession::isStartWanted(const StepTaskRef &task, uint32_t run) const
 {
     const auto known = runs_.find(task);
@@ -194,8 +205,8 @@
         return;
     if (answer.result == OrderResult::Dropped) {
         known.sendCount--;
-        known.isStartPending = true;
-        hasPendingStarts_ = true;
+        known.isStartPending = known.knownState == KnownRunState::Sent;
+        hasPendingStarts_ = hasPendingStarts_ || known.isStartPending;
         return;
     }
     known.unansweredSends += answer.result == OrderResult::Unanswered ? 1 : 0;
@@ -349,7 +360,9 @@
 {
     hasPendingStarts_ = false;
     std::vector<StepTaskRef> pending;
-    for (const auto &[task, known] : runs_) {
+    for (auto &[task, known] : runs_) {
+        // A report may have listed the run since, or a stop may have been acknowledged.
+        known.isStartPending = known.isStartPending && known.knownState == KnownRunState::Sent;
         if (known.isStartPending)
             pending.push_back(task);
     }
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -233,6 +233,9 @@
     void setClock(Millis workerClock, Millis now);
     void setBackfillMillicores(const StepTaskRef &task, SessionRun *known) const;
     void sendStart(const StepTaskRef &task, SessionRun *known, Millis now);
+    // Ends a run whose start is no longer wanted. If an earlier send may still be carried out, the
+    // run is stopped first.
+    void abandonStart(const StepTaskRef &task, SessionRun *known, Millis now);
     Millis retryAfter(Millis now) const;
     void poll(Millis now);
     bool isPollDue(Millis now) const;
--- a/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdlib>
 #include <iterator>
 #include <memory>
 
@@ -266,11 +267,18 @@
     .lost = 3, .answerLost = 5, .late = 5, .notSent = 2, .queued = 10, .unavailable = 1
 };
 
+// MODEL_SEEDS in the environment sets another number of seeds, for a long run by hand.
+uint64_t seedCount()
+{
+    constexpr uint64_t DefaultCount = 60;
+    const char *count = std::getenv("MODEL_SEEDS");
+    return count == nullptr ? DefaultCount : std::strtoull(count, nullptr, 10);
+}
+
 void playSeeds(const Scenario &scenario)
 {
-    constexpr uint64_t Seeds = 60;
     size_t starts = 0;
-    for (uint64_t seed = 1; seed <= Seeds; seed++) {
+    for (uint64_t seed = 1; seed <= seedCount(); seed++) {
         ModelCell cell(scenario, seed);
         cell.play();
         starts += cell.starts();
@@ -278,7 +286,7 @@
             ADD_FAILURE() << "seed " << seed << ", " << violation;
     }
     testing::Test::RecordProperty("starts", static_cast<int>(starts));
-    EXPECT_GE(starts, Seeds * 50);
+    EXPECT_GE(starts, seedCount() * 50);
 }
 
 TEST(WorkerSessionModel, noWorkerIsOverItsCapacityInACalmNetwork)
@@ -299,8 +307,11 @@
 
 TEST(WorkerSessionModel, noWorkerIsOverItsCapacityWhileLeadersChange)
 {
-    playSeeds(
-        { .trouble = Lossy, .changesLeader = true, .losesConfirmation = true, .preempts = true });
+    playSeeds({ .trouble = Lossy,
+        .changesLeader = true,
+        .losesConfirmation = true,
+        .cancelsJobs = true,
+        .preempts = true });
 }
 
 } // namespace
--- a/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
@@ -270,6 +270,7 @@
     port.polls.back().done(pollAnswer({ 0 }));
     ASSERT_EQ(session->runs().at(taskOf(0)).knownState, KnownRunState::Confirmed);
     cancelJob();
+    session->checkStops();
     EXPECT_FALSE(port.starts[1].order.isStillWanted());
     port.starts[1].done({ OrderResult::Dropped, std::nullopt });
     advanceAndTick(25);
