Add failing tests of room that is still used though the table counts it as free

The model gets gangs, whose members end within 20 ms of each other, and workers that restart under their id; it plans at once after an end and after a commit, as WorkDispatcher does. A call that is carried out late now dies with the incarnation that received it. Cause by reading: the record of one member's end releases the room of all members (WorkTable::completeGang, removeRun), while the protocol frees it when each end is listed; a run that no table contains isn't counted, even once it is listed.

--- a/Source/UnitTests/Dispatch/ModelLeader.cpp
+++ b/Source/UnitTests/Dispatch/ModelLeader.cpp
@@ -1,16 +1,15 @@
 #include "ModelLeader.h"
 
+#include <algorithm>
 #include <utility>
 
-#include "Basilgap/Scheduling/PendingRunEnds.h"
-
 namespace basilgap::dispatch {
 
 namespace {
 
 constexpr Millis TickInterval{ 25 };
-constexpr int64_t MinCommitMs = 5;
-constexpr int64_t MaxCommitMs = 40;
+constexpr int64_t MinCommitMs = 3;
+constexpr int64_t MaxCommitMs = 25;
 // As in WorkDispatcher: leases that an earlier leader granted have expired by then.
 constexpr Millis GraceTime{ 4072 };
 
@@ -83,6 +82,7 @@
                                 end.set_index(task.index);
                                 end.set_run(run);
                                 end.set_outcome(outcome);
+                                scheduleProposal();
                             },
                         .onEndsListed =
                             [this, listed = number] { workersWithListedEnds_.insert(listed); },
@@ -142,6 +142,8 @@
     for (const schema::RunEnd &end : std::exchange(pendingEnds_, {}))
         *batch.add_ends() = end;
     planStarts(&batch);
+    if (batch.ends_size() == 0 && batch.starts_size() == 0)
+        return ackEnds(ends);
     isBatchPending_ = true;
     options_.time.after(options_.time.millisBetween(MinCommitMs, MaxCommitMs),
         [this, batch, ends] { commit(batch, ends); });
@@ -152,31 +154,56 @@
 {
     const auto pending = scheduling::collectPendingRunEnds(options_.table, *batch);
     std::map<WorkerNumber, int64_t> planned;
-    for (const state::WorkSerial serial : options_.table.active()) {
-        const state::Work &work = *options_.table.find(serial);
-        const StepTaskRef first{ { serial, 0, 0 }, 0 };
-        for (uint32_t i = 0; i < work.stepAt(first.step).tasks.size(); i++) {
-            const StepTaskRef task{ first.step, i };
-            if (!pending.isWaiting(work, task))
-                continue;
-            const int64_t need = options_.millicoresOf(task);
-            for (const auto &[number, session] : sessions_) {
-                const schema::WorkerLife *incarnation = options_.table.findIncarnation(number);
-                const int64_t used =
-                    options_.table.reservedOn(number).millicores + planned[number] + need;
-                if (incarnation == nullptr || incarnation->gone() || !session->isUsable()
-                    || used > static_cast<int64_t>(incarnation->millicores()))
-                    continue;
-                planned[number] += need;
-                schema::RunStart *start = batch->add_starts();
-                start->set_work(serial.value());
-                start->set_index(i);
-                start->set_run(options_.table.find(task)->run + 1);
-                start->set_worker(number.value());
-                break;
-            }
-        }
+    for (const state::WorkSerial serial : options_.table.active())
+        planStep({ serial, 0, 0 }, pending, &planned, batch);
+}
+
+void ModelLeader::planStep(const state::StepRef &step, const scheduling::PendingRunEnds &pending,
+    std::map<WorkerNumber, int64_t> *planned, schema::RunBatch *batch)
+{
+    const state::Work &work = *options_.table.find(step.work);
+    const bool isGang = work.specOf(step).gang();
+    if (isGang && work.stepAt(step).running > 0)
+        return;
+    const auto &tasks = work.stepAt(step).tasks;
+    uint32_t gangRun = 0;
+    for (const state::WorkTask &task : tasks)
+        gangRun = std::max(gangRun, task.run);
+    std::map<WorkerNumber, int64_t> plannedHere = *planned;
+    schema::RunBatch starts;
+    for (uint32_t i = 0; i < tasks.size(); i++) {
+        const StepTaskRef task{ step, i };
+        if (!pending.isWaiting(work, task))
+            continue;
+        const auto worker = findRoom(options_.millicoresOf(task), plannedHere);
+        if (!worker && isGang)
+            return;
+        if (!worker)
+            continue;
+        plannedHere[*worker] += options_.millicoresOf(task);
+        schema::RunStart *start = starts.add_starts();
+        start->set_work(step.work.value());
+        start->set_index(i);
+        start->set_run((isGang ? gangRun : tasks[i].run) + 1);
+        start->set_worker(worker->value());
     }
+    *planned = plannedHere;
+    batch->MergeFrom(starts);
+}
+
+std::optional<WorkerNumber> ModelLeader::findRoom(
+    int64_t millicores, const std::map<WorkerNumber, int64_t> &planned) const
+{
+    for (const auto &[number, session] : sessions_) {
+        const schema::WorkerLife *incarnation = options_.table.findIncarnation(number);
+        const auto here = planned.find(number);
+        const int64_t used = options_.table.reservedOn(number).millicores
+            + (here == planned.end() ? 0 : here->second) + millicores;
+        if (incarnation != nullptr && !incarnation->gone() && session->isUsable()
+            && used <= static_cast<int64_t>(incarnation->millicores()))
+            return number;
+    }
+    return std::nullopt;
 }
 
 // The record of a leader that has lost its role is lost.
@@ -188,27 +215,42 @@
         return;
     options_.table.apply(batch, static_cast<uint64_t>(options_.time.now().count()));
     handleApplied(batch);
-    for (const auto &[number, end] : ends) {
-        if (sessions_.contains(number))
-            sessions_.at(number)->ackEnds(end);
-    }
+    ackEnds(ends);
     sendStarts(batch);
+    scheduleProposal();
+}
+
+void ModelLeader::scheduleProposal()
+{
+    options_.time.after(Millis(), [this] {
+        if (!isRetired_ && !isFrozen_)
+            propose();
+    });
 }
 
 void ModelLeader::handleApplied(const schema::RunBatch &batch)
 {
+    // The end of one member of a gang may end all of its runs.
     for (const auto &end : batch.ends()) {
-        const state::WorkTask *task = options_.table.find(taskOf(end));
-        if (task->phase == state::RunPhase::Running)
-            continue;
-        for (const auto &[number, session] : sessions_) {
-            if (number == task->worker)
-                session->removeRun(taskOf(end), task->run);
+        const state::StepRef step = taskOf(end).step;
+        const auto &tasks = options_.table.find(step.work)->stepAt(step).tasks;
+        for (uint32_t i = 0; i < tasks.size(); i++) {
+            const auto session = sessions_.find(tasks[i].worker);
+            if (tasks[i].phase != state::RunPhase::Running && session != sessions_.end())
+                session->second->removeRun({ step, i }, tasks[i].run);
         }
     }
     handleCanceled();
 }
 
+void ModelLeader::ackEnds(const std::map<WorkerNumber, uint64_t> &ends)
+{
+    for (const auto &[number, end] : ends) {
+        if (sessions_.contains(number))
+            sessions_.at(number)->ackEnds(end);
+    }
+}
+
 void ModelLeader::sendStarts(const schema::RunBatch &batch)
 {
     for (const auto &start : batch.starts()) {
--- a/Source/UnitTests/Dispatch/ModelLeader.h
+++ b/Source/UnitTests/Dispatch/ModelLeader.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Basilgap/Dispatch/WorkerSession.h"
+#include "Basilgap/Scheduling/PendingRunEnds.h"
 #include "ModelNetwork.h"
 
 namespace basilgap::dispatch {
@@ -45,10 +46,17 @@
 
 private:
     void tick();
+    void scheduleProposal();
     void propose();
     void planStarts(schema::RunBatch *batch);
+    // Plans starts of the step's waiting tasks; all or none of a gang.
+    void planStep(const state::StepRef &step, const scheduling::PendingRunEnds &pending,
+        std::map<WorkerNumber, int64_t> *planned, schema::RunBatch *batch);
+    std::optional<WorkerNumber> findRoom(
+        int64_t millicores, const std::map<WorkerNumber, int64_t> &planned) const;
     void commit(const schema::RunBatch &batch, const std::map<WorkerNumber, uint64_t> &ends);
     void handleApplied(const schema::RunBatch &batch);
+    void ackEnds(const std::map<WorkerNumber, uint64_t> &ends);
     void sendStarts(const schema::RunBatch &batch);
 
     Options options_;
--- a/Source/UnitTests/Dispatch/ModelNetwork.cpp
+++ b/Source/UnitTests/Dispatch/ModelNetwork.cpp
@@ -75,22 +75,29 @@
     const bool isLate = time_.chance(trouble_.late);
     const bool isAnswerLost = time_.chance(trouble_.answerLost);
     const bool isUnavailable = time_.chance(trouble_.unavailable);
-    const Millis delay = isLate ? time_.millisBetween(MinLateMs, MaxLateMs)
-                                : time_.millisBetween(0, MaxUsualDelayMs);
-    time_.after(
-        delay, [this, worker, execute = std::move(execute), report, isAnswerLost, isUnavailable] {
-            ModelWorker &target = *workers_.at(worker);
-            if (!target.isUp())
-                return;
-            const auto answer = [this, report, isAnswerLost](const Answer &result) {
-                if (!isAnswerLost)
-                    time_.after(time_.millisBetween(0, MaxUsualDelayMs),
-                        [report, result] { report(result); });
-            };
-            if (isUnavailable)
-                return answer(answerOf<Answer>(OrderResult::Unavailable));
-            execute(target, answer);
+    const Millis late = isLate ? time_.millisBetween(MinLateMs, MaxLateMs) : Millis();
+    const auto carryOut = [this, execute = std::move(execute), report, isAnswerLost, isUnavailable](
+                              ModelWorker &target) {
+        const auto answer = [this, report, isAnswerLost](const Answer &result) {
+            if (!isAnswerLost)
+                time_.after(
+                    time_.millisBetween(0, MaxUsualDelayMs), [report, result] { report(result); });
+        };
+        if (isUnavailable)
+            return answer(answerOf<Answer>(OrderResult::Unavailable));
+        execute(target, answer);
+    };
+    // A call that is carried out late was received by the incarnation of its connection.
+    time_.after(time_.millisBetween(0, MaxUsualDelayMs), [this, worker, late, carryOut] {
+        ModelWorker &target = *workers_.at(worker);
+        if (!target.isUp())
+            return;
+        const uint64_t incarnation = target.incarnationStartMs();
+        time_.after(late, [&target, incarnation, carryOut] {
+            if (target.isUp() && target.incarnationStartMs() == incarnation)
+                carryOut(target);
         });
+    });
 }
 
 void ModelNetwork::start(const WorkerEndpoint &worker, const StartOrder &order, Millis timeout,
--- a/Source/UnitTests/Dispatch/ModelWorker.cpp
+++ b/Source/UnitTests/Dispatch/ModelWorker.cpp
@@ -80,6 +80,7 @@
         extendLease(order.leaseEnd);
         return { OrderResult::StaleRun, clock() };
     }
+    options_.onStart(order.task, order.run);
     const TaskModel model = options_.model(order.task);
     int64_t used = model.millicores;
     for (const auto &[task, run] : running_)
@@ -87,10 +88,11 @@
     if (used > options_.millicores)
         options_.onViolation("LIMIT: " + describe(order.task, order.run) + " brings " + options_.id
             + " to " + std::to_string(used) + " of " + std::to_string(options_.millicores));
-    options_.onStart(order.task, order.run);
     running_[order.task] = { .run = order.run, .millicores = model.millicores };
     extendLease(order.leaseEnd);
-    after(model.duration, [this, task = order.task, run = order.run, outcome = model.outcome] {
+    if (!model.duration)
+        return { OrderResult::Accepted, clock() };
+    after(*model.duration, [this, task = order.task, run = order.run, outcome = model.outcome] {
         endRun(task, run, outcome);
     });
     return { OrderResult::Accepted, clock() };
@@ -122,6 +124,7 @@
     closed = std::max(closed, run);
     ended_.push_back({ ++lastEndSequence_, task, run, outcome, "" });
     answerPolls();
+    options_.onEnd(task, run, outcome);
 }
 
 void ModelWorker::poll(const PollRequest &order, std::function<void(PollAnswer)> done)
--- a/Source/UnitTests/Dispatch/ModelWorker.h
+++ b/Source/UnitTests/Dispatch/ModelWorker.h
@@ -19,7 +19,8 @@
     struct TaskModel
     {
         int64_t millicores = 0;
-        Millis duration;
+        // Absent if the run is ended from outside.
+        std::optional<Millis> duration;
         schema::RunOutcome outcome = schema::RUN_DONE;
     };
 
@@ -30,8 +31,9 @@
         int64_t millicores = 0;
         // Called for each run that starts.
         std::function<TaskModel(const TaskName &)> model;
-        // Called before a run starts.
+        // Called before a run starts, and after one has ended.
         std::function<void(const TaskName &, uint32_t run)> onStart;
+        std::function<void(const TaskName &, uint32_t run, schema::RunOutcome)> onEnd;
         std::function<void(const std::string &)> onViolation;
     };
 
@@ -41,6 +43,8 @@
     OrderAnswer stop(const StopOrder &order);
     // Calls `done` once a run ends or the wait is over; never if the worker restarts meanwhile.
     void poll(const PollRequest &order, std::function<void(PollAnswer)> done);
+    // Ends the run if it is still there.
+    void endRun(const TaskName &task, uint32_t run, schema::RunOutcome outcome);
 
     // Loses all state and is down for some time.
     void restart(Millis downtime, std::function<void()> onUp);
@@ -70,7 +74,6 @@
     bool seeToken(uint64_t token);
     void extendLease(Millis end);
     void checkLease();
-    void endRun(const TaskName &task, uint32_t run, schema::RunOutcome outcome);
     void answerPolls();
     PollAnswer currentAnswer() const;
     void after(Millis delay, std::function<void()> event);
--- a/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
@@ -16,6 +16,9 @@
 constexpr Millis TroubledTime{ 30000 };
 constexpr Millis CalmTime{ 40000 };
 constexpr size_t MaxActiveJobs = 12;
+constexpr Millis GangTimeout{ 3000 };
+// Between the ends of a gang's members.
+constexpr int64_t MaxGangSpreadMs = 20;
 
 struct Scenario
 {
@@ -25,6 +28,7 @@
     bool cancelsJobs = false;
     bool preempts = false;
     bool restartsWorkers = false;
+    bool hasGangs = false;
 };
 
 // A cell with three workers and, at each time, one leader.
@@ -42,6 +46,8 @@
                 .millicores = WorkerMillicores,
                 .model = [this](const TaskName &task) { return modelOf(task); },
                 .onStart = [this](const TaskName &task, uint32_t run) { checkStart(task, run); },
+                .onEnd = [this](const TaskName &task, uint32_t run,
+                             schema::RunOutcome outcome) { breakGang(task, run, outcome); },
                 .onViolation = [this](const std::string &text) { report(text); },
             });
             registerIncarnation(*workers_[id]);
@@ -109,6 +115,7 @@
         schema::StepSpec *step = submit.mutable_spec()->add_steps();
         step->set_count(static_cast<uint32_t>(time_.between(1, 5)));
         step->set_millicores(static_cast<uint32_t>(time_.between(500, 4000)));
+        step->set_gang(scenario_.hasGangs && time_.chance(40));
         table_.submit(submit, static_cast<uint64_t>(time_.now().count()));
     }
 
@@ -229,17 +236,55 @@
 
     ModelWorker::TaskModel modelOf(const TaskName &task)
     {
-        const state::Work *work = table_.find(task.work);
-        return {
-            .millicores = static_cast<int64_t>(work->spec.steps(0).millicores()),
-            .duration = time_.millisBetween(20, 4000),
-            .outcome = time_.chance(10) ? schema::RUN_FAILED : schema::RUN_DONE,
-        };
+        const schema::StepSpec &step = table_.find(task.work)->spec.steps(0);
+        ModelWorker::TaskModel model{ .millicores = static_cast<int64_t>(step.millicores()) };
+        if (step.gang())
+            return model;
+        model.duration = time_.millisBetween(20, 4000);
+        model.outcome = time_.chance(10) ? schema::RUN_FAILED : schema::RUN_DONE;
+        return model;
+    }
+
+    // A gang works once all of its members have started, and its members end at almost the same
+    // time.
+    void startMember(const TaskName &task, uint32_t run)
+    {
+        const schema::StepSpec &step = table_.find(task.work)->spec.steps(0);
+        if (!step.gang())
+            return;
+        if (++startedMembers_[{ task.work, run }] == step.count())
+            endGang(task, run, time_.millisBetween(20, 4000), schema::RUN_DONE);
+        time_.after(GangTimeout, [this, task, run] {
+            if (startedMembers_[{ task.work, run }] < table_.find(task.work)->spec.steps(0).count())
+                endGang(task, run, Millis(), schema::RUN_ALONE);
+        });
+    }
+
+    void endGang(const TaskName &member, uint32_t run, Millis delay, schema::RunOutcome outcome)
+    {
+        const uint32_t count = table_.find(member.work)->spec.steps(0).count();
+        for (uint32_t i = 0; i < count; i++) {
+            const TaskName task{ member.work, 0, 0, i };
+            time_.after(
+                delay + time_.millisBetween(0, MaxGangSpreadMs), [this, task, run, outcome] {
+                    for (const auto &[id, worker] : workers_)
+                        worker->endRun(task, run, outcome);
+                });
+        }
+    }
+
+    // A member that ends alone ends the others.
+    void breakGang(const TaskName &task, uint32_t run, schema::RunOutcome outcome)
+    {
+        const bool isCause = outcome == schema::RUN_STOPPED || outcome == schema::RUN_LAPSED;
+        if (table_.find(task.work)->spec.steps(0).gang() && isCause)
+            endGang(task, run, Millis(), schema::RUN_BROKEN);
     }
 
     void checkStart(const TaskName &task, uint32_t run)
     {
         starts_++;
+        startMember(task, run);
         const std::string name = task.work + "." + std::to_string(task.index);
         for (const auto &[id, worker] : workers_) {
             if (worker->isUp() && worker->isRunning(task))
@@ -258,6 +303,8 @@
     // The current one last; earlier ones may still be frozen.
     std::vector<std::unique_ptr<ModelLeader>> leaders_;
     std::vector<std::string> violations_;
+    // Members of a gang's run that have started, by job.
+    std::map<std::pair<std::string, uint32_t>, uint32_t> startedMembers_;
     uint64_t jobs_ = 0;
     size_t starts_ = 0;
     bool isCalm_ = false;
@@ -314,5 +361,20 @@
         .preempts = true });
 }
 
+TEST(WorkerSessionModel, noWorkerIsOverItsCapacityWhenGangsEnd)
+{
+    playSeeds({ .preempts = true, .hasGangs = true });
+}
+
+TEST(WorkerSessionModel, noWorkerIsOverItsCapacityWhenGangsEndInALossyNetwork)
+{
+    playSeeds({ .trouble = Lossy, .changesLeader = true, .cancelsJobs = true, .hasGangs = true });
+}
+
+TEST(WorkerSessionModel, noWorkerIsOverItsCapacityWhileWorkersRestart)
+{
+    playSeeds({ .trouble = Lossy, .preempts = true, .restartsWorkers = true });
+}
+
 } // namespace
 } // namespace basilgap::dispatch
--- a/Source/UnitTests/Dispatch/WorkerSessionReportsTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionReportsTest.cpp
@@ -202,5 +202,37 @@
     EXPECT_EQ(tracker.lossyWait(Millis(200)), Millis(2000));
 }
 
+// Its capacity is used, although the table does not contain the run.
+TEST_F(WorkerSessionTest, aWorkerThatListsAStrayRunIsNotUsableUntilTheRunIsGone)
+{
+    openSession();
+    advanceAndTick(0);
+    port.polls.back().done(pollAnswer({ 0 }));
+    EXPECT_FALSE(session->isUsable());
+    EXPECT_EQ(port.stops.size(), 1U);
+    advanceAndTick(MinPollIntervalMs);
+    ASSERT_EQ(port.polls.size(), 2U);
+    EXPECT_EQ(port.polls.back().order.wait, Millis());
+    port.polls.back().done(pollAnswer({}));
+    EXPECT_TRUE(session->isUsable());
+}
+
+// The end of one member of a gang ends the runs of all members in the table. The others end by
+// themselves, at almost the same time.
+TEST_F(WorkerSessionTest, aRunThatAnotherMemberOfItsGangHasEndedIsNotStopped)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    session->removeRun(taskOf(0), 1);
+    advanceAndTick(MinPollIntervalMs);
+    port.polls.back().done(pollAnswer({ 0 }));
+    EXPECT_TRUE(port.stops.empty());
+    EXPECT_TRUE(session->isUsable());
+    EXPECT_TRUE(ends.empty());
+}
+
 } // namespace
 } // namespace basilgap::dispatch
