Start nothing on a worker that lists a run which no table contains

What callers would see: a worker over its capacity after it restarted under its id: its new incarnation had accepted a start that was meant for the earlier one, and the table of the new incarnation was empty. Cause: a listed run that the session doesn't know was stopped, but its capacity counted as free until it was gone. The same holds for each other way in which a run gets lost from the table. Change: the worker isn't usable while its newest list contains such a run, and is polled at once until the run is gone.

--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -180,8 +180,9 @@
 
     WorkerSession(Options options, Millis now);
 
-    // Whether the worker answers and all of its runs are known.
-    bool isUsable() const { return synced_ && !suspect_; }
+    // Whether the worker answers and all of its runs are known. A run that is not in the table uses
+    // capacity that the table counts as free.
+    bool isUsable() const { return synced_ && !suspect_ && !hasStrayRun_; }
     bool isSynced() const { return synced_; }
     bool isSuspect() const { return suspect_; }
 
@@ -292,6 +293,8 @@
     // Runs that have ended and whose end is not applied yet.
     std::set<state::RunRef> unappliedEnds_;
     std::map<TaskName, Millis> strayStops_;
+    // Whether the newest list contains a run that is not in the table.
+    bool hasStrayRun_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -41,7 +41,7 @@
     const auto leaseEnd = suspect_ ? std::nullopt : nextLeaseEnd(now);
     if (leaseEnd)
         recordLeaseEnd(*leaseEnd);
-    const bool isImmediate = suspect_ || !synced_ || hasStoppedRun();
+    const bool isImmediate = suspect_ || !synced_ || hasStoppedRun() || hasStrayRun_;
     const Millis normalWait = options_.callLoss.isLossy(now)
         ? std::min(
             options_.callLoss.lossyWait(options_.times.lossyPollWait), options_.times.pollWait)
@@ -99,6 +99,7 @@
     if (answer.workerClock)
         setClock(*answer.workerClock, now);
     applyEnds(answer);
+    const bool hadStrayRun = hasStrayRun_;
     if (number > newestAnsweredPoll_) {
         newestAnsweredPoll_ = number;
         applyRunning(answer, sentAt, now);
@@ -106,9 +107,9 @@
     const bool wasSynced = synced_;
     synced_ = true;
     setSuspect(false);
-    if (!wasSynced)
+    if (!wasSynced || hadStrayRun != hasStrayRun_)
         options_.events.onAvailabilityChanged();
-    if (hasStoppedRun())
+    if (hasStoppedRun() || hasStrayRun_)
         return;
     pollDelay_ = std::min(options_.events.pollDelay(), options_.times.maxPollDelay);
     nextPollAt_ = std::max(nextPollAt_, now + pollDelay_);
@@ -156,11 +157,13 @@
 void WorkerSession::applyRunning(const PollAnswer &answer, Millis sentAt, Millis now)
 {
     std::set<StepTaskRef> listed;
+    hasStrayRun_ = false;
     for (const RunningReport &report : answer.running) {
         const auto task = taskOf(report.task);
         const auto found = task ? runs_.find(*task) : runs_.end();
         if (found == runs_.end() || found->second.run != report.run) {
             const bool ending = task && unappliedEnds_.contains({ *task, report.run });
+            hasStrayRun_ = hasStrayRun_ || !ending;
             if (!ending)
                 stopStrayRun(report.task, report.run, now);
             continue;
