Count the room of a gang's members until their own ends are listed

What callers would see: a worker over its capacity just after a gang has ended. Cause: one member's end represents its gang, so its record ends the runs of all members in the table, and their room was free at once. The protocol frees it when each end is listed; other members may still be there. Change: the session keeps such runs and adds what they reserve to the planner's view of its worker, until the worker lists their end or no longer lists them in the answer to a poll sent afterwards, or its lease has expired. They aren't stopped as strays, and the worker is polled soon. The table, and so when a job is shown as completed, is as before. Ruled out: waiting with the record until all members have listed their ends, which would delay the job's next step. Conclusion: how far apart the ends of a real gang lie isn't known.

--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -62,6 +62,7 @@
 {
     const WorkerSession &session = *sessions_.at(worker->number);
     worker->reserved = state_.works().reservedOn(worker->number);
+    worker->reserved += session.lingeringReservation();
     worker->backfillMillicores = session.backfillMillicores();
     worker->slowdown = speeds_.slowdown(worker->number);
     const auto slow = slowWorkers_.find(worker->number);
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -352,6 +352,7 @@
         + options_.times.pollTimeoutMargin + options_.times.minPollInterval;
     if (now <= answerDue || !hasLeaseExpired(now))
         return;
+    lingeringRuns_.clear();
     for (const auto &[task, known] : std::map(runs_))
         endRun(task, schema::RUN_LAPSED);
 }
@@ -407,8 +408,25 @@
 {
     unappliedEnds_.erase({ task, run });
     const auto found = runs_.find(task);
-    if (found != runs_.end() && found->second.run == run)
-        runs_.erase(found);
+    if (found == runs_.end() || found->second.run != run)
+        return;
+    runs_.erase(found);
+    const state::Work *work = options_.table.find(task.step.work);
+    if (work == nullptr || superseded_)
+        return;
+    const Millis now = options_.clock();
+    lingeringRuns_[{ task, run }] = { state::reservationOf(work->specOf(task.step)), now };
+    pollDelay_ = Millis(0);
+    nextPollAt_ =
+        std::min(nextPollAt_, std::max(now, lastPollAt_ + options_.times.minPollInterval));
+}
+
+state::Resources WorkerSession::lingeringReservation() const
+{
+    state::Resources sum;
+    for (const auto &[run, lingering] : lingeringRuns_)
+        sum += lingering.reservation;
+    return sum;
 }
 
 void WorkerSession::supersede(Millis now)
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -202,7 +202,7 @@
 
     // Called once ends up to this number are committed.
     void ackEnds(uint64_t number);
-    // Called when the record of a run's end has been applied.
+    // Called when a run is no longer in the table.
     void removeRun(const StepTaskRef &task, uint32_t run);
 
     // Uses a delayed sample of the worker's clock if no better one is known.
@@ -215,6 +215,8 @@
     const std::map<StepTaskRef, SessionRun> &runs() const { return runs_; }
     // Sum over the worker's backfill tasks.
     int64_t backfillMillicores() const;
+    // What runs still use that are no longer in the table.
+    state::Resources lingeringReservation() const;
     WorkerNumber number() const { return options_.number; }
     const WorkerEndpoint &endpoint() const { return options_.endpoint; }
     uint64_t incarnationStartMs() const { return options_.incarnationStartMs; }
@@ -251,6 +253,7 @@
     void sendPendingStarts(Millis now);
     void sendDueStops(Millis now);
     void sendStop(const StepTaskRef &task, uint32_t run, const TaskName &name);
+    void removeGoneLingeringRuns(const std::set<state::RunRef> &listed, Millis sentAt);
     void stopStrayRun(const TaskName &name, uint32_t run, Millis now);
     void endRun(const StepTaskRef &task, schema::RunOutcome outcome);
     void adoptRuns(Millis now);
@@ -293,6 +296,14 @@
     // Runs that have ended and whose end is not applied yet.
     std::set<state::RunRef> unappliedEnds_;
     std::map<TaskName, Millis> strayStops_;
+    struct LingeringRun
+    {
+        state::Resources reservation;
+        Millis since;
+    };
+    // Runs that the end of another member of their gang has ended in the table, until the worker
+    // lists their end or no longer lists them.
+    std::map<state::RunRef, LingeringRun> lingeringRuns_;
     // Whether the newest list contains a run that is not in the table.
     bool hasStrayRun_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -98,8 +98,9 @@
     lastAnswerAt_ = now;
     if (answer.workerClock)
         setClock(*answer.workerClock, now);
-    applyEnds(answer);
+    const size_t lingeringRuns = lingeringRuns_.size();
     const bool hadStrayRun = hasStrayRun_;
+    applyEnds(answer);
     if (number > newestAnsweredPoll_) {
         newestAnsweredPoll_ = number;
         applyRunning(answer, sentAt, now);
@@ -107,7 +108,7 @@
     const bool wasSynced = synced_;
     synced_ = true;
     setSuspect(false);
-    if (!wasSynced || hadStrayRun != hasStrayRun_)
+    if (!wasSynced || hadStrayRun != hasStrayRun_ || lingeringRuns != lingeringRuns_.size())
         options_.events.onAvailabilityChanged();
     if (hasStoppedRun() || hasStrayRun_)
         return;
@@ -126,6 +127,7 @@
         const auto task = taskOf(report.task);
         if (!task)
             continue;
+        lingeringRuns_.erase({ *task, report.run });
         const auto found = runs_.find(*task);
         if (found == runs_.end() || found->second.run != report.run)
             continue;
@@ -157,12 +159,17 @@
 void WorkerSession::applyRunning(const PollAnswer &answer, Millis sentAt, Millis now)
 {
     std::set<StepTaskRef> listed;
+    std::set<state::RunRef> listedLingering;
     hasStrayRun_ = false;
     for (const RunningReport &report : answer.running) {
         const auto task = taskOf(report.task);
         const auto found = task ? runs_.find(*task) : runs_.end();
         if (found == runs_.end() || found->second.run != report.run) {
-            const bool ending = task && unappliedEnds_.contains({ *task, report.run });
+            const bool lingering = task && lingeringRuns_.contains({ *task, report.run });
+            if (lingering)
+                listedLingering.insert({ *task, report.run });
+            const bool ending =
+                lingering || (task && unappliedEnds_.contains({ *task, report.run }));
             hasStrayRun_ = hasStrayRun_ || !ending;
             if (!ending)
                 stopStrayRun(report.task, report.run, now);
@@ -186,6 +193,7 @@
         known.progressPercent = report.progressPercent;
         known.latencyMsOrMillicores = report.latencyMsOrMillicores;
     }
+    removeGoneLingeringRuns(listedLingering, sentAt);
     std::vector<StepTaskRef> gone;
     for (const auto &[task, known] : runs_) {
         if (listed.contains(task) || known.knownStateSince >= sentAt)
@@ -202,6 +210,13 @@
         endRun(task, schema::RUN_LOST);
 }
 
+void WorkerSession::removeGoneLingeringRuns(const std::set<state::RunRef> &listed, Millis sentAt)
+{
+    std::erase_if(lingeringRuns_, [&](const auto &entry) {
+        return !listed.contains(entry.first) && entry.second.since < sentAt;
+    });
+}
+
 void WorkerSession::stopStrayRun(const TaskName &name, uint32_t run, Millis now)
 {
     if (strayStops_.size() > MaxStrayStops)
--- a/Source/UnitTests/Dispatch/ModelLeader.cpp
+++ b/Source/UnitTests/Dispatch/ModelLeader.cpp
@@ -198,6 +198,7 @@
         const schema::WorkerLife *incarnation = options_.table.findIncarnation(number);
         const auto here = planned.find(number);
         const int64_t used = options_.table.reservedOn(number).millicores
+            + session->lingeringReservation().millicores
             + (here == planned.end() ? 0 : here->second) + millicores;
         if (incarnation != nullptr && !incarnation->gone() && session->isUsable()
             && used <= static_cast<int64_t>(incarnation->millicores()))
--- a/Source/UnitTests/Dispatch/WorkerSessionReportsTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionReportsTest.cpp
@@ -227,11 +227,16 @@
     session->start(taskOf(0), 1, "", now);
     port.starts.back().done({ OrderResult::Accepted, now });
     session->removeRun(taskOf(0), 1);
+    EXPECT_EQ(session->lingeringReservation().millicores, 1000);
     advanceAndTick(MinPollIntervalMs);
     port.polls.back().done(pollAnswer({ 0 }));
     EXPECT_TRUE(port.stops.empty());
     EXPECT_TRUE(session->isUsable());
     EXPECT_TRUE(ends.empty());
+    EXPECT_EQ(session->lingeringReservation().millicores, 1000);
+    advanceAndTick(MinPollIntervalMs);
+    port.polls.back().done(pollAnswer({}));
+    EXPECT_EQ(session->lingeringReservation().millicores, 0);
 }
 
 } // namespace
