--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -163,8 +163,9 @@
     const state::Work *work = options_.table.find(task.step.work);
     const state::WorkTask *state = options_.table.find(task);
     const auto leaseEnd = nextLeaseEnd(now);
+    known->isStartPending = false;
     if (work == nullptr || state == nullptr || !work->isActive() || !leaseEnd || superseded_)
-        return endRun(task, schema::RUN_LOST);
+        return abandonStart(task, known, now);
     known->isStartPending = !options_.events.maySendOrders();
     if (known->isStartPending) {
         hasPendingStarts_ = true;
@@ -191,6 +192,16 @@
         }));
 }
 
+void WorkerSession::abandonStart(const StepTaskRef &task, SessionRun *known, Millis now)
+{
+    if (known->unansweredSends == 0)
+        return endRun(task, schema::RUN_LOST);
+    known->knownState = KnownRunState::Indeterminate;
+    known->knownStateSince = now;
+    nextStopCheck_ = now;
+    stop(task, now);
+}
+
 bool WorkerSession::isStartWanted(const StepTaskRef &task, uint32_t run) const
 {
     const auto known = runs_.find(task);
@@ -212,8 +223,8 @@
         return;
     if (answer.result == OrderResult::Dropped) {
         known.sendCount--;
-        known.isStartPending = true;
-        hasPendingStarts_ = true;
+        known.isStartPending = known.knownState == KnownRunState::Sent;
+        hasPendingStarts_ = hasPendingStarts_ || known.isStartPending;
         return;
     }
     known.unansweredSends += answer.result == OrderResult::Unanswered ? 1 : 0;
@@ -358,6 +369,7 @@
         + options_.times.pollTimeoutMargin + options_.times.minPollInterval;
     if (now <= answerDue || !hasLeaseExpired(now))
         return;
+    lingeringRuns_.clear();
     for (const auto &[task, known] : std::map(runs_))
         endLostRun(task, schema::RUN_LAPSED);
 }
@@ -366,7 +378,9 @@
 {
     hasPendingStarts_ = false;
     std::vector<StepTaskRef> pending;
-    for (const auto &[task, known] : runs_) {
+    for (auto &[task, known] : runs_) {
+        // A report may have listed the run since, or a stop may have been acknowledged.
+        known.isStartPending = known.isStartPending && known.knownState == KnownRunState::Sent;
         if (known.isStartPending)
             pending.push_back(task);
     }
@@ -429,8 +443,25 @@
 {
     unappliedEnds_.erase({ task, run });
     const auto found = runs_.find(task);
-    if (found != runs_.end() && found->second.run == run)
-        runs_.erase(found);
+    if (found == runs_.end() || found->second.run != run)
+        return;
+    runs_.erase(found);
+    const state::Work *work = options_.table.find(task.step.work);
+    if (work == nullptr || superseded_)
+        return;
+    const Millis now = options_.clock();
+    lingeringRuns_[{ task, run }] = { state::reservationOf(work->specOf(task.step)), now };
+    pollDelay_ = Millis(0);
+    nextPollAt_ =
+        std::min(nextPollAt_, std::max(now, lastPollAt_ + options_.times.minPollInterval));
+}
+
+state::Resources WorkerSession::lingeringReservation() const
+{
+    state::Resources sum;
+    for (const auto &[run, lingering] : lingeringRuns_)
+        sum += lingering.reservation;
+    return sum;
 }
 
 void WorkerSession::supersede(Millis now)
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -195,8 +195,9 @@
 
     WorkerSession(Options options, Millis now);
 
-    // Whether the worker answers and all of its runs are known.
-    bool isUsable() const { return synced_ && !suspect_; }
+    // Whether the worker answers and all of its runs are known. A run that is not in the table uses
+    // capacity that the table counts as free.
+    bool isUsable() const { return synced_ && !suspect_ && !hasStrayRun_; }
     bool isSynced() const { return synced_; }
     bool isSuspect() const { return suspect_; }
 
@@ -216,7 +217,7 @@
 
     // Called once ends up to this number are committed.
     void ackEnds(uint64_t number);
-    // Called when the record of a run's end has been applied.
+    // Called when a run is no longer in the table.
     void removeRun(const StepTaskRef &task, uint32_t run);
 
     // Uses a delayed sample of the worker's clock if no better one is known.
@@ -229,6 +230,8 @@
     const std::map<StepTaskRef, SessionRun> &runs() const { return runs_; }
     // Sum over the worker's backfill tasks.
     int64_t backfillMillicores() const;
+    // What runs still use that are no longer in the table.
+    state::Resources lingeringReservation() const;
     WorkerNumber number() const { return options_.number; }
     const WorkerEndpoint &endpoint() const { return options_.endpoint; }
     uint64_t incarnationStartMs() const { return options_.incarnationStartMs; }
@@ -251,6 +254,9 @@
     void noteHeard(const OrderAnswer &answer, Millis now);
     void setBackfillMillicores(const StepTaskRef &task, SessionRun *known) const;
     void sendStart(const StepTaskRef &task, SessionRun *known, Millis now);
+    // Ends a run whose start is no longer wanted. If an earlier send may still be carried out, the
+    // run is stopped first.
+    void abandonStart(const StepTaskRef &task, SessionRun *known, Millis now);
     Millis retryAfter(Millis now) const;
     void poll(Millis now);
     bool isPollDue(Millis now) const;
@@ -265,6 +271,7 @@
     void sendPendingStarts(Millis now);
     void sendDueStops(Millis now);
     void sendStop(const StepTaskRef &task, uint32_t run, const TaskName &name);
+    void removeGoneLingeringRuns(const std::set<state::RunRef> &listed, Millis sentAt);
     void stopStrayRun(const TaskName &name, uint32_t run, Millis now);
     void endRun(const StepTaskRef &task, schema::RunOutcome outcome,
         schema::WorkerLoss workerLoss = schema::WORKER_NOT_LOST);
@@ -313,6 +320,16 @@
     // Runs that have ended and whose end is not applied yet.
     std::set<state::RunRef> unappliedEnds_;
     std::map<TaskName, Millis> strayStops_;
+    struct LingeringRun
+    {
+        state::Resources reservation;
+        Millis since;
+    };
+    // Runs that the end of another member of their gang has ended in the table, until the worker
+    // lists their end or no longer lists them.
+    std::map<state::RunRef, LingeringRun> lingeringRuns_;
+    // Whether the newest list contains a run that is not in the table.
+    bool hasStrayRun_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
