Let the model of workers report lost workers

The model was written beside the change of the ends of runs; it now tells the table which runs were lost with their worker, as WorkDispatcher does, and each worker has an address of its own, as an address that is shared would look like a restart.

--- a/Source/UnitTests/Dispatch/ModelLeader.cpp
+++ b/Source/UnitTests/Dispatch/ModelLeader.cpp
@@ -73,15 +73,16 @@
                     .table = options_.table,
                     .events = {
                         .onRunEnd =
-                            [this](const StepTaskRef &task, uint32_t run,
-                                schema::RunOutcome outcome, const std::string &) {
+                            [this](const EndedRun &ended) {
+                                const StepTaskRef &task = ended.task;
                                 schema::RunEnd &end = pendingEnds_.emplace_back();
                                 end.set_work(task.step.work.value());
                                 end.set_occurrence(task.step.occurrence);
                                 end.set_step(task.step.step);
                                 end.set_index(task.index);
-                                end.set_run(run);
-                                end.set_outcome(outcome);
+                                end.set_run(ended.run);
+                                end.set_outcome(ended.outcome);
+                                end.set_worker_loss(ended.workerLoss);
                                 scheduleProposal();
                             },
                         .onEndsListed =
@@ -92,6 +93,7 @@
                         .onTicketRefused = [](const StepTaskRef &) {},
                     },
                     .clock = [this] { return options_.time.now(); },
+                    .wallClock = [this] { return options_.time.now(); },
                 },
                 options_.time.now());
         }
--- a/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
@@ -223,6 +223,7 @@
         schema::WorkerLife *incarnation = batch.add_workers();
         incarnation->set_number(table_.nextWorker().value());
         incarnation->set_id(worker.id());
+        incarnation->set_address(worker.id());
         incarnation->set_born_ms(worker.incarnationStartMs());
         incarnation->set_millicores(static_cast<uint64_t>(worker.millicores()));
         if (previous != nullptr) {
