Don't read a dead worker's clock from the answer of its successor

What callers would see (LOST): a task that is to last no longer runs, with room for it, until the successor's clock has come as far as that of the dead worker. Cause: the answer of another incarnation at the address (wrong-worker) to a start or a stop set the clock by which the session judges the lease. A clock starts anew with each incarnation, so that the lease seemed to be far from its end. Ruled out: polls, whose refused answers set no clock. Whether such answers carry a clock on the users' platform isn't known; their page says that every answer with a body does. Change: the clock and the time at which the worker was last heard are taken from its own answers only. Test: WorkerSession.theClockOfAnotherWorkerAtTheAddressDelaysNoLapse failed before (no end within 10 s) and passes.

--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -91,7 +91,8 @@
 
 void WorkerSession::noteHeard(const OrderAnswer &answer, Millis now)
 {
-    if (!answer.workerClock)
+    // Another worker at the address has a clock of its own.
+    if (!answer.workerClock || answer.result == OrderResult::WrongWorker)
         return;
     setClock(*answer.workerClock, now);
     lastHeardAt_ = now;
--- a/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
@@ -185,6 +185,30 @@
     EXPECT_EQ(ends[1].workerLoss, schema::WORKER_LOST_AT_START);
 }
 
+// Guards against LOST: the successor at a worker's address refused a stop, and its answer set the
+// clock by which the lease of the dead worker ends, so that its runs never lapsed.
+TEST_F(WorkerSessionTest, theClockOfAnotherWorkerAtTheAddressDelaysNoLapse)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    advanceAndTick(MinPollIntervalMs);
+    port.polls.back().done({});
+    session->stop(taskOf(0), now);
+    ASSERT_EQ(port.stops.size(), 1U);
+    port.stops[0].done({ OrderResult::WrongWorker, Millis(20) });
+    for (int i = 0; i < 200 && ends.empty(); i++) {
+        const size_t before = port.polls.size();
+        advanceAndTick(50);
+        if (port.polls.size() > before)
+            port.polls.back().done({});
+    }
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].outcome, schema::RUN_LAPSED);
+}
+
 TEST_F(WorkerSessionTest, leasesOfAnEarlierLeaderDelayLapsingOfRuns)
 {
     logStart(0, 1);
