--- a/Source/UnitTests/Dispatch/AnnouncementsTest.cpp
+++ b/Source/UnitTests/Dispatch/AnnouncementsTest.cpp
@@ -55,6 +55,13 @@
     state::WorkTable table;
 };
 
+schema::WorkerAnnouncement withCapacity(uint64_t sequence, uint64_t millicores)
+{
+    schema::WorkerAnnouncement result = announcement(1000, sequence);
+    result.mutable_life()->set_millicores(millicores);
+    return result;
+}
+
 } // namespace
 
 // A replica that became leader after the worker left must not take it back into use.
@@ -106,4 +113,59 @@
     EXPECT_EQ(effect(announcement(2000, 2)), AnnouncementEffect::Change);
 }
 
+// A smaller capacity must reach the leader, and the state that every replica plans with.
+TEST_F(AnnouncementsTest, aChangedCapacityGoesToTheLeaderAndIntoTheState)
+{
+    commit(withCapacity(1, 8000));
+    for (const uint64_t millicores : { 2000, 0, 8000 }) {
+        const uint64_t sequence = known()->announced_sequence() + 1;
+        EXPECT_EQ(effect(withCapacity(sequence, millicores)), AnnouncementEffect::Change);
+        EXPECT_FALSE(canAcknowledge(withCapacity(sequence, millicores), table));
+        commit(withCapacity(sequence, millicores));
+        EXPECT_EQ(known()->millicores(), millicores);
+        EXPECT_EQ(known()->number(), 1U) << "it remains the same incarnation";
+        EXPECT_TRUE(canAcknowledge(withCapacity(sequence + 1, millicores), table));
+    }
+    schema::WorkerAnnouncement other = withCapacity(50, 8000);
+    other.mutable_life()->set_memory_mb(100);
+    EXPECT_FALSE(canAcknowledge(other, table));
+    commit(other);
+    other.set_sequence(51);
+    other.mutable_life()->set_accelerators(2);
+    EXPECT_FALSE(canAcknowledge(other, table));
+    commit(other);
+    EXPECT_EQ(known()->memory_mb(), 100U);
+    EXPECT_EQ(known()->accelerators(), 2U);
+}
+
+TEST_F(AnnouncementsTest, anOlderAnnouncementDoesNotBringTheOldCapacityBack)
+{
+    commit(withCapacity(4, 8000));
+    commit(withCapacity(7, 2000));
+    EXPECT_EQ(effect(withCapacity(6, 8000)), AnnouncementEffect::None);
+    EXPECT_EQ(effect(withCapacity(7, 8000)), AnnouncementEffect::None);
+}
+
+TEST_F(AnnouncementsTest, aRestartedWorkerHasTheCapacityThatItAnnouncesThen)
+{
+    commit(withCapacity(9, 2000));
+    schema::WorkerAnnouncement reborn = announcement(2000, 1);
+    reborn.mutable_life()->set_millicores(6000);
+    EXPECT_EQ(effect(reborn), AnnouncementEffect::NewIncarnation);
+    commit(reborn);
+    EXPECT_EQ(known()->millicores(), 6000U);
+    EXPECT_EQ(effect(withCapacity(99, 8000)), AnnouncementEffect::None);
+}
+
+TEST_F(AnnouncementsTest, aSnapshotKeepsTheChangedCapacityAndWhatIsOutdated)
+{
+    commit(withCapacity(4, 8000));
+    commit(withCapacity(7, 2000));
+    const schema::WorkSnapshot snapshot = table.save();
+    table.restore(snapshot);
+    EXPECT_EQ(known()->millicores(), 2000U);
+    EXPECT_EQ(effect(withCapacity(6, 8000)), AnnouncementEffect::None);
+    EXPECT_TRUE(canAcknowledge(withCapacity(8, 2000), table));
+}
+
 } // namespace basilgap::dispatch
