--- a/Source/UnitTests/Dispatch/WorkerSessionFixture.h
+++ b/Source/UnitTests/Dispatch/WorkerSessionFixture.h
@@ -34,12 +34,18 @@
         step->set_count(4);
         step->set_millicores(1000);
         table.submit(submit, 1);
+        logCapacity(8000);
+    }
+
+    // Applies the record of an announcement of the worker with the given capacity.
+    void logCapacity(uint64_t millicores)
+    {
         schema::RunBatch batch;
         schema::WorkerLife *incarnation = batch.add_workers();
         incarnation->set_number(1);
         incarnation->set_id("w1");
         incarnation->set_born_ms(IncarnationStartMs);
-        incarnation->set_millicores(8000);
+        incarnation->set_millicores(millicores);
         table.apply(batch, 1);
     }
 
