Send no start that the worker's capacity has no room for any more

Ruled out: comparing the table's reservations with the capacity alone, which would give up every waiting start where one must be; stopping runs to make room, which nobody asks for; a look at the time since the shrink, as nothing bounds how long a start waits. Change: a session asks at each sending, and when a start's turn comes at a connection, whether the present capacity holds the task beside all runs that may be on the worker; starts that never left don't count. What doesn't fit ends as lost and is planned again; if an earlier send went unanswered the run is stopped first, as after the last resend. Without a shrink this is one comparison, since a plan never reserves more than the capacity. Left: an order on the wire when the capacity shrinks, which may be carried out seconds later.

--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -39,9 +39,7 @@
         worker.pool = incarnation->pool();
         worker.rack = incarnation->rack();
         worker.labels.assign(incarnation->labels().begin(), incarnation->labels().end());
-        worker.capacity = { static_cast<int64_t>(incarnation->millicores()),
-            static_cast<int64_t>(incarnation->memory_mb()),
-            static_cast<int64_t>(incarnation->accelerators()) };
+        worker.capacity = state::capacityOf(*incarnation);
     }
     planWorkers_.assign(std::move(workers));
 }
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -151,6 +151,8 @@
         hasPendingStarts_ = true;
         return;
     }
+    if (!fitsCapacity(task))
+        return withholdStart(task, known, now);
     recordLeaseEnd(*leaseEnd);
     known->checkpoint = state->checkpoint;
     known->sendCount++;
@@ -172,12 +174,56 @@
         }));
 }
 
+// Whether the worker's present capacity has room for the task beside all runs that may be on it.
+// The capacity may have shrunk since the start was planned.
+bool WorkerSession::fitsCapacity(const StepTaskRef &task) const
+{
+    const schema::WorkerLife *worker = options_.table.findIncarnation(options_.number);
+    if (worker == nullptr)
+        return true;
+    const state::Resources capacity = state::capacityOf(*worker);
+    if (options_.table.reservedOn(options_.number).fitsIn(capacity))
+        return true;
+    state::Resources used;
+    for (const auto &[other, known] : runs_) {
+        const state::Work *work = options_.table.find(other.step.work);
+        const bool isUnsent = known.isStartPending && known.sendCount == 0;
+        if (work != nullptr && (other == task || !isUnsent))
+            used += state::reservationOf(work->specOf(other.step));
+    }
+    return used.fitsIn(capacity);
+}
+
+void WorkerSession::withholdStart(const StepTaskRef &task, SessionRun *known, Millis now)
+{
+    LogEvent("start-withheld")
+        .with("work", nameOf(task) ? nameOf(task)->work : "")
+        .with("step", task.step.step)
+        .with("task", task.index)
+        .with("run", known->run)
+        .with("worker", options_.endpoint.id)
+        .with("reason", "capacity");
+    // An earlier unanswered send may still be carried out.
+    if (known->unansweredSends > 0)
+        return stopIndeterminateRun(task, known, now);
+    endRun(task, schema::RUN_LOST);
+}
+
+// Stops a run that may have started, so that its task can be released.
+void WorkerSession::stopIndeterminateRun(const StepTaskRef &task, SessionRun *known, Millis now)
+{
+    known->knownState = KnownRunState::Indeterminate;
+    known->knownStateSince = now;
+    nextStopCheck_ = now;
+    stop(task, now);
+}
+
 bool WorkerSession::isStartWanted(const StepTaskRef &task, uint32_t run) const
 {
     const auto known = runs_.find(task);
     const state::Work *work = options_.table.find(task.step.work);
     return known != runs_.end() && known->second.run == run && work != nullptr && work->isActive()
-        && !superseded_ && !fenced_ && options_.events.maySendOrders();
+        && !superseded_ && !fenced_ && options_.events.maySendOrders() && fitsCapacity(task);
 }
 
 void WorkerSession::handleStartAnswer(
@@ -229,10 +275,7 @@
             .with("task", task.index)
             .with("run", run)
             .with("worker", options_.endpoint.id);
-        known.knownState = KnownRunState::Indeterminate;
-        nextStopCheck_ = now;
-        known.knownStateSince = now;
-        stop(task, now);
+        stopIndeterminateRun(task, &known, now);
         return setSuspect(true);
     }
     case OrderResult::Fenced:
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -233,6 +233,9 @@
     void setClock(Millis workerClock, Millis now);
     void setBackfillMillicores(const StepTaskRef &task, SessionRun *known) const;
     void sendStart(const StepTaskRef &task, SessionRun *known, Millis now);
+    bool fitsCapacity(const StepTaskRef &task) const;
+    void withholdStart(const StepTaskRef &task, SessionRun *known, Millis now);
+    void stopIndeterminateRun(const StepTaskRef &task, SessionRun *known, Millis now);
     Millis retryAfter(Millis now) const;
     void poll(Millis now);
     bool isPollDue(Millis now) const;
--- a/Source/Basilgap/State/Resources.h
+++ b/Source/Basilgap/State/Resources.h
@@ -67,6 +67,13 @@
         static_cast<int64_t>(resources.accelerators()) };
 }
 
+// The capacity that the worker announced last.
+inline Resources capacityOf(const schema::WorkerLife &worker)
+{
+    return { static_cast<int64_t>(worker.millicores()), static_cast<int64_t>(worker.memory_mb()),
+        static_cast<int64_t>(worker.accelerators()) };
+}
+
 inline schema::Resources toSchema(const Resources &resources)
 {
     schema::Resources out;
