--- a/Source/UnitTests/Scheduling/StepPlannerCapacityTest.cpp
+++ b/Source/UnitTests/Scheduling/StepPlannerCapacityTest.cpp
@@ -78,6 +78,21 @@
     EXPECT_GT(roundsOverCapacity, 100U);
 }
 
+TEST_F(StepPlannerCapacityTest, deferrableWorkUsesTheRoomBesideAWorkerOverItsCapacity)
+{
+    addWorkers(2, 8000);
+    const StepRef running = submit("deferrable", 8, 1000);
+    apply(plan());
+    ASSERT_EQ(freeOn(workers[0]).millicores, 0);
+    workers[0].capacity.millicores = 0;
+    const StepRef waiting = submit("deferrable", 4, 1000);
+    const StepPlan planned = plan();
+    EXPECT_EQ(startsOf(planned, running), 0U);
+    EXPECT_EQ(startsOf(planned, waiting), 4U);
+    for (const PlannedRun &start : planned.starts)
+        EXPECT_EQ(start.worker, workers[1].number);
+}
+
 TEST_F(StepPlannerCapacityTest, aTaskThatNoWorkerCanHoldWaitsAndHoldsUpNoOther)
 {
     addWorkers(3, 4000);
