Let a worker over its capacity take no room from the others

Ruled out: the free capacity of a worker never below zero everywhere: preemption and placement need to know by how much it is over. Change: only the cell's sum counts such a worker as one without room.

--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -21,6 +21,13 @@
 // work.
 constexpr double MaxHeadroomShare = 0.4;
 
+// A worker over its capacity has no room, and takes none from the others.
+Resources positivePart(const Resources &resources)
+{
+    return { std::max<int64_t>(0, resources.millicores), std::max<int64_t>(0, resources.memoryMb),
+        std::max<int64_t>(0, resources.accelerators) };
+}
+
 } // namespace
 
 uint64_t criticalPathMs(const state::Work &work, std::optional<uint32_t> remainingOf)
@@ -70,7 +77,7 @@
         if (!worker.schedulable)
             continue;
         capacity_ += worker.capacity;
-        freeCapacity_ += worker.freeCapacity();
+        freeCapacity_ += positivePart(worker.freeCapacity());
         // A backfill task needs memory only.
         if (worker.freeCapacity().memoryMb > 0)
             workersWithRoom_.push_back(&worker);
