Add a failing test of preemption for a task that no worker can hold

Cause: where an account's limit is reached, its deferrable runs are stopped for its urgent step. Whether any worker can hold a task of that step isn't asked. After a shrink none may; the deferrable tasks then start again in the room that was freed, and where the step needs more than the part that is kept free for urgent work, they are stopped again, without end. Result: the runs are stopped although every worker's capacity is 4000 and the task needs 6000.

--- a/Source/UnitTests/Scheduling/StepPlannerCapacityTest.cpp
+++ b/Source/UnitTests/Scheduling/StepPlannerCapacityTest.cpp
@@ -93,6 +93,24 @@
         EXPECT_EQ(start.worker, workers[1].number);
 }
 
+// Runs that were stopped for it would start again and be stopped again, without end.
+TEST_F(StepPlannerCapacityTest, nothingIsPreemptedForATaskThatNoWorkerCanHold)
+{
+    addWorkers(4, 8000);
+    configCommand.mutable_config()->mutable_accounts(0)->set_millicores_cap(12000);
+    const StepRef running = submit("deferrable", 8, 1000);
+    apply(plan());
+    ASSERT_EQ(table.runningTasks(), 8U);
+    addPreemptibleRuns(running);
+    const StepRef large = submit("urgent", 2, 6000);
+    EXPECT_FALSE(plan().preemptions.empty()) << "a worker could hold the task";
+    for (StepWorker &worker : workers)
+        worker.capacity.millicores = 4000;
+    const StepPlan planned = plan();
+    EXPECT_EQ(startsOf(planned, large), 0U);
+    EXPECT_TRUE(planned.preemptions.empty());
+}
+
 TEST_F(StepPlannerCapacityTest, aTaskThatNoWorkerCanHoldWaitsAndHoldsUpNoOther)
 {
     addWorkers(3, 4000);
