Preempt at an account's limit only for a task that a worker could hold

Ruled out: asking for free room instead: room and limit are freed by the same stops, so that neither would ever come first. Change: the account's runs are stopped only if some worker that may run the step could hold one of its tasks if it were empty. The search ends at the first such worker; it reads all of them only for a step that none can hold.

--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -196,6 +196,7 @@
         const Candidate &candidate, const Resources &reservation);
     bool mayRun(const StepWorker &worker, const Candidate &candidate) const;
     bool fitsAccountCap(const Candidate &candidate) const;
+    bool couldAnyWorkerHold(const Candidate &candidate) const;
     void preemptWithinAccount(const Candidate &candidate, uint32_t missing);
     void preemptForCapacity(const Candidate &candidate, uint32_t missing);
     bool preemptOnWorker(
--- a/Source/Basilgap/Scheduling/StepPreemption.cpp
+++ b/Source/Basilgap/Scheduling/StepPreemption.cpp
@@ -54,11 +54,22 @@
         ofAccount->second.stopping += run.reservation;
 }
 
+// Whether any worker that may run the step could hold one of its tasks if it were empty.
+bool StepPlanner::couldAnyWorkerHold(const Candidate &candidate) const
+{
+    const Resources reservation = state::reservationOf(candidate.work->specOf(candidate.ref));
+    return std::any_of(input_.workers.begin(), input_.workers.end(), [&](const StepWorker &worker) {
+        return reservation.fitsIn(worker.capacity) && mayRun(worker, candidate);
+    });
+}
+
 // The account's limit is reached: its own deferrable runs are preempted for its urgent ones.
 void StepPlanner::preemptWithinAccount(const Candidate &candidate, uint32_t missing)
 {
     if (candidate.priority >= DeferrablePriority || candidate.latenessBand > 1)
         return;
+    if (!couldAnyWorkerHold(candidate))
+        return;
     const Resources wanted = state::reservationOf(candidate.work->specOf(candidate.ref)) * missing;
     PreemptibleRuns &own = preemptibleOf(candidate.work->account);
     for (const PreemptibleRun &run : own.runs) {
