Add a failing test of two changes of a worker that are logged out of order

Cause: the leader compares an announcement with the state that is applied. While a change is on its way into the log, an older announcement that arrives late is still news to it; its record then follows the newer one and brings the old capacity back, until the worker's next announcement. An end that is logged beside a change brings the old capacity back too.

--- a/Source/UnitTests/Dispatch/AnnouncementsTest.cpp
+++ b/Source/UnitTests/Dispatch/AnnouncementsTest.cpp
@@ -37,6 +37,13 @@
         return effectOf(announced, known());
     }
 
+    void apply(const schema::WorkerLife &life)
+    {
+        schema::RunBatch batch;
+        *batch.add_workers() = life;
+        table.apply(batch, 1);
+    }
+
     // Commits the announcement's effect.
     void commit(const schema::WorkerAnnouncement &announced)
     {
@@ -168,4 +175,22 @@
     EXPECT_TRUE(canAcknowledge(withCapacity(8, 2000), table));
 }
 
+// Two announcements reached the leader in the wrong order, and both are logged before either is
+// applied.
+TEST_F(AnnouncementsTest, anOlderRecordDoesNotReplaceANewerOne)
+{
+    commit(withCapacity(4, 8000));
+    const schema::WorkerLife newer = updatedLife(withCapacity(7, 2000), *known());
+    const schema::WorkerLife older = updatedLife(withCapacity(6, 5000), *known());
+    const schema::WorkerLife end = updatedLife(endOfWorker(), *known());
+    apply(newer);
+    apply(older);
+    EXPECT_EQ(known()->millicores(), 2000U);
+    EXPECT_EQ(known()->announced_sequence(), 7U);
+    EXPECT_FALSE(known()->leaving());
+    apply(end);
+    EXPECT_EQ(known()->millicores(), 2000U);
+    EXPECT_TRUE(known()->leaving()) << "the end names no announcement and always counts";
+}
+
 } // namespace basilgap::dispatch
