Keep a worker's newest announcement when records come out of order

Ruled out: the leader remembering the changes on their way: the next leader wouldn't know them. Change: where a record of a worker is applied, one that was made from an older announcement of the same incarnation changes nothing, except that a worker that leaves keeps leaving. A record that it is gone always counts.

--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -109,6 +109,13 @@
     const schema::WorkerLife *newest = newestIncarnation(incarnation.id());
     if (newest != nullptr && newest->number() > incarnation.number() && !incarnation.gone())
         return;
+    // A record that was made before a newer announcement of the same incarnation was applied.
+    const auto known = workers_.find(number);
+    if (known != workers_.end() && !incarnation.gone()
+        && incarnation.announced_sequence() < known->second.announced_sequence()) {
+        known->second.set_leaving(known->second.leaving() || incarnation.leaving());
+        return;
+    }
     nextWorker_ = std::max(nextWorker_, incarnation.number() + 1);
     if (newest == nullptr || newest->number() <= incarnation.number())
         newestIncarnations_[incarnation.id()] = number;
