Add a failing test of a larger capacity that is announced late

Cause: an announcement that says what the committed state holds is acknowledged by any replica and leaves no trace, so that its sequence number outdates nothing. A worker grows, the announcement is held up, it shrinks again and says so: nothing new. The one that was held up then counts as news, and starts follow it until the worker's next announcement, however long after the shrink. Ruled out as the place to mend: the sequence in the state with each announcement (a log record for each worker and second); a memory of the leader (it never hears of what other replicas acknowledge). Change: the effect of an announcement takes the present time on the worker's clock, not used yet; the change of a worker is logged with its capacity.

--- a/Source/Basilgap/Dispatch/Announcements.cpp
+++ b/Source/Basilgap/Dispatch/Announcements.cpp
@@ -19,8 +19,8 @@
     return announcement.life().born_ms() == known.born_ms();
 }
 
-AnnouncementEffect effectOf(
-    const schema::WorkerAnnouncement &announcement, const schema::WorkerLife *known)
+AnnouncementEffect effectOf(const schema::WorkerAnnouncement &announcement,
+    const schema::WorkerLife *known, std::optional<Millis>)
 {
     if (announcement.ended()) {
         const bool isNews = known != nullptr && !known->leaving();
--- a/Source/Basilgap/Dispatch/Announcements.h
+++ b/Source/Basilgap/Dispatch/Announcements.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <optional>
+
+#include "Basilgap/Common/Millis.h"
 #include "Basilgap/State/WorkTable.h"
 #include "Work.pb.h"
 
@@ -16,9 +19,10 @@
     Change,
 };
 
-// `known` is the newest known incarnation of the worker, or null.
-AnnouncementEffect effectOf(
-    const schema::WorkerAnnouncement &announcement, const schema::WorkerLife *known);
+// `known` is the newest known incarnation of the worker, or null. `workerTime` is the present time
+// on the clock of that incarnation, if it is known.
+AnnouncementEffect effectOf(const schema::WorkerAnnouncement &announcement,
+    const schema::WorkerLife *known, std::optional<Millis> workerTime);
 
 bool isSameIncarnation(
     const schema::WorkerAnnouncement &announcement, const schema::WorkerLife &known);
--- a/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
@@ -264,21 +264,25 @@
 {
     const schema::WorkerAnnouncement &announcement = request.announcement();
     const schema::WorkerLife *known = state_.works().newestIncarnation(announcement.life().id());
-    const AnnouncementEffect effect = effectOf(announcement, known);
-    if (effect == AnnouncementEffect::NewIncarnation)
-        return registerIncarnation(request, reply);
+    const Millis now = steadyNow();
     const auto session =
         known == nullptr ? sessions_.end() : sessions_.find(state::WorkerNumber(known->number()));
+    const AnnouncementEffect effect = effectOf(announcement, known,
+        session == sessions_.end() ? std::nullopt : session->second->workerTime(now));
+    if (effect == AnnouncementEffect::NewIncarnation)
+        return registerIncarnation(request, reply);
     if (session != sessions_.end() && !announcement.ended()
         && isSameIncarnation(announcement, *known))
-        session->second->seedClock(
-            Millis(static_cast<int64_t>(announcement.clock_ms())), steadyNow());
+        session->second->seedClock(Millis(static_cast<int64_t>(announcement.clock_ms())), now);
     if (effect == AnnouncementEffect::None)
         return reply(makeRpcReply(request, makeReply(Ok)));
     const schema::WorkerLife updated = updatedLife(announcement, *known);
     LogEvent("worker-changed")
         .with("worker", updated.id())
         .with("leaving", updated.leaving() ? 1 : 0)
+        .with("millicores", updated.millicores())
+        .with("memoryMb", updated.memory_mb())
+        .with("accelerators", updated.accelerators())
         .with("address", updated.address());
     schema::Command command;
     *command.mutable_runs()->add_workers() = updated;
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -91,11 +91,19 @@
     options_.endpoint.address = address;
 }
 
-std::optional<Millis> WorkerSession::nextLeaseEnd(Millis now) const
+std::optional<Millis> WorkerSession::workerTime(Millis now) const
 {
     if (!workerClock_)
         return std::nullopt;
-    return *workerClock_ + (now - workerClockAt_) + options_.times.leaseDuration;
+    return *workerClock_ + (now - workerClockAt_);
+}
+
+std::optional<Millis> WorkerSession::nextLeaseEnd(Millis now) const
+{
+    const auto time = workerTime(now);
+    if (!time)
+        return std::nullopt;
+    return *time + options_.times.leaseDuration;
 }
 
 void WorkerSession::recordLeaseEnd(Millis leaseEnd)
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -206,6 +206,8 @@
 
     // Uses a delayed sample of the worker's clock if no better one is known.
     void seedClock(Millis workerClock, Millis now);
+    // The present time on the worker's clock, if that is known.
+    std::optional<Millis> workerTime(Millis now) const;
     void setAddress(const std::string &address);
     // Called when a later incarnation of the worker has registered: the runs of this one have
     // ended.
--- a/Source/UnitTests/Dispatch/AnnouncementsTest.cpp
+++ b/Source/UnitTests/Dispatch/AnnouncementsTest.cpp
@@ -34,7 +34,7 @@
 
     AnnouncementEffect effect(const schema::WorkerAnnouncement &announced) const
     {
-        return effectOf(announced, known());
+        return effectOf(announced, known(), std::nullopt);
     }
 
     void apply(const schema::WorkerLife &life)
@@ -193,4 +193,48 @@
     EXPECT_TRUE(known()->leaving()) << "the end names no announcement and always counts";
 }
 
+// The worker has grown and shrunk again, its announcement of the growth is held up, and a later one
+// was acknowledged as nothing new by a replica that the leader never heard.
+TEST_F(AnnouncementsTest, anAnnouncementThatWasHeldUpDoesNotEnlargeTheCapacity)
+{
+    commit(withCapacity(7, 2000));
+    EXPECT_TRUE(canAcknowledge(withCapacity(9, 2000), table));
+    schema::WorkerAnnouncement grown = withCapacity(8, 8000);
+    grown.set_clock_ms(50000);
+    EXPECT_EQ(effectOf(grown, known(), Millis(54000)), AnnouncementEffect::None);
+    grown.mutable_life()->set_millicores(1000);
+    grown.mutable_life()->set_accelerators(1);
+    EXPECT_EQ(effectOf(grown, known(), Millis(54000)), AnnouncementEffect::None);
+    EXPECT_EQ(known()->millicores(), 2000U);
+}
+
+TEST_F(AnnouncementsTest, anAnnouncementInTimeEnlargesTheCapacity)
+{
+    commit(withCapacity(7, 2000));
+    schema::WorkerAnnouncement grown = withCapacity(8, 8000);
+    grown.set_clock_ms(50000);
+    EXPECT_EQ(effectOf(grown, known(), Millis(50400)), AnnouncementEffect::Change);
+    EXPECT_EQ(effectOf(grown, known(), Millis(49900)), AnnouncementEffect::Change);
+    EXPECT_EQ(effectOf(grown, known(), std::nullopt), AnnouncementEffect::Change)
+        << "the worker's clock is not known";
+    grown.set_clock_ms(0);
+    EXPECT_EQ(effectOf(grown, known(), Millis(50400)), AnnouncementEffect::Change)
+        << "the announcement names no time";
+}
+
+// However late, what restricts the use of the worker is taken.
+TEST_F(AnnouncementsTest, anAnnouncementThatWasHeldUpMayShrinkTheCapacityAndLeave)
+{
+    commit(withCapacity(7, 8000));
+    schema::WorkerAnnouncement late = withCapacity(8, 2000);
+    late.set_clock_ms(50000);
+    EXPECT_EQ(effectOf(late, known(), Millis(90000)), AnnouncementEffect::Change);
+    late.mutable_life()->set_millicores(9000);
+    late.mutable_life()->set_leaving(true);
+    EXPECT_EQ(effectOf(late, known(), Millis(90000)), AnnouncementEffect::Change);
+    schema::WorkerAnnouncement reborn = announcement(2000, 1);
+    reborn.set_clock_ms(100);
+    EXPECT_EQ(effectOf(reborn, known(), Millis(90000)), AnnouncementEffect::NewIncarnation);
+}
+
 } // namespace basilgap::dispatch
