Take a larger capacity only from an announcement in time

Change: where the leader knows the worker's clock, an announcement that is older than the second for which its sender waits, and that enlarges the capacity, counts as outdated. Whoever sent it has announced itself again since; the next one decides. Less capacity, leaving and a new incarnation count however late. Left: a leader that doesn't know the worker's clock yet takes a late one; the next announcement mends that. It needs a change of leader, a growth and a shrink within seconds, all held up.

--- a/Source/Basilgap/Dispatch/Announcements.cpp
+++ b/Source/Basilgap/Dispatch/Announcements.cpp
@@ -4,6 +4,22 @@
 
 namespace {
 
+// A worker waits this long for an acknowledgement; then it announces itself to another replica.
+constexpr Millis MaxAnnouncementAge{ 1000 };
+
+bool wasHeldUp(const schema::WorkerAnnouncement &announcement, std::optional<Millis> workerTime)
+{
+    const Millis sentAt(static_cast<int64_t>(announcement.clock_ms()));
+    return workerTime && sentAt > Millis() && *workerTime - sentAt > MaxAnnouncementAge;
+}
+
+// Whether more may start on the worker than the state allows. A later announcement that was
+// acknowledged without a record may have taken that back, so only a recent one can say so.
+bool enlargesCapacity(const schema::WorkerLife &announced, const schema::WorkerLife &known)
+{
+    return !announced.leaving() && !state::capacityOf(announced).fitsIn(state::capacityOf(known));
+}
+
 bool isEqualButForSequence(schema::WorkerLife left, schema::WorkerLife right)
 {
     left.clear_announced_sequence();
@@ -20,7 +36,7 @@
 }
 
 AnnouncementEffect effectOf(const schema::WorkerAnnouncement &announcement,
-    const schema::WorkerLife *known, std::optional<Millis>)
+    const schema::WorkerLife *known, std::optional<Millis> workerTime)
 {
     if (announcement.ended()) {
         const bool isNews = known != nullptr && !known->leaving();
@@ -36,6 +52,8 @@
     const bool isOutdated = announcement.sequence() <= known->announced_sequence();
     if (isOutdated || isEqualButForSequence(updatedLife(announcement, *known), *known))
         return AnnouncementEffect::None;
+    if (wasHeldUp(announcement, workerTime) && enlargesCapacity(announcement.life(), *known))
+        return AnnouncementEffect::None;
     return AnnouncementEffect::Change;
 }
 
