--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -222,6 +222,8 @@
 
     // Uses a delayed sample of the worker's clock if no better one is known.
     void seedClock(Millis workerClock, Millis now);
+    // The present time on the worker's clock, if that is known.
+    std::optional<Millis> workerTime(Millis now) const;
     void setAddress(const std::string &address);
     // Called when a later incarnation of the worker has registered: the runs of this one have
     // ended.
@@ -254,9 +256,10 @@
     void noteHeard(const OrderAnswer &answer, Millis now);
     void setBackfillMillicores(const StepTaskRef &task, SessionRun *known) const;
     void sendStart(const StepTaskRef &task, SessionRun *known, Millis now);
-    // Ends a run whose start is no longer wanted. If an earlier send may still be carried out, the
-    // run is stopped first.
     void abandonStart(const StepTaskRef &task, SessionRun *known, Millis now);
+    bool fitsCapacity(const StepTaskRef &task) const;
+    void withholdStart(const StepTaskRef &task, SessionRun *known, Millis now);
+    void stopIndeterminateRun(const StepTaskRef &task, SessionRun *known, Millis now);
     Millis retryAfter(Millis now) const;
     void poll(Millis now);
     bool isPollDue(Millis now) const;
--- a/Source/UnitTests/Dispatch/AnnouncementsTest.cpp
+++ b/Source/UnitTests/Dispatch/AnnouncementsTest.cpp
@@ -34,7 +34,14 @@
 
     AnnouncementEffect effect(const schema::WorkerAnnouncement &announced) const
     {
-        return effectOf(announced, known());
+        return effectOf(announced, known(), std::nullopt);
+    }
+
+    void apply(const schema::WorkerLife &life)
+    {
+        schema::RunBatch batch;
+        *batch.add_workers() = life;
+        table.apply(batch, 1);
     }
 
     // Commits the announcement's effect.
@@ -55,6 +62,13 @@
     state::WorkTable table;
 };
 
+schema::WorkerAnnouncement withCapacity(uint64_t sequence, uint64_t millicores)
+{
+    schema::WorkerAnnouncement result = announcement(1000, sequence);
+    result.mutable_life()->set_millicores(millicores);
+    return result;
+}
+
 } // namespace
 
 // A replica that became leader after the worker left must not take it back into use.
@@ -106,4 +120,121 @@
     EXPECT_EQ(effect(announcement(2000, 2)), AnnouncementEffect::Change);
 }
 
+// A smaller capacity must reach the leader, and the state that every replica plans with.
+TEST_F(AnnouncementsTest, aChangedCapacityGoesToTheLeaderAndIntoTheState)
+{
+    commit(withCapacity(1, 8000));
+    for (const uint64_t millicores : { 2000, 0, 8000 }) {
+        const uint64_t sequence = known()->announced_sequence() + 1;
+        EXPECT_EQ(effect(withCapacity(sequence, millicores)), AnnouncementEffect::Change);
+        EXPECT_FALSE(canAcknowledge(withCapacity(sequence, millicores), table));
+        commit(withCapacity(sequence, millicores));
+        EXPECT_EQ(known()->millicores(), millicores);
+        EXPECT_EQ(known()->number(), 1U) << "it remains the same incarnation";
+        EXPECT_TRUE(canAcknowledge(withCapacity(sequence + 1, millicores), table));
+    }
+    schema::WorkerAnnouncement other = withCapacity(50, 8000);
+    other.mutable_life()->set_memory_mb(100);
+    EXPECT_FALSE(canAcknowledge(other, table));
+    commit(other);
+    other.set_sequence(51);
+    other.mutable_life()->set_accelerators(2);
+    EXPECT_FALSE(canAcknowledge(other, table));
+    commit(other);
+    EXPECT_EQ(known()->memory_mb(), 100U);
+    EXPECT_EQ(known()->accelerators(), 2U);
+}
+
+TEST_F(AnnouncementsTest, anOlderAnnouncementDoesNotBringTheOldCapacityBack)
+{
+    commit(withCapacity(4, 8000));
+    commit(withCapacity(7, 2000));
+    EXPECT_EQ(effect(withCapacity(6, 8000)), AnnouncementEffect::None);
+    EXPECT_EQ(effect(withCapacity(7, 8000)), AnnouncementEffect::None);
+}
+
+TEST_F(AnnouncementsTest, aRestartedWorkerHasTheCapacityThatItAnnouncesThen)
+{
+    commit(withCapacity(9, 2000));
+    schema::WorkerAnnouncement reborn = announcement(2000, 1);
+    reborn.mutable_life()->set_millicores(6000);
+    EXPECT_EQ(effect(reborn), AnnouncementEffect::NewIncarnation);
+    commit(reborn);
+    EXPECT_EQ(known()->millicores(), 6000U);
+    EXPECT_EQ(effect(withCapacity(99, 8000)), AnnouncementEffect::None);
+}
+
+TEST_F(AnnouncementsTest, aSnapshotKeepsTheChangedCapacityAndWhatIsOutdated)
+{
+    commit(withCapacity(4, 8000));
+    commit(withCapacity(7, 2000));
+    const schema::WorkSnapshot snapshot = table.save();
+    table.restore(snapshot);
+    EXPECT_EQ(known()->millicores(), 2000U);
+    EXPECT_EQ(effect(withCapacity(6, 8000)), AnnouncementEffect::None);
+    EXPECT_TRUE(canAcknowledge(withCapacity(8, 2000), table));
+}
+
+// Two announcements reached the leader in the wrong order, and both are logged before either is
+// applied.
+TEST_F(AnnouncementsTest, anOlderRecordDoesNotReplaceANewerOne)
+{
+    commit(withCapacity(4, 8000));
+    const schema::WorkerLife newer = updatedLife(withCapacity(7, 2000), *known());
+    const schema::WorkerLife older = updatedLife(withCapacity(6, 5000), *known());
+    const schema::WorkerLife end = updatedLife(endOfWorker(), *known());
+    apply(newer);
+    apply(older);
+    EXPECT_EQ(known()->millicores(), 2000U);
+    EXPECT_EQ(known()->announced_sequence(), 7U);
+    EXPECT_FALSE(known()->leaving());
+    apply(end);
+    EXPECT_EQ(known()->millicores(), 2000U);
+    EXPECT_TRUE(known()->leaving()) << "the end names no announcement and always counts";
+}
+
+// The worker has grown and shrunk again, its announcement of the growth is held up, and a later one
+// was acknowledged as nothing new by a replica that the leader never heard.
+TEST_F(AnnouncementsTest, anAnnouncementThatWasHeldUpDoesNotEnlargeTheCapacity)
+{
+    commit(withCapacity(7, 2000));
+    EXPECT_TRUE(canAcknowledge(withCapacity(9, 2000), table));
+    schema::WorkerAnnouncement grown = withCapacity(8, 8000);
+    grown.set_clock_ms(50000);
+    EXPECT_EQ(effectOf(grown, known(), Millis(54000)), AnnouncementEffect::None);
+    grown.mutable_life()->set_millicores(1000);
+    grown.mutable_life()->set_accelerators(1);
+    EXPECT_EQ(effectOf(grown, known(), Millis(54000)), AnnouncementEffect::None);
+    EXPECT_EQ(known()->millicores(), 2000U);
+}
+
+TEST_F(AnnouncementsTest, anAnnouncementInTimeEnlargesTheCapacity)
+{
+    commit(withCapacity(7, 2000));
+    schema::WorkerAnnouncement grown = withCapacity(8, 8000);
+    grown.set_clock_ms(50000);
+    EXPECT_EQ(effectOf(grown, known(), Millis(50400)), AnnouncementEffect::Change);
+    EXPECT_EQ(effectOf(grown, known(), Millis(49900)), AnnouncementEffect::Change);
+    EXPECT_EQ(effectOf(grown, known(), std::nullopt), AnnouncementEffect::Change)
+        << "the worker's clock is not known";
+    grown.set_clock_ms(0);
+    EXPECT_EQ(effectOf(grown, known(), Millis(50400)), AnnouncementEffect::Change)
+        << "the announcement names no time";
+}
+
+// However late, what restricts the use of the worker is taken.
+TEST_F(AnnouncementsTest, anAnnouncementThatWasHeldUpMayShrinkTheCapacityAndLeave)
+{
+    commit(withCapacity(7, 8000));
+    schema::WorkerAnnouncement late = withCapacity(8, 2000);
+    late.set_clock_ms(50000);
+    EXPECT_EQ(effectOf(late, known(), Millis(90000)), AnnouncementEffect::Change);
+    late.mutable_life()->set_millicores(9000);
+    late.mutable_life()->set_leaving(true);
+    EXPECT_EQ(effectOf(late, known(), Millis(90000)), AnnouncementEffect::Change);
+    schema::WorkerAnnouncement reborn = announcement(2000, 1);
+    reborn.set_clock_ms(100);
+    EXPECT_EQ(effectOf(reborn, known(), Millis(90000)), AnnouncementEffect::NewIncarnation);
+}
+
 } // namespace basilgap::dispatch
