Add two failing tests of voters gathered in one zone

Tests: OpenMembership.quorumSurvivesTheLossOfAnyZone (the layouts of the users' deployments, 20 seeds each: after the start no zone holds a majority of the voters, and the loss of the fullest one leaves a leader that commits) and OpenMembership.votersStaySpreadWhileHostsAreLost (the same after each of eight random troubles: a host lost for good and replaced, a disk lost, a host frozen for 5 s, a zone cut off for 5 s).

--- a/Source/UnitTests/Replication/OpenMembershipTest.cpp
+++ b/Source/UnitTests/Replication/OpenMembershipTest.cpp
@@ -1,6 +1,8 @@
 #include "Basilgap/Replication/OpenMembership.h"
 
+#include <algorithm>
 #include <array>
+#include <random>
 
 #include <gtest/gtest.h>
 
@@ -21,6 +23,13 @@
 constexpr Millis WipedRestartDelay{ 500 };
 constexpr Millis CatchUpTime{ 4000 };
 
+// The hosts of a new cell join within this time, and the cell has settled some time later.
+constexpr Millis JoinPeriod{ 3000 };
+constexpr Millis SettlingTime{ 5000 };
+
+// Longer than it takes to elect a leader.
+constexpr Millis ElectionTime{ 3000 };
+
 enum class Loss { Host, Disk };
 
 std::string nameOf(size_t index)
@@ -28,19 +37,32 @@
     return "r" + std::to_string(index);
 }
 
+struct CellOptions
+{
+    // Replicas that bootstrap the cell as voters.
+    size_t seeds = Voters;
+    size_t spares = Spares;
+    // Availability zone of each replica; without any they are all unknown.
+    std::vector<std::string> zones;
+};
+
 // An open cell of simulated replicas that lose hosts and disks and get new ones. Spares are started
 // one after the other.
 class OpenCell
 {
 public:
-    explicit OpenCell(uint64_t seed)
-        : cluster_(Voters, seed, Spares)
+    explicit OpenCell(uint64_t seed, CellOptions options = {})
+        : options_(std::move(options))
+        , cluster_(options_.seeds, seed, options_.spares)
+        , nextSpare_(options_.seeds)
     {
+        options_.zones.resize(cluster_.size());
         for (size_t i = 0; i < cluster_.size(); i++) {
             policies_.emplace_back(ReplicaId(nameOf(i)));
-            up_.push_back(i < Voters);
+            up_.push_back(i < options_.seeds);
             wasLost_.push_back(false);
-            cluster_.isolate(i, i >= Voters);
+            isGone_.push_back(false);
+            cluster_.isolate(i, i >= options_.seeds);
         }
         run(Millis(3000));
     }
@@ -63,6 +85,71 @@
             wipeDisk(index);
     }
 
+    // Starts the next spares, each at a random time within the interval.
+    void startSpares(size_t count, Millis interval, std::mt19937_64 &random)
+    {
+        std::vector<int64_t> pauses;
+        for (size_t i = 0; i < count; i++)
+            pauses.push_back(static_cast<int64_t>(random() % (interval.count() / count)));
+        for (const int64_t pause : pauses) {
+            run(Millis(pause));
+            setUp(nextSpare_++, true);
+        }
+    }
+
+    // The host that is lost gets a successor in its zone.
+    void loseInZone(Loss loss, size_t index)
+    {
+        if (loss == Loss::Host)
+            options_.zones[nextSpare_] = options_.zones[index];
+        lose(loss, index);
+    }
+
+    // Number of voters in each zone, as the replica knows them.
+    std::map<std::string, size_t> votersByZone(size_t leader)
+    {
+        std::map<std::string, size_t> voters;
+        for (size_t i = 0; i < cluster_.size(); i++) {
+            const schema::Member *known = member(leader, i);
+            if (known != nullptr && known->voter())
+                voters[options_.zones[i]]++;
+        }
+        return voters;
+    }
+
+    // The zone that holds most voters.
+    std::string fullestZone(size_t leader)
+    {
+        const auto voters = votersByZone(leader);
+        return std::max_element(voters.begin(), voters.end(), [](const auto &a, const auto &b) {
+            return a.second < b.second;
+        })->first;
+    }
+
+    size_t votersInFullestZone(size_t leader)
+    {
+        return votersByZone(leader).at(fullestZone(leader));
+    }
+
+    // Cuts off or brings back the hosts of the zone, but for those that are gone for good.
+    void setZoneUp(const std::string &zone, bool up)
+    {
+        for (size_t i = 0; i < nextSpare_; i++) {
+            if (options_.zones[i] == zone && !isGone_[i])
+                setUp(i, up);
+        }
+    }
+
+    std::vector<size_t> hostsThatAreUp() const
+    {
+        std::vector<size_t> hosts;
+        for (size_t i = 0; i < up_.size(); i++) {
+            if (up_[i])
+                hosts.push_back(i);
+        }
+        return hosts;
+    }
+
     // The replica that leads, if it is up and still able to commit a record.
     std::optional<size_t> servingLeader()
     {
@@ -120,12 +207,16 @@
     }
 
     RaftCluster &cluster() { return cluster_; }
+    const std::string &zoneOf(size_t index) const { return options_.zones[index]; }
+    // Number of changes of the membership so far.
+    size_t changes() const { return changes_; }
 
 private:
     // A host is lost for good; an empty one comes at another address.
     void replaceHost(size_t index)
     {
         wasLost_[index] = true;
+        isGone_[index] = true;
         setUp(index, false);
         run(SuccessorDelay);
         setUp(nextSpare_++, true);
@@ -164,20 +255,89 @@
             RaftCore &core = cluster_.core(i);
             if (!core.isEstablishedLeader() || !core.isMembershipCommitted())
                 continue;
-            if (const auto change = policies_[i].nextChange(core, cluster_.now()))
-                core.proposeMembership(change->membership);
+            const auto change = policies_[i].nextChange(core, cluster_.now());
+            if (change && core.proposeMembership(change->membership))
+                changes_++;
             cluster_.processOutput(i);
         }
     }
 
+    CellOptions options_;
     RaftCluster cluster_;
     std::vector<OpenMembership> policies_;
     std::vector<bool> up_;
     std::vector<bool> wasLost_;
-    size_t nextSpare_ = Voters;
+    std::vector<bool> isGone_;
+    size_t nextSpare_;
+    size_t changes_ = 0;
     Millis nextJoin_;
 };
 
+constexpr size_t BootstrapSeeds = 3;
+constexpr size_t ZoneLosses = 8;
+constexpr Millis FreezeTime{ 5000 };
+
+// Hosts in each zone, as users run them.
+const std::vector<std::vector<size_t>> ZoneLayouts = { { 2, 2, 1 }, { 2, 1, 1, 1 }, { 3, 3, 3 },
+    { 2, 2, 2, 2, 1 } };
+
+// A cell with that many hosts in each zone. Which of them bootstrap it, and when the others join,
+// depends on the random numbers. Returns once the cell has had the time to settle.
+std::unique_ptr<OpenCell> startZonedCell(
+    const std::vector<size_t> &layout, uint64_t seed, std::mt19937_64 &random)
+{
+    std::vector<std::string> zones;
+    for (size_t zone = 0; zone < layout.size(); zone++)
+        zones.insert(zones.end(), layout[zone], "z" + std::to_string(zone));
+    std::shuffle(zones.begin(), zones.end(), random);
+    const size_t joining = zones.size() - BootstrapSeeds;
+    auto cell = std::make_unique<OpenCell>(seed,
+        CellOptions{ .seeds = BootstrapSeeds, .spares = joining + ZoneLosses, .zones = zones });
+    cell->startSpares(joining, JoinPeriod, random);
+    cell->run(SettlingTime);
+    return cell;
+}
+
+// Loses a host or a disk, freezes a host, or cuts off a zone for a while.
+void causeTrouble(OpenCell &cell, std::mt19937_64 &random)
+{
+    const std::vector<size_t> hosts = cell.hostsThatAreUp();
+    const size_t index = hosts[random() % hosts.size()];
+    const size_t choice = random() % 4;
+    if (choice < 2)
+        return cell.loseInZone(choice == 0 ? Loss::Host : Loss::Disk, index);
+    const std::string zone = cell.zoneOf(index);
+    if (choice == 2)
+        cell.setUp(index, false);
+    else
+        cell.setZoneUp(zone, false);
+    cell.run(FreezeTime);
+    if (choice == 2)
+        cell.setUp(index, true);
+    else
+        cell.setZoneUp(zone, true);
+    cell.run(CatchUpTime);
+}
+
+void expectSpreadVoters(OpenCell &cell)
+{
+    const auto leader = cell.servingLeader();
+    ASSERT_TRUE(leader.has_value());
+    EXPECT_EQ(voterCount(cell.cluster().core(*leader).membership()), Voters);
+    EXPECT_LE(cell.votersInFullestZone(*leader), Voters / 2);
+}
+
+void expectQuorumWithoutAnyZone(OpenCell &cell)
+{
+    const auto leader = cell.servingLeader();
+    ASSERT_TRUE(leader.has_value());
+    const std::string zone = cell.fullestZone(*leader);
+    cell.setZoneUp(zone, false);
+    cell.run(ElectionTime);
+    EXPECT_TRUE(cell.servingLeader().has_value()) << "no leader without zone " << zone;
+    EXPECT_EQ(cell.cluster().violation().value_or(""), "");
+}
+
 // Guards against a cell that never has a leader again: hosts were lost one by one, each after the
 // last one's successor had the time to catch up, but those that were gone still counted as voters.
 TEST(OpenMembership, quorumSurvivesHostsThatAreLostOneByOne)
@@ -202,6 +362,43 @@
     }
 }
 
+// Guards against a zone whose loss stops the cell although the hosts would bear it: the voters were
+// the replicas that bootstrapped the cell and those that joined first, wherever they were.
+TEST(OpenMembership, quorumSurvivesTheLossOfAnyZone)
+{
+    constexpr uint64_t Seeds = 20;
+    for (const auto &layout : ZoneLayouts) {
+        for (uint64_t seed = 1; seed <= Seeds; seed++) {
+            SCOPED_TRACE(
+                "layout " + testing::PrintToString(layout) + ", seed " + std::to_string(seed));
+            std::mt19937_64 random(seed);
+            const auto cell = startZonedCell(layout, seed, random);
+            ASSERT_NO_FATAL_FAILURE(expectSpreadVoters(*cell));
+            ASSERT_NO_FATAL_FAILURE(expectQuorumWithoutAnyZone(*cell));
+        }
+    }
+}
+
+// Guards against voters that gather in one zone as hosts are replaced, frozen or cut off.
+TEST(OpenMembership, votersStaySpreadWhileHostsAreLost)
+{
+    constexpr uint64_t Seeds = 20;
+    for (const auto &layout : ZoneLayouts) {
+        for (uint64_t seed = 1; seed <= Seeds; seed++) {
+            SCOPED_TRACE(
+                "layout " + testing::PrintToString(layout) + ", seed " + std::to_string(seed));
+            std::mt19937_64 random(seed);
+            const auto cell = startZonedCell(layout, seed, random);
+            for (size_t i = 0; i < ZoneLosses; i++) {
+                SCOPED_TRACE("after trouble " + std::to_string(i));
+                causeTrouble(*cell, random);
+                ASSERT_NO_FATAL_FAILURE(expectSpreadVoters(*cell));
+            }
+            ASSERT_NO_FATAL_FAILURE(expectQuorumWithoutAnyZone(*cell));
+        }
+    }
+}
+
 // Guards against a host that was only frozen and then has to ask to join again.
 TEST(OpenMembership, frozenVoterStaysAMemberAndCatchesUp)
 {
