Record the availability zone of each member

Replicas sent their zone in probes; it was dropped. Change: `Member.zone`, filled when a cell is bootstrapped (the answer to a probe carries the zone now) and when a replica joins; the lines learner-added, learner-promoted, voter-demoted and member-removed of an open cell name it. Nothing is decided by it yet. Members of records without a zone have an unknown one. Not run on this commit: the whole suite.

--- a/Source/Basilgap/Control/ReplicaMembership.cpp
+++ b/Source/Basilgap/Control/ReplicaMembership.cpp
@@ -29,6 +29,7 @@
     member.set_id(self_.value());
     member.set_incarnation(storage_->incarnation().value());
     member.set_voter(true);
+    member.set_zone(options_.settings.zone());
     if (options_.membership == MembershipMode::Open)
         member.set_address(options_.settings.peer_address());
     for (const auto &peer : options_.settings.peers()) {
@@ -96,7 +97,7 @@
         message.mutable_probe()->set_id(self_.value());
         message.mutable_probe()->set_incarnation(self.incarnation());
         message.mutable_probe()->set_address(self.address());
-        message.mutable_probe()->set_zone(options_.settings.zone());
+        message.mutable_probe()->set_zone(self.zone());
         link->send(message);
     }
     if (core_->isUninitialized())
@@ -115,6 +116,7 @@
     reply->set_led(isLeading_ ? isConfirmedLeader(MaxLeaderConfirmationAge)
                               : !core_->leader().value().empty());
     *reply->mutable_members() = core_->membership().members();
+    reply->set_zone(options_.settings.zone());
     return message;
 }
 
@@ -146,6 +148,7 @@
     learner.set_id(probe.id());
     learner.set_address(probe.address());
     learner.set_incarnation(probe.incarnation());
+    learner.set_zone(probe.zone());
     openMembership_.requestJoin(learner);
 }
 
@@ -201,6 +204,7 @@
         member->set_id(peer.id());
         member->set_address(peer.address());
         member->set_incarnation(reply->second.incarnation());
+        member->set_zone(reply->second.zone());
         member->set_voter(true);
     }
     if (first != self_)
@@ -261,7 +265,7 @@
     if (!change || !core_->proposeMembership(change->membership))
         return;
     LogEvent line(replication::toText(change->kind));
-    line.with("peer", change->member.value());
+    line.with("peer", change->member.value()).with("zone", change->zone);
     if (change->silence > Millis())
         line.with("silentMs", change->silence);
 }
@@ -278,6 +282,7 @@
         learner.set_id(id.value());
         learner.set_address(wanted.address());
         learner.set_incarnation(joining->second.incarnation());
+        learner.set_zone(joining->second.zone());
         joinRequests_.erase(joining);
         LogEvent("learner-added").with("peer", id.value());
         return core_->proposeMembership(replication::withMember(core_->membership(), learner))
--- a/Source/Basilgap/Replication/OpenMembership.cpp
+++ b/Source/Basilgap/Replication/OpenMembership.cpp
@@ -92,6 +92,7 @@
         lastHeardAt_[id] = now;
         return MembershipChange{ .kind = MembershipChange::Kind::AddLearner,
             .member = id,
+            .zone = learner.zone(),
             .membership = withMember(core.membership(), learner) };
     }
     return std::nullopt;
@@ -119,6 +120,7 @@
     voter.set_voter(true);
     return MembershipChange{ .kind = MembershipChange::Kind::PromoteLearner,
         .member = ReplicaId(voter.id()),
+        .zone = voter.zone(),
         .membership = withMember(core.membership(), voter) };
 }
 
@@ -134,6 +136,7 @@
     const ReplicaId id(learner.id());
     return MembershipChange{ .kind = MembershipChange::Kind::DemoteVoter,
         .member = id,
+        .zone = learner.zone(),
         .silence = now - lastHeardAt_.at(id),
         .membership = withMember(core.membership(), learner) };
 }
@@ -147,6 +150,7 @@
     const ReplicaId id(silent->id());
     return MembershipChange{ .kind = MembershipChange::Kind::RemoveLearner,
         .member = id,
+        .zone = silent->zone(),
         .silence = now - lastHeardAt_.at(id),
         .membership = withoutMember(core.membership(), id) };
 }
--- a/Source/Basilgap/Replication/OpenMembership.h
+++ b/Source/Basilgap/Replication/OpenMembership.h
@@ -14,6 +14,8 @@
 
     Kind kind = Kind::AddLearner;
     ReplicaId member;
+    // Availability zone of the member; empty if unknown.
+    std::string zone;
     // How long the member has been silent.
     Millis silence;
     schema::Membership membership;
@@ -29,7 +31,7 @@
 public:
     explicit OpenMembership(ReplicaId self);
 
-    // A replica asks to become a member: its id, incarnation and address.
+    // A replica asks to become a member: its id, incarnation, address and zone.
     void requestJoin(const schema::Member &replica);
 
     // The next change to propose, if any. Only called on an established leader while all earlier
--- a/Source/UnitTests/Control/ReplicaTest.cpp
+++ b/Source/UnitTests/Control/ReplicaTest.cpp
@@ -113,6 +113,13 @@
     int accepted_ = 0;
 };
 
+TEST_F(ReplicaTest, membersHaveTheZoneOfTheirSettings)
+{
+    ASSERT_EQ(replica_->core().membership().members_size(), 1);
+    EXPECT_EQ(replica_->core().membership().members(0).zone(), "z1");
+    EXPECT_EQ(replica_->makeProbeReply().probe_reply().zone(), "z1");
+}
+
 // Guards against syncing records on the event loop: on the larger test site this blocked the leader
 // for 6 ms for each of 50 records a second.
 TEST_F(ReplicaTest, eventLoopRunsWhileARecordIsSynced)
--- a/Source/UnitTests/Replication/OpenMembershipTest.cpp
+++ b/Source/UnitTests/Replication/OpenMembershipTest.cpp
@@ -53,7 +53,7 @@
 public:
     explicit OpenCell(uint64_t seed, CellOptions options = {})
         : options_(std::move(options))
-        , cluster_(options_.seeds, seed, options_.spares)
+        , cluster_(options_.seeds, seed, options_.spares, options_.zones)
         , nextSpare_(options_.seeds)
     {
         options_.zones.resize(cluster_.size());
@@ -242,6 +242,7 @@
             schema::Member self;
             self.set_id(nameOf(i));
             self.set_incarnation(cluster_.incarnationOf(i).value());
+            self.set_zone(options_.zones[i]);
             for (size_t other = 0; other < cluster_.size(); other++) {
                 if (other != i && up_[other])
                     policies_[other].requestJoin(self);
--- a/Source/UnitTests/Replication/RaftCluster.cpp
+++ b/Source/UnitTests/Replication/RaftCluster.cpp
@@ -10,7 +10,8 @@
 
 } // namespace
 
-RaftCluster::RaftCluster(size_t size, uint64_t seed, size_t spares)
+RaftCluster::RaftCluster(
+    size_t size, uint64_t seed, size_t spares, const std::vector<std::string> &zones)
     : random_(seed)
     , nodes_(size + spares)
 {
@@ -23,6 +24,8 @@
         member->set_id("r" + std::to_string(i));
         member->set_incarnation(nodes_[i].disk.incarnation.value());
         member->set_voter(true);
+        if (!zones.empty())
+            member->set_zone(zones.at(i));
     }
     for (size_t i = 0; i < nodes_.size(); i++)
         start(i);
--- a/Source/UnitTests/Replication/RaftCluster.h
+++ b/Source/UnitTests/Replication/RaftCluster.h
@@ -16,8 +16,10 @@
 class RaftCluster
 {
 public:
-    // Starts `size` voters, and `spares` uninitialized replicas that are no members yet.
-    RaftCluster(size_t size, uint64_t seed, size_t spares = 0);
+    // Starts `size` voters, and `spares` uninitialized replicas that are no members yet. The zones
+    // are those of the voters; without any they are unknown.
+    RaftCluster(
+        size_t size, uint64_t seed, size_t spares = 0, const std::vector<std::string> &zones = {});
 
     // Takes one random step: advances the clock, delivers, loses, duplicates or reorders a message,
     // proposes a record, transfers leadership, compacts a log, crashes a replica, or cuts or
