Spread the voters of an open cell over the availability zones

Cause: voters were the hosts that bootstrapped the cell and those that caught up first; nothing looked at their zones. Change: of the learners that are ready, one whose zone has the fewest voters is promoted, also into the place of a silent voter. A voter of a zone with two voters more than a learner's zone gives way to it, by two single-voter changes (learner-promoted-for-zone, voter-demoted-for-zone), once that learner and all voters have been heard for 2 s without a gap; never the leader. The exchange of silent voters comes first, as prompt as before; while there are six voters it needs no learner. Members without a zone (older records) are promoted last and never exchanged for their zone. Promoted first, because of six voters any two hosts and a zone of two may be lost as of five; of four voters only one host. Ruled out: to hold back a learner that would give its zone a majority (fewer voters bear fewer lost hosts, and nobody knows whether another host will come); to exchange for a difference of one (flaps: spreadVotersAreNotExchanged failed with it). Why it ends: each exchange lowers the sum of the squares of the zones' voters. What stays: after a loss, until a host of another zone is up and all voters have been heard for 2 s, three may be in one zone. A voter's silence is noticed after 650 ms; an exchange may begin in that time. It lowers nothing: with one of six or of five lost, one more may be lost.

--- a/Source/Basilgap/Control/ReplicaMembership.cpp
+++ b/Source/Basilgap/Control/ReplicaMembership.cpp
@@ -265,7 +265,7 @@
     if (!change || !core_->proposeMembership(change->membership))
         return;
     LogEvent line(replication::toText(change->kind));
-    line.with("peer", change->member.value()).with("zone", change->zone);
+    line.with("peer", change->member.value()).with("zone", change->zone.value());
     if (change->silence > Millis())
         line.with("silentMs", change->silence);
 }
--- a/Source/Basilgap/Replication/Membership.cpp
+++ b/Source/Basilgap/Replication/Membership.cpp
@@ -37,6 +37,15 @@
         membership.members().end(), [](const auto &member) { return member.voter(); }));
 }
 
+size_t votersInZone(const schema::Membership &membership, const ZoneName &zone)
+{
+    if (zone.value().empty())
+        return 0;
+    return static_cast<size_t>(
+        std::count_if(membership.members().begin(), membership.members().end(),
+            [&](const auto &member) { return member.voter() && member.zone() == zone.value(); }));
+}
+
 bool isSingleVoterChange(const schema::Membership &from, const schema::Membership &to)
 {
     const std::set<Voter> before = votersOf(from);
--- a/Source/Basilgap/Replication/OpenMembership.h
+++ b/Source/Basilgap/Replication/OpenMembership.h
@@ -10,12 +10,19 @@
 // A change of the membership for the leader to propose.
 struct MembershipChange
 {
-    enum class Kind { AddLearner, PromoteLearner, DemoteVoter, RemoveLearner };
+    enum class Kind {
+        AddLearner,
+        PromoteLearner,
+        DemoteVoter,
+        RemoveLearner,
+        PromoteForZone,
+        DemoteForZone
+    };
 
     Kind kind = Kind::AddLearner;
     ReplicaId member;
     // Availability zone of the member; empty if unknown.
-    std::string zone;
+    ZoneName zone;
     // How long the member has been silent.
     Millis silence;
     schema::Membership membership;
@@ -25,7 +32,9 @@
 
 // Decides on the leader which replicas are members of an open cell, in which every replica that
 // asks becomes a learner. Learners become voters up to a fixed number; one that is ready takes the
-// place of a voter that has fallen silent. Without clock or sockets.
+// place of a voter that has fallen silent, or of one in a zone with two voters more than its own. A
+// member whose zone is unknown is promoted last and never exchanged for its zone. Without clock or
+// sockets.
 class OpenMembership
 {
 public:
@@ -39,20 +48,31 @@
     std::optional<MembershipChange> nextChange(const RaftCore &core, Millis now);
 
 private:
+    struct Contact
+    {
+        Millis lastHeardAt;
+        // Since when the member has been heard without a gap.
+        Millis heardSince;
+    };
+
     void beginTerm(Term term);
     void noteHeardMembers(const RaftCore &core, Millis now);
     std::optional<MembershipChange> addJoiningLearner(const RaftCore &core, Millis now);
-    static const schema::Member *promotableLearner(const RaftCore &core, Millis now);
-    static std::optional<MembershipChange> promoteLearner(const RaftCore &core, Millis now);
+    const schema::Member *promotableLearner(
+        const RaftCore &core, Millis minContact, Millis now) const;
+    std::optional<MembershipChange> promoteLearner(const RaftCore &core, Millis now) const;
     std::optional<MembershipChange> demoteSilentVoter(const RaftCore &core, Millis now) const;
+    std::optional<MembershipChange> promoteForZone(const RaftCore &core, Millis now) const;
+    std::optional<MembershipChange> demoteForZone(const RaftCore &core, Millis now) const;
+    bool areVotersHeard(const RaftCore &core, Millis minContact, Millis now) const;
     std::optional<MembershipChange> removeSilentLearner(const RaftCore &core, Millis now) const;
     const schema::Member *longestSilent(
         const RaftCore &core, bool voter, Millis minSilence, Millis now) const;
 
     ReplicaId self_;
     std::map<ReplicaId, schema::Member> joinRequests_;
-    // When each member was last heard from in the term in which this replica leads.
-    std::map<ReplicaId, Millis> lastHeardAt_;
+    // The contact to each member in the term in which this replica leads.
+    std::map<ReplicaId, Contact> contacts_;
     Term term_;
 };
 
--- a/Source/UnitTests/Replication/OpenMembershipTest.cpp
+++ b/Source/UnitTests/Replication/OpenMembershipTest.cpp
@@ -51,6 +51,14 @@
 class OpenCell
 {
 public:
+    struct Change
+    {
+        MembershipChange::Kind kind;
+        ReplicaId member;
+
+        bool operator==(const Change &) const = default;
+    };
+
     explicit OpenCell(uint64_t seed, CellOptions options = {})
         : options_(std::move(options))
         , cluster_(options_.seeds, seed, options_.spares, options_.zones)
@@ -208,8 +216,7 @@
 
     RaftCluster &cluster() { return cluster_; }
     const std::string &zoneOf(size_t index) const { return options_.zones[index]; }
-    // Number of changes of the membership so far.
-    size_t changes() const { return changes_; }
+    const std::vector<Change> &changes() const { return changes_; }
 
 private:
     // A host is lost for good; an empty one comes at another address.
@@ -258,7 +265,7 @@
                 continue;
             const auto change = policies_[i].nextChange(core, cluster_.now());
             if (change && core.proposeMembership(change->membership))
-                changes_++;
+                changes_.push_back({ change->kind, change->member });
             cluster_.processOutput(i);
         }
     }
@@ -270,10 +277,15 @@
     std::vector<bool> wasLost_;
     std::vector<bool> isGone_;
     size_t nextSpare_;
-    size_t changes_ = 0;
+    std::vector<Change> changes_;
     Millis nextJoin_;
 };
 
+OpenCell::Change promotedForZone(size_t index)
+{
+    return { MembershipChange::Kind::PromoteForZone, ReplicaId(nameOf(index)) };
+}
+
 constexpr size_t BootstrapSeeds = 3;
 constexpr size_t ZoneLosses = 8;
 constexpr Millis FreezeTime{ 5000 };
@@ -400,6 +412,120 @@
     }
 }
 
+// Guards against voters that are exchanged for ever.
+TEST(OpenMembership, spreadVotersAreNotExchanged)
+{
+    for (const auto &layout : ZoneLayouts) {
+        SCOPED_TRACE("layout " + testing::PrintToString(layout));
+        std::mt19937_64 random(1);
+        const auto cell = startZonedCell(layout, 1, random);
+        const size_t changes = cell->changes().size();
+        cell->run(Millis(60000));
+        EXPECT_EQ(cell->changes().size(), changes);
+    }
+}
+
+// Guards against an exchange that lowers for a moment how many hosts may be lost, or that takes the
+// leader's vote.
+TEST(OpenMembership, exchangeForAZonePromotesFirstAndKeepsTheLeader)
+{
+    for (uint64_t seed = 1; seed <= 10; seed++) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        OpenCell cell(seed, { .zones = { "a", "a", "a", "b", "c", "b" } });
+        const size_t leader = *cell.servingLeader();
+        const Term term = cell.cluster().core(leader).term();
+        cell.setUp(Voters, true);
+        cell.run(Millis(4000));
+        ASSERT_EQ(cell.changes().size(), 3U);
+        EXPECT_EQ(cell.changes()[1], promotedForZone(Voters));
+        EXPECT_EQ(cell.changes()[2].kind, MembershipChange::Kind::DemoteForZone);
+        EXPECT_NE(cell.changes()[2].member, ReplicaId(nameOf(leader)));
+        EXPECT_EQ(cell.votersByZone(leader),
+            (std::map<std::string, size_t>{ { "a", 2 }, { "b", 2 }, { "c", 1 } }));
+        EXPECT_EQ(cell.servingLeader(), leader);
+        EXPECT_EQ(cell.cluster().core(leader).term(), term);
+    }
+}
+
+// Guards against an exchange for a zone at a time at which a voter may be lost already, and against
+// one for each short silence.
+TEST(OpenMembership, noVoterIsExchangedForItsZoneWhileOneIsSilentAgainAndAgain)
+{
+    constexpr int Silences = 10;
+    // A silence is noticed after 650 ms, and a voter gives way after 2 s of it.
+    constexpr Millis Silence{ 1500 };
+    constexpr Millis Contact{ 1000 };
+    OpenCell cell(1, { .zones = { "a", "a", "a", "b", "c", "b" } });
+    const size_t leader = *cell.servingLeader();
+    const size_t unsteady = cell.anyFollower(leader);
+    cell.setUp(Voters, true);
+    for (int i = 0; i < Silences; i++) {
+        cell.setUp(unsteady, false);
+        cell.run(Silence);
+        cell.setUp(unsteady, true);
+        cell.run(Contact);
+        ASSERT_EQ(cell.changes().size(), 1U) << "after silence " << i;
+    }
+    cell.run(Millis(4000));
+    EXPECT_EQ(cell.changes().size(), 3U);
+}
+
+// Guards against a learner of any zone in the place of the only voter of its zone.
+TEST(OpenMembership, learnerOfTheEmptiestZoneTakesThePlaceOfASilentVoter)
+{
+    for (const std::string otherZone : { "", "a" }) {
+        SCOPED_TRACE("zone of the other learner: " + otherZone);
+        OpenCell cell(1, { .zones = { "a", "a", "b", "b", "c", otherZone, "c" } });
+        cell.setUp(Voters, true);
+        cell.setUp(Voters + 1, true);
+        cell.run(Millis(4000));
+        cell.setUp(Voters - 1, false);
+        cell.run(Millis(4000));
+        const auto leader = cell.servingLeader();
+        ASSERT_TRUE(leader.has_value());
+        EXPECT_FALSE(cell.member(*leader, Voters)->voter());
+        EXPECT_TRUE(cell.member(*leader, Voters + 1)->voter());
+    }
+}
+
+// Guards against a voter that is lost in the middle of an exchange and then counts longer than
+// another one that is there.
+TEST(OpenMembership, leaderLostDuringAnExchangeGivesWay)
+{
+    for (uint64_t seed = 1; seed <= 10; seed++) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        OpenCell cell(seed, { .zones = { "a", "a", "a", "b", "c", "b" } });
+        const size_t lost = *cell.servingLeader();
+        cell.setUp(Voters, true);
+        while (cell.changes().empty() || cell.changes().back() != promotedForZone(Voters))
+            cell.run(Step);
+        cell.cluster().deliverAll();
+        cell.setUp(lost, false);
+        cell.run(Millis(6000));
+        const auto leader = cell.servingLeader();
+        ASSERT_TRUE(leader.has_value());
+        EXPECT_EQ(cell.changes().back(),
+            (OpenCell::Change{ MembershipChange::Kind::DemoteVoter, ReplicaId(nameOf(lost)) }));
+        for (size_t i = 0; i <= Voters; i++)
+            EXPECT_EQ(cell.member(*leader, i)->voter(), i != lost) << nameOf(i);
+        EXPECT_EQ(cell.cluster().violation().value_or(""), "");
+    }
+}
+
+// Guards against a cell of an earlier release, whose members have no zone, being rearranged by
+// guesses.
+TEST(OpenMembership, membersWithoutAZoneAreNotExchanged)
+{
+    for (const auto &zones : std::vector<std::vector<std::string>>{
+             { "", "", "", "", "", "b" }, { "a", "a", "a", "b", "c", "" } }) {
+        OpenCell cell(1, { .zones = zones });
+        cell.setUp(Voters, true);
+        cell.run(Millis(20000));
+        ASSERT_TRUE(cell.servingLeader().has_value());
+        EXPECT_EQ(cell.changes().size(), 1U);
+    }
+}
+
 // Guards against a host that was only frozen and then has to ask to join again.
 TEST(OpenMembership, frozenVoterStaysAMemberAndCatchesUp)
 {
