Add failing tests of replicas that wait for a leader that is gone

What operators would see: a host that is up counts as a dead voter for good, and its log says nothing. The simulated requests to join now go only where the links aren't cut.

--- /dev/null
+++ b/Source/UnitTests/Control/ReplicaCellTest.cpp
@@ -0,0 +1,201 @@
+#include <deque>
+#include <filesystem>
+#include <set>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "Basilgap/Control/Replica.h"
+#include "Basilgap/Replication/Membership.h"
+#include "StandIns/LocalCell.h"
+
+namespace basilgap::control {
+namespace {
+
+constexpr Millis MaxWait{ 30000 };
+constexpr auto TurnPause = std::chrono::milliseconds(1);
+
+std::string nameOf(size_t index)
+{
+    return "r" + std::to_string(index);
+}
+
+// A replica with its own event loop, server and data folder.
+struct Node
+{
+    network::EventLoop loop;
+    replication::DiskCalls disk;
+    schema::ControlSettings settings;
+    std::unique_ptr<network::PeerServer> server;
+    std::unique_ptr<Replica> replica;
+    std::string folder;
+};
+
+// Cells of several replicas in this process, connected over the loopback interface.
+class ReplicaCell : public testing::Test
+{
+protected:
+    void TearDown() override
+    {
+        for (Node &node : nodes_) {
+            node.replica.reset();
+            std::filesystem::remove_all(node.folder);
+        }
+    }
+
+    void startCell(size_t size, MembershipMode mode)
+    {
+        mode_ = mode;
+        for (size_t i = 0; i < size; i++)
+            listen();
+        peers_.assign(addresses_.begin(), addresses_.end());
+        for (size_t i = 0; i < size; i++)
+            startReplica(i, true);
+        ASSERT_TRUE(runUntil([this] { return leader().has_value(); }));
+    }
+
+    // Starts a replica that the others don't know. It knows those of the start.
+    size_t addReplica()
+    {
+        listen();
+        startReplica(nodes_.size() - 1, false);
+        return nodes_.size() - 1;
+    }
+
+    void wipe(size_t index)
+    {
+        Node &node = nodes_[index];
+        node.replica.reset();
+        std::filesystem::remove_all(node.folder);
+        startReplica(index, false);
+    }
+
+    Node &node(size_t index) { return nodes_[index]; }
+    Replica &replica(size_t index) { return *nodes_[index].replica; }
+
+    std::optional<size_t> leader()
+    {
+        for (size_t i = 0; i < nodes_.size(); i++) {
+            if (replica(i).isLeading())
+                return i;
+        }
+        return std::nullopt;
+    }
+
+    // Between the replicas of the group and the others every message is lost.
+    void split(const std::set<std::string> &group) { group_ = group; }
+    void heal() { group_.clear(); }
+
+    // Whether the replica's present incarnation has a vote in the membership of the leader.
+    bool hasVote(size_t index)
+    {
+        if (!leader())
+            return false;
+        const schema::Member *member = replication::findMember(
+            replica(*leader()).core().membership(), ReplicaId(nameOf(index)));
+        return member != nullptr && member->voter()
+            && member->incarnation() == replica(index).incarnation().value();
+    }
+
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        for (const Millis end = steadyNow() + MaxWait; steadyNow() < end;) {
+            for (Node &node : nodes_)
+                event_base_loop(node.loop.base(), EVLOOP_NONBLOCK);
+            if (condition())
+                return true;
+            std::this_thread::sleep_for(TurnPause);
+        }
+        return false;
+    }
+
+private:
+    void listen()
+    {
+        Node &node = nodes_.emplace_back();
+        node.folder = standins::makeFolder("basilgap-replica-cell");
+        auto server = network::PeerServer::listen(node.loop,
+            {
+                .address = "127.0.0.1:0",
+                .cellKey = "key",
+                .onMessage =
+                    [this, &node](network::PeerStream &stream, const schema::PeerMessage &message) {
+                        if (node.replica && !isLost(stream.hello().id(), node.settings.id()))
+                            node.replica->receive(stream, message);
+                    },
+                .onClosed = [](network::PeerStream &) {},
+            });
+        ASSERT_TRUE(server.has_value());
+        node.server = std::move(*server);
+        addresses_.push_back(node.server->address());
+    }
+
+    bool isLost(const std::string &from, const std::string &to) const
+    {
+        return !group_.empty() && group_.contains(from) != group_.contains(to);
+    }
+
+    void startReplica(size_t index, bool canBootstrap)
+    {
+        Node &node = nodes_[index];
+        node.settings.Clear();
+        node.settings.set_id(nameOf(index));
+        node.settings.set_peer_address(addresses_[index]);
+        node.settings.set_data_folder(node.folder);
+        for (size_t i = 0; i < peers_.size(); i++) {
+            schema::PeerSettings *peer = node.settings.add_peers();
+            peer->set_id(nameOf(i));
+            peer->set_address(peers_[i]);
+        }
+        auto started = Replica::start(node.loop,
+            {
+                .settings = node.settings,
+                .cellKey = "key",
+                .disk = node.disk,
+                .membership = mode_,
+                .canBootstrap = canBootstrap,
+                .onLeadershipGained = [] {},
+                .onLeadershipLost = [] {},
+                .onApplied = [](const schema::Command &, const schema::CommandOutcome &) {},
+                .onLinkMessage = [](const schema::PeerMessage &) {},
+                .onFatal = [](const Error &error) { ADD_FAILURE() << error.text(); },
+            });
+        ASSERT_TRUE(started.has_value()) << started.error().text();
+        node.replica = std::move(*started);
+    }
+
+    MembershipMode mode_ = MembershipMode::Listed;
+    std::deque<Node> nodes_;
+    std::vector<std::string> addresses_;
+    // Addresses of the replicas that the cell starts with.
+    std::vector<std::string> peers_;
+    std::set<std::string> group_;
+};
+
+// Guards against a listed replica that counts as a dead voter although its host is up: it followed
+// a leader whose record of its new disk was never committed, and waited for that leader for ever.
+TEST_F(ReplicaCell, listedReplicaAddedByALeaderThatIsDeposedJoinsAgain)
+{
+    ASSERT_NO_FATAL_FAILURE(startCell(5, MembershipMode::Listed));
+    size_t deposed = 0;
+    size_t wiped = 0;
+    // The leader steps down soon without the others, sometimes before it has added the replica.
+    for (bool isAdded = false; !isAdded;) {
+        heal();
+        ASSERT_TRUE(runUntil([this] { return leader().has_value(); }));
+        deposed = *leader();
+        wiped = (deposed + 1) % 5;
+        split({ nameOf(deposed), nameOf(wiped) });
+        wipe(wiped);
+        ASSERT_TRUE(runUntil([&] {
+            isAdded = !replica(wiped).core().isUninitialized();
+            return isAdded || !replica(deposed).isLeading();
+        }));
+    }
+    ASSERT_TRUE(runUntil([&] { return leader().has_value() && *leader() != deposed; }));
+    heal();
+    EXPECT_TRUE(runUntil([&] { return hasVote(wiped); }));
+}
+
+} // namespace
+} // namespace basilgap::control
--- a/Source/UnitTests/Replication/OpenMembershipTest.cpp
+++ b/Source/UnitTests/Replication/OpenMembershipTest.cpp
@@ -100,6 +100,19 @@
         }
     }
 
+    // Cuts or restores the links between the pair and all others.
+    void setPairCut(size_t first, size_t second, bool cut)
+    {
+        for (size_t other = 0; other < cluster_.size(); other++) {
+            for (const size_t index : { first, second }) {
+                if (other == first || other == second || !up_[other])
+                    continue;
+                cluster_.setLinkCut(index, other, cut);
+                cluster_.setLinkCut(other, index, cut);
+            }
+        }
+    }
+
     void transferLeadership(size_t from, size_t to)
     {
         std::set<ReplicaId> others;
@@ -119,6 +132,14 @@
         return findMember(cluster_.core(leader).membership(), ReplicaId(nameOf(index)));
     }
 
+    // Whether the replica's present disk has a vote in the leader's membership.
+    bool hasVote(size_t leader, size_t index)
+    {
+        const schema::Member *found = member(leader, index);
+        return found != nullptr && found->voter()
+            && found->incarnation() == cluster_.incarnationOf(index).value();
+    }
+
     RaftCluster &cluster() { return cluster_; }
 
 private:
@@ -152,7 +173,7 @@
             self.set_id(nameOf(i));
             self.set_incarnation(cluster_.incarnationOf(i).value());
             for (size_t other = 0; other < cluster_.size(); other++) {
-                if (other != i && up_[other])
+                if (other != i && up_[other] && !cluster_.isLinkCut(i, other))
                     policies_[other].requestJoin(self);
             }
         }
@@ -278,5 +299,47 @@
     EXPECT_TRUE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
 }
 
+// Guards against a replica that counts as a dead voter although its host is up: it followed a
+// leader whose record of its new disk was never committed, and waited for that leader for ever.
+TEST(OpenMembership, replicaAddedByALeaderThatIsDeposedJoinsAgain)
+{
+    constexpr uint64_t Seeds = 20;
+    for (uint64_t seed = 1; seed <= Seeds; seed++) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        OpenCell cell(seed);
+        const size_t deposed = *cell.servingLeader();
+        const size_t wiped = cell.anyFollower(deposed);
+        cell.setUp(wiped, false);
+        cell.cluster().wipe(wiped);
+        cell.setUp(wiped, true);
+        cell.setPairCut(deposed, wiped, true);
+        cell.run(Millis(500));
+        ASSERT_EQ(cell.cluster().core(wiped).leader(), ReplicaId(nameOf(deposed)));
+        cell.run(Millis(3000));
+        cell.setPairCut(deposed, wiped, false);
+        cell.run(Millis(10000));
+        const auto leader = cell.servingLeader();
+        ASSERT_TRUE(leader.has_value());
+        EXPECT_TRUE(cell.hasVote(*leader, wiped));
+        EXPECT_EQ(cell.cluster().violation().value_or(""), "");
+    }
+}
+
+// Guards against a spare that is no member any more after a long silence and never asks to join.
+TEST(OpenMembership, removedLearnerJoinsAgain)
+{
+    OpenCell cell(1);
+    cell.setUp(Voters, true);
+    cell.run(Millis(1000));
+    const size_t leader = *cell.servingLeader();
+    ASSERT_NE(cell.member(leader, Voters), nullptr);
+    cell.setUp(Voters, false);
+    cell.run(Millis(20000));
+    ASSERT_EQ(cell.member(leader, Voters), nullptr);
+    cell.setUp(Voters, true);
+    cell.run(Millis(2000));
+    EXPECT_NE(cell.member(leader, Voters), nullptr);
+}
+
 } // namespace
 } // namespace basilgap::replication
--- a/Source/UnitTests/Replication/RaftCluster.cpp
+++ b/Source/UnitTests/Replication/RaftCluster.cpp
@@ -176,6 +176,12 @@
     cutLinks_[{ from, to }] = cut;
 }
 
+bool RaftCluster::isLinkCut(size_t from, size_t to) const
+{
+    const auto link = cutLinks_.find({ from, to });
+    return link != cutLinks_.end() && link->second;
+}
+
 void RaftCluster::isolate(size_t index, bool isolated)
 {
     for (size_t other = 0; other < nodes_.size(); other++) {
--- a/Source/UnitTests/Replication/RaftCluster.h
+++ b/Source/UnitTests/Replication/RaftCluster.h
@@ -48,6 +48,7 @@
     void wipe(size_t index);
     void compact(size_t index);
     void setLinkCut(size_t from, size_t to, bool cut);
+    bool isLinkCut(size_t from, size_t to) const;
     void isolate(size_t index, bool isolated);
     void processOutput(size_t index);
     // Tells a replica that its connection to the peer has been established.
