Let a replica without a vote forget a leader that has fallen silent

What operators would see: a host that came back without its disk, or after a long silence, counts as a dead voter (or as no member) for as long as its process runs, and its log says nothing. Cause: only voters campaign, and only a candidacy, a higher term or a refused connection cleared the known leader. A replica that a leader had added by a record that was never committed, or that had been removed, followed that leader for ever: the others address its former disk, so that it hears nothing, and it asked to join only while it knew no leader. In a cell whose replicas are listed it never asked once it had records, so that a restart didn't help either. Ruled out: a rule in Replica alone (hasLiveLeader for the time since a leader was known): answers to probes, redirections and the simulated replicas would still name the silent leader. Joining by comparison with the leader's membership: a replica that isn't a member hears from no leader, so that silence tells the same. Change: after the election timeout without a message a replica without a vote forgets its leader.

--- a/Source/Basilgap/Control/ReplicaMembership.cpp
+++ b/Source/Basilgap/Control/ReplicaMembership.cpp
@@ -38,14 +38,11 @@
     return member;
 }
 
-// A replica that was replaced while it was away still has its records but is no longer a member.
-// In an open cell it asks to join again.
+// A replica may have records and be no member under its present incarnation: it was replaced while
+// it was away, or the record that added it was never committed. Then no leader addresses it.
 bool Replica::shouldJoin() const
 {
-    if (core_->isUninitialized())
-        return true;
-    return options_.membership == MembershipMode::Open
-        && steadyNow() - leaderLastKnownAt_ > NoLeaderTimeout;
+    return core_->isUninitialized() || steadyNow() - leaderLastKnownAt_ > NoLeaderTimeout;
 }
 
 // Tells whether a quorum is missing, or is there and elects no leader.
@@ -53,7 +50,7 @@
 {
     const Millis now = steadyNow();
     const Millis silence = now - leaderLastKnownAt_;
-    if (silence < NoLeaderTimeout || now < nextNoLeaderReport_ || core_->isUninitialized())
+    if (silence < NoLeaderTimeout || now < nextNoLeaderReport_)
         return;
     nextNoLeaderReport_ = now + NoLeaderReportInterval;
     size_t reachable = 0;
--- a/Source/Basilgap/Replication/RaftCore.cpp
+++ b/Source/Basilgap/Replication/RaftCore.cpp
@@ -111,8 +111,12 @@
             broadcast(true);
         return;
     }
-    if (isElectionDue() && isSelfVoter())
+    if (!isElectionDue())
+        return;
+    if (isSelfVoter())
         startPreVote();
+    else
+        leader_ = ReplicaId();
 }
 
 bool RaftCore::isAddressedToUs(const schema::RaftMessage &message) const
--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -133,6 +133,7 @@
     // Whether this leader has committed a record of its own term. Only then does its commit index
     // cover all committed records.
     bool isEstablishedLeader() const;
+    // Empty if unknown, and once nothing was heard from it for the election timeout.
     ReplicaId leader() const { return leader_; }
     // Whether this replica leads, or has heard the leader within the election timeout.
     bool hasLiveLeader(Millis now) const
