Add a failing test of a follower without the leader's address

What operators would see: a host that is up counts as a dead voter until the leader changes or the host starts again, and its log says nothing. Test: ReplicaCell.followerAnswersALeaderThatJoinedWhileItWasCutOff, real replicas in a cell whose members are listed: one is cut off while a fourth is listed, joins, is promoted and is handed the lead; then the links are restored.

--- a/Source/UnitTests/Control/ReplicaCellTest.cpp
+++ b/Source/UnitTests/Control/ReplicaCellTest.cpp
@@ -97,6 +97,43 @@
             && member->incarnation() == replica(index).incarnation().value();
     }
 
+    // Lists the first `count` replicas, the last one of them in a zone of its own.
+    void list(size_t count)
+    {
+        schema::CellConfig config;
+        config.set_version(1);
+        for (const char *zone : { "z1", "z2" })
+            config.add_zones(zone);
+        for (size_t i = 0; i < count; i++) {
+            schema::ReplicaConfig *replica = config.add_replicas();
+            replica->set_id(nameOf(i));
+            replica->set_address(addresses_[i]);
+            replica->set_zone(i + 1 == count ? "z2" : "z1");
+        }
+        schema::Command command;
+        command.mutable_apply_cell()->set_config(config.SerializeAsString());
+        ASSERT_NO_FATAL_FAILURE(propose(std::move(command)));
+    }
+
+    // Takes the first zone out of service, so that the replica in the other one is to lead.
+    void takeFirstZoneOut()
+    {
+        schema::Command command;
+        command.mutable_zone()->set_zone("z1");
+        command.mutable_zone()->set_out(true);
+        ASSERT_NO_FATAL_FAILURE(propose(std::move(command)));
+    }
+
+    void propose(schema::Command command)
+    {
+        ASSERT_TRUE(runUntil([this] { return leader().has_value(); }));
+        std::optional<schema::OutcomeCode> code;
+        replica(*leader()).propose(std::move(command),
+            [&code](const schema::CommandOutcome &outcome) { code = outcome.code(); });
+        ASSERT_TRUE(runUntil([&code] { return code.has_value(); }));
+        ASSERT_EQ(*code, schema::ACCEPTED);
+    }
+
     bool runUntil(const std::function<bool()> &condition)
     {
         for (const Millis end = steadyNow() + MaxWait; steadyNow() < end;) {
@@ -197,5 +234,30 @@
     EXPECT_TRUE(runUntil([&] { return hasVote(wiped); }));
 }
 
+// Guards against a follower that counts as a dead voter although its host is up: it was cut off
+// while the leader joined, and had no address to answer to.
+TEST_F(ReplicaCell, followerAnswersALeaderThatJoinedWhileItWasCutOff)
+{
+    ASSERT_NO_FATAL_FAILURE(startCell(3, MembershipMode::Listed));
+    const size_t follower = (*leader() + 1) % 3;
+    split({ nameOf(follower) });
+    const size_t joined = addReplica();
+    ASSERT_NO_FATAL_FAILURE(list(joined + 1));
+    ASSERT_TRUE(runUntil([&] { return hasVote(joined); }));
+    ASSERT_NO_FATAL_FAILURE(takeFirstZoneOut());
+    ASSERT_TRUE(runUntil([&] {
+        if (leader() && *leader() != joined)
+            replica(*leader()).transferLeadership();
+        return leader() == joined;
+    }));
+    heal();
+    EXPECT_TRUE(runUntil([&] {
+        const replication::RaftCore &core = replica(joined).core();
+        return core.matchIndexOf(ReplicaId(nameOf(follower))) == core.lastIndex();
+    }));
+    EXPECT_EQ(replica(follower).leader(), ReplicaId(nameOf(joined)));
+    EXPECT_EQ(leader(), joined);
+}
+
 } // namespace
 } // namespace basilgap::control
