Let a leader name its address, so that every follower can answer

What operators would see: a host that is up counts as a dead voter until the leader changes, the host starts again or a list of seeds names the leader. Cause: replies go only by the follower's own link, and a link is made to members, settings, seeds and replicas named in answers to probes. A follower that was cut off or frozen while the leader joined has none of these. Its log lags, so that an answer is needed before records are sent, and as it knows a leader it never asks others. Ruled out: replies on the stream on which the message came: the core answers after a sync, when that stream may be gone, and both ends would need raft messages both ways. The address in Hello: it is sent once, and a listed replica doesn't know its own address before it is a member. Change: what leaders and candidates send carries the address that their membership names. A receiver whose membership doesn't name the sender makes a link to it. Older processes ignore the field. What remains: if the follower's membership names the leader under an address that it has left, that address still holds, as a setting does.

--- a/Source/Basilgap/Control/Replica.cpp
+++ b/Source/Basilgap/Control/Replica.cpp
@@ -131,6 +131,7 @@
         return true;
     }
     if (message.has_raft()) {
+        linkToSender(message.raft());
         // While records cannot be written, this replica must appear dead to the others.
         if (diskError_.empty())
             core_->handleMessage(message.raft(), steadyNow());
--- a/Source/Basilgap/Control/Replica.h
+++ b/Source/Basilgap/Control/Replica.h
@@ -142,6 +142,8 @@
     void reportMissingLeader();
     bool canReachVoter(const schema::Member &voter) const;
     void recordMemberAddresses(const schema::ProbeReply &reply);
+    void linkToSender(const schema::RaftMessage &message);
+    bool learnAddress(const ReplicaId &replica, const std::string &address);
     schema::Member selfMember() const;
 
     network::EventLoop &loop_;
@@ -172,8 +174,8 @@
     std::map<ReplicaId, schema::Probe> joinRequests_;
     // Incarnations of the replicas that have probed this one, by their newest probe.
     std::map<ReplicaId, uint64_t> probedIncarnations_;
-    // Addresses of replicas learned from probe replies and later settings, besides members and the
-    // settings of the start.
+    // Addresses of replicas learned from their messages, probe replies and later settings, besides
+    // members and the settings of the start.
     std::map<ReplicaId, std::string> learnedAddresses_;
     // When a leader was last known.
     Millis leaderLastKnownAt_;
--- a/Source/Basilgap/Control/ReplicaMembership.cpp
+++ b/Source/Basilgap/Control/ReplicaMembership.cpp
@@ -1,6 +1,8 @@
 // Replica methods for membership: how an uninitialized replica joins or bootstraps a cell, and how
 // the leader reconciles the members with the configuration.
 
+#include <utility>
+
 #include "Basilgap/Common/EventLog.h"
 #include "Basilgap/Common/Hash.h"
 #include "Basilgap/Control/Replica.h"
@@ -157,15 +159,31 @@
     if (options_.membership != MembershipMode::Open)
         return;
     bool changed = false;
-    for (const auto &member : reply.members()) {
-        std::string &address = learnedAddresses_[ReplicaId(member.id())];
-        changed = changed || address != member.address();
-        address = member.address();
-    }
+    for (const auto &member : reply.members())
+        changed = learnAddress(ReplicaId(member.id()), member.address()) || changed;
     if (changed)
         updateLinks();
 }
 
+// Replies go by a link. A replica that was away may know neither a new leader nor a new candidate
+// as a member.
+void Replica::linkToSender(const schema::RaftMessage &message)
+{
+    const ReplicaId sender(message.from());
+    if (replication::findMember(core_->membership(), sender) == nullptr
+        && learnAddress(sender, message.from_address()))
+        updateLinks();
+}
+
+// Returns whether the address is new.
+bool Replica::learnAddress(const ReplicaId &replica, const std::string &address)
+{
+    if (address.empty())
+        return false;
+    std::string &known = learnedAddresses_[replica];
+    return std::exchange(known, address) != address;
+}
+
 void Replica::addSeeds(const std::map<ReplicaId, std::string> &addresses)
 {
     for (const auto &[id, address] : addresses)
--- a/Source/Basilgap/Replication/RaftCore.cpp
+++ b/Source/Basilgap/Replication/RaftCore.cpp
@@ -298,6 +298,8 @@
     message.set_to_incarnation(to.incarnation());
     message.set_term(hardState_.term());
     message.set_cell_id(membership().cell_id());
+    if (const schema::Member *self = findMember(membership(), options_.self))
+        message.set_from_address(self->address());
     return message;
 }
 
