--- a/Source/Basilgap/Control/ReplicaMembership.cpp
+++ b/Source/Basilgap/Control/ReplicaMembership.cpp
@@ -1,6 +1,8 @@
 // Replica methods for membership: how an uninitialized replica joins or bootstraps a cell, and how
 // the leader reconciles the members with the configuration.
 
+#include <utility>
+
 #include "Basilgap/Common/EventLog.h"
 #include "Basilgap/Common/Hash.h"
 #include "Basilgap/Control/Replica.h"
@@ -39,14 +41,11 @@
     return member;
 }
 
-// A replica that was replaced while it was away still has its records but is no longer a member.
-// In an open cell it asks to join again.
+// A replica may have records and be no member under its present incarnation: it was replaced while
+// it was away, or the record that added it was never committed. Then no leader addresses it.
 bool Replica::shouldJoin() const
 {
-    if (core_->isUninitialized())
-        return true;
-    return options_.membership == MembershipMode::Open
-        && steadyNow() - leaderLastKnownAt_ > NoLeaderTimeout;
+    return core_->isUninitialized() || steadyNow() - leaderLastKnownAt_ > NoLeaderTimeout;
 }
 
 // Tells whether a quorum is missing, or is there and elects no leader.
@@ -54,7 +53,7 @@
 {
     const Millis now = steadyNow();
     const Millis silence = now - leaderLastKnownAt_;
-    if (silence < NoLeaderTimeout || now < nextNoLeaderReport_ || core_->isUninitialized())
+    if (silence < NoLeaderTimeout || now < nextNoLeaderReport_)
         return;
     nextNoLeaderReport_ = now + NoLeaderReportInterval;
     size_t reachable = 0;
@@ -163,15 +162,31 @@
     if (options_.membership != MembershipMode::Open)
         return;
     bool changed = false;
-    for (const auto &member : reply.members()) {
-        std::string &address = learnedAddresses_[ReplicaId(member.id())];
-        changed = changed || address != member.address();
-        address = member.address();
-    }
+    for (const auto &member : reply.members())
+        changed = learnAddress(ReplicaId(member.id()), member.address()) || changed;
     if (changed)
         updateLinks();
 }
 
+// Replies go by a link. A replica that was away may know neither a new leader nor a new candidate
+// as a member.
+void Replica::linkToSender(const schema::RaftMessage &message)
+{
+    const ReplicaId sender(message.from());
+    if (replication::findMember(core_->membership(), sender) == nullptr
+        && learnAddress(sender, message.from_address()))
+        updateLinks();
+}
+
+// Returns whether the address is new.
+bool Replica::learnAddress(const ReplicaId &replica, const std::string &address)
+{
+    if (address.empty())
+        return false;
+    std::string &known = learnedAddresses_[replica];
+    return std::exchange(known, address) != address;
+}
+
 void Replica::addSeeds(const std::map<ReplicaId, std::string> &addresses)
 {
     for (const auto &[id, address] : addresses)
--- a/Source/Basilgap/Replication/RaftCore.cpp
+++ b/Source/Basilgap/Replication/RaftCore.cpp
@@ -111,8 +111,12 @@
             broadcast(true);
         return;
     }
-    if (isElectionDue() && isSelfVoter())
+    if (!isElectionDue())
+        return;
+    if (isSelfVoter())
         startPreVote();
+    else
+        leader_ = ReplicaId();
 }
 
 bool RaftCore::isAddressedToUs(const schema::RaftMessage &message) const
@@ -294,6 +298,8 @@
     message.set_to_incarnation(to.incarnation());
     message.set_term(hardState_.term());
     message.set_cell_id(membership().cell_id());
+    if (const schema::Member *self = findMember(membership(), options_.self))
+        message.set_from_address(self->address());
     return message;
 }
 
