Stop at a restarted worker what its new incarnation may have accepted

What callers would see: a task that runs twice beside a worker that restarts under its id and address. Cause: the answer to a start doesn't name the incarnation. A start sent after the restart and before the registration is accepted by the new incarnation; supersede() took the run as one that had ended with the earlier incarnation, and its task started elsewhere. Change: supersede() releases only runs that this incarnation has listed and that have no unanswered send. It stops the others at the new incarnation, and releases them once a stop has had its time. Tests: aRestartedWorkerReleasesConfirmedRunsAndStopsSentStarts took an accepted run as surely ended, which is the fault. In its place aRestartedWorkerReleasesListedRunsAndStopsSentStarts has the run listed first, asks for the same releases and stops, and in addition for the time after a stop. Left: a new incarnation at another address answers no such stop, so that the run stays in the table; this held for unanswered starts before.

--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -319,8 +319,6 @@
             if (answer.result != OrderResult::Accepted)
                 return;
             // Only the answer to a poll sent after the stop shows whether the run had started.
-            if (superseded_)
-                return endRun(task, schema::RUN_LOST);
             if (found->second.knownState != KnownRunState::Stopped) {
                 found->second.knownState = KnownRunState::Stopped;
                 found->second.knownStateSince = now;
@@ -333,13 +331,8 @@
 {
     if (fenced_)
         return;
-    if (superseded_) {
-        for (const auto &[task, known] : std::map(runs_)) {
-            if (!known.isStopPending && now - known.lastStopAt >= options_.times.stopRetryInterval)
-                stop(task, now);
-        }
-        return;
-    }
+    if (superseded_)
+        return releaseSupersededRuns(now);
     // A suspect worker gets a second poll, because the pending long poll may be lost as well.
     const bool needsSecondPoll = suspect_ && now - lastPollAt_ >= retryAfter(now);
     if ((pendingPolls_ == 0 && isPollDue(now)) || (pendingPolls_ == 1 && needsSecondPoll))
@@ -357,6 +350,20 @@
         endRun(task, schema::RUN_LAPSED);
 }
 
+// Releases the runs that the new incarnation has stopped, and repeats the other stops.
+void WorkerSession::releaseSupersededRuns(Millis now)
+{
+    for (const auto &[task, known] : std::map(runs_)) {
+        if (known.knownState == KnownRunState::Stopped) {
+            if (now - known.knownStateSince > options_.times.maxStopTime)
+                endRun(task, schema::RUN_LOST);
+        } else if (!known.isStopPending
+            && now - known.lastStopAt >= options_.times.stopRetryInterval) {
+            stop(task, now);
+        }
+    }
+}
+
 void WorkerSession::sendPendingStarts(Millis now)
 {
     hasPendingStarts_ = false;
@@ -436,12 +443,14 @@
     superseded_ = true;
     LogEvent("worker-reborn").with("worker", options_.endpoint.id).with("runs", runs_.size());
     for (const auto &[task, known] : std::map(runs_)) {
-        // An unanswered start may still reach the new incarnation, so the run is stopped there
-        // first.
-        if (known.knownState == KnownRunState::Confirmed)
+        if (known.isListed && known.unansweredSends == 0) {
             endRun(task, schema::RUN_LOST);
-        else
-            stop(task, now);
+            continue;
+        }
+        // A start may have reached the new incarnation, or may still reach it, so the run is
+        // stopped there first.
+        runs_.at(task).knownState = KnownRunState::Indeterminate;
+        stop(task, now);
     }
 }
 
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -50,6 +50,8 @@
     Millis minRetryInterval{ 150 };
     Millis maxRetryInterval{ 800 };
     Millis stopRetryInterval{ 300 };
+    // A run ends at most this long after its stop was acknowledged.
+    Millis maxStopTime{ 250 };
 };
 
 // Tells whether calls to workers have recently gone unanswered; shared by all sessions. Load
@@ -122,6 +124,9 @@
     // answer.
     uint32_t sendCount = 0;
     uint32_t unansweredSends = 0;
+    // This incarnation of the worker has listed the run. The answer to a start does not name the
+    // incarnation that has accepted it.
+    bool isListed = false;
     // The start is to be sent once orders may be sent again.
     bool isStartPending = false;
     std::string ticket;
@@ -252,6 +257,7 @@
     void handleStartAnswer(const StepTaskRef &task, uint32_t run, const OrderAnswer &answer);
     void sendPendingStarts(Millis now);
     void sendDueStops(Millis now);
+    void releaseSupersededRuns(Millis now);
     void sendStop(const StepTaskRef &task, uint32_t run, const TaskName &name);
     void removeGoneLingeringRuns(const std::set<state::RunRef> &listed, Millis sentAt);
     void stopStrayRun(const TaskName &name, uint32_t run, Millis now);
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -177,6 +177,7 @@
         }
         listed.insert(*task);
         SessionRun &known = found->second;
+        known.isListed = true;
         if (known.knownState == KnownRunState::Sent) {
             known.knownState = KnownRunState::Confirmed;
             known.knownStateSince = now;
--- a/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
@@ -167,7 +167,7 @@
     EXPECT_EQ(session->runs().at(taskOf(0)).knownState, KnownRunState::Confirmed);
 }
 
-TEST_F(WorkerSessionTest, aRestartedWorkerReleasesConfirmedRunsAndStopsSentStarts)
+TEST_F(WorkerSessionTest, aRestartedWorkerReleasesListedRunsAndStopsSentStarts)
 {
     openSession();
     completeFirstPoll();
@@ -175,6 +175,8 @@
     logStart(1, 1);
     session->start(taskOf(0), 1, "", now);
     port.starts.back().done({ OrderResult::Accepted, now });
+    advanceAndTick(MinPollIntervalMs);
+    port.polls.back().done(pollAnswer({ 0 }));
     session->start(taskOf(1), 1, "", now);
     session->supersede(now);
     ASSERT_EQ(ends.size(), 1U);
@@ -182,10 +184,42 @@
     ASSERT_EQ(port.stops.size(), 1U);
     EXPECT_EQ(port.stops[0].order.task.index, 1U);
     port.stops[0].done({ OrderResult::Accepted, std::nullopt });
+    advanceAndTick(SessionTimes().maxStopTime.count());
+    ASSERT_EQ(ends.size(), 1U) << "the stopped run may not have ended yet";
+    advanceAndTick(1);
     ASSERT_EQ(ends.size(), 2U);
     EXPECT_EQ(ends[1].outcome, schema::RUN_LOST);
 }
 
+// The answer to a start does not name the incarnation, so the new one may have accepted it.
+TEST_F(WorkerSessionTest, aRestartedWorkerStopsARunThatWasAcceptedButNotListed)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    session->supersede(now);
+    EXPECT_TRUE(ends.empty());
+    EXPECT_EQ(port.stops.size(), 1U);
+}
+
+// The unanswered send may still reach the new incarnation.
+TEST_F(WorkerSessionTest, aRestartedWorkerStopsAListedRunWithAnUnansweredSend)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({});
+    port.starts.back().done({ OrderResult::Accepted, now });
+    advanceAndTick(MinPollIntervalMs);
+    port.polls.back().done(pollAnswer({ 0 }));
+    session->supersede(now);
+    EXPECT_TRUE(ends.empty());
+    EXPECT_EQ(port.stops.size(), 1U);
+}
+
 TEST_F(WorkerSessionTest, aFencedSessionSendsNoMoreOrders)
 {
     openSession();
