--- a/Source/UnitTests/Dispatch/ModelNetwork.cpp
+++ b/Source/UnitTests/Dispatch/ModelNetwork.cpp
@@ -78,8 +78,8 @@
     const Millis late = isLate ? time_.millisBetween(MinLateMs, MaxLateMs) : Millis();
     const auto carryOut = [this, execute = std::move(execute), report, isAnswerLost, isUnavailable](
                               ModelWorker &target) {
-        const auto answer = [this, report, isAnswerLost](const Answer &result) {
-            if (!isAnswerLost)
+        const auto answer = [this, &target, report, isAnswerLost](const Answer &result) {
+            if (!isAnswerLost && target.isLinkUp())
                 time_.after(
                     time_.millisBetween(0, MaxUsualDelayMs), [report, result] { report(result); });
         };
@@ -90,7 +90,7 @@
     // A call that is carried out late was received by the incarnation of its connection.
     time_.after(time_.millisBetween(0, MaxUsualDelayMs), [this, worker, late, carryOut] {
         ModelWorker &target = *workers_.at(worker);
-        if (!target.isUp())
+        if (!target.isUp() || !target.isLinkUp())
             return;
         const uint64_t incarnation = target.incarnationStartMs();
         time_.after(late, [&target, incarnation, carryOut] {
--- a/Source/UnitTests/Dispatch/ModelWorker.h
+++ b/Source/UnitTests/Dispatch/ModelWorker.h
@@ -50,6 +50,9 @@
     void restart(Millis downtime, std::function<void()> onUp);
 
     bool isUp() const { return isUp_; }
+    // While its link is cut, calls and answers are lost.
+    void setLinkUp(bool isLinkUp) { isLinkUp_ = isLinkUp; }
+    bool isLinkUp() const { return isLinkUp_; }
     bool isRunning(const TaskName &task) const { return running_.contains(task); }
     size_t runningCount() const { return running_.size(); }
     const std::string &id() const { return options_.id; }
@@ -80,6 +83,7 @@
 
     Options options_;
     bool isUp_ = true;
+    bool isLinkUp_ = true;
     uint64_t incarnationStartMs_ = 0;
     Millis startedAt_;
     int64_t slownessPerMille_ = 0;
--- a/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
@@ -28,6 +28,7 @@
     bool cancelsJobs = false;
     bool preempts = false;
     bool restartsWorkers = false;
+    bool cutsLinks = false;
     bool hasGangs = false;
 };
 
@@ -103,6 +104,8 @@
             changeLeader();
         if (scenario_.restartsWorkers && time_.chance(3))
             restartOne();
+        if (scenario_.cutsLinks && time_.chance(4))
+            cutOne();
     }
 
     void submit()
@@ -197,11 +200,23 @@
             leader().setTrouble(scenario_.trouble);
     }
 
-    void restartOne()
+    ModelWorker &randomWorker()
     {
         auto worker = workers_.begin();
         std::advance(worker, time_.between(0, static_cast<int64_t>(workers_.size()) - 1));
-        ModelWorker &target = *worker->second;
+        return *worker->second;
+    }
+
+    void cutOne()
+    {
+        ModelWorker &target = randomWorker();
+        target.setLinkUp(false);
+        time_.after(time_.millisBetween(500, 9000), [&target] { target.setLinkUp(true); });
+    }
+
+    void restartOne()
+    {
+        ModelWorker &target = randomWorker();
         if (!target.isUp())
             return;
         target.restart(time_.millisBetween(1, 3000), [this, &target] {
@@ -361,6 +376,11 @@
         .preempts = true });
 }
 
+TEST(WorkerSessionModel, noWorkerIsOverItsCapacityWhileLinksAreCut)
+{
+    playSeeds({ .trouble = Lossy, .changesLeader = true, .preempts = true, .cutsLinks = true });
+}
+
 TEST(WorkerSessionModel, noWorkerIsOverItsCapacityWhenGangsEnd)
 {
     playSeeds({ .preempts = true, .hasGangs = true });
