--- a/Source/UnitTests/Dispatch/AnnouncementsTest.cpp
+++ b/Source/UnitTests/Dispatch/AnnouncementsTest.cpp
@@ -67,6 +67,13 @@
     EXPECT_TRUE(known()->leaving());
 }
 
+// A worker always announces when it was started, so another program has written this.
+TEST_F(AnnouncementsTest, anAnnouncementWithoutAStartTimeReplacesNoIncarnation)
+{
+    commit(announcement(1000, 4));
+    EXPECT_EQ(effect(announcement(0, 99)), AnnouncementEffect::None);
+}
+
 // Until the change is committed, a resent announcement is not acknowledged as known.
 TEST_F(AnnouncementsTest, aResentChangeStaysAChangeUntilItIsCommitted)
 {
