Let an announcement without a start time replace no incarnation

What callers would see: tasks that run twice and workers over their capacity, after an entry of another writer has named a worker. Cause: effectOf() compared start times only if the announcement had one, and took any other as a new incarnation. Change: an announcement with an earlier start time than the known one, or none, has no effect. It is acknowledged, as outdated ones are. Before: AnnouncementsTest.anAnnouncementWithoutAStartTimeReplacesNoIncarnation failed. After: all 45 tests of unit.Dispatch pass.

--- a/Source/Basilgap/Dispatch/Announcements.cpp
+++ b/Source/Basilgap/Dispatch/Announcements.cpp
@@ -29,7 +29,9 @@
     if (known == nullptr)
         return AnnouncementEffect::NewIncarnation;
     const uint64_t born = announcement.life().born_ms();
-    if (born != 0 && born < known->born_ms())
+    // A worker that has a start time always announces it; without one, or with an earlier one, this
+    // is not the worker's newest announcement.
+    if (born < known->born_ms())
         return AnnouncementEffect::None;
     if (!isSameIncarnation(announcement, *known))
         return AnnouncementEffect::NewIncarnation;
