--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -53,6 +53,8 @@
     // A worker that is not heard for longer than this after the start of a run may have been
     // crashed by it.
     Millis startLossWindow{ 500 };
+    // A run ends at most this long after its stop was acknowledged.
+    Millis maxStopTime{ 500 };
 };
 
 // Tells whether calls to workers have recently gone unanswered; shared by all sessions. Load
@@ -136,6 +138,9 @@
     // answer.
     uint32_t sendCount = 0;
     uint32_t unansweredSends = 0;
+    // This incarnation of the worker has listed the run. The answer to a start does not name the
+    // incarnation that has accepted it.
+    bool isListed = false;
     // The start is to be sent once orders may be sent again.
     bool isStartPending = false;
     std::string ticket;
@@ -273,6 +278,7 @@
     void handleStartAnswer(const StepTaskRef &task, uint32_t run, const OrderAnswer &answer);
     void sendPendingStarts(Millis now);
     void sendDueStops(Millis now);
+    void releaseSupersededRuns(Millis now);
     void sendStop(const StepTaskRef &task, uint32_t run, const TaskName &name);
     void removeGoneLingeringRuns(const std::set<state::RunRef> &listed, Millis sentAt);
     void stopStrayRun(const TaskName &name, uint32_t run, Millis now);
