Add failing tests of a worker that refuses connections

Cause: a worker whose process has just died refuses connections. The leader's starts end at once as not sent and the runs as lost; the worker stays usable, so that the same task is planned on it with the next record, about every 15 ms, until a poll finds it silent. The next poll may be a second away. Tests: a connection says whether the server refused it; a session that hears so is not usable until the worker answers a poll, which goes out at once. New values of both results, which nothing sets or reads yet.

--- a/Source/Basilgap/Dispatch/Ports.cpp
+++ b/Source/Basilgap/Dispatch/Ports.cpp
@@ -27,6 +27,8 @@
         return "unanswered";
     case OrderResult::NotSent:
         return "not-sent";
+    case OrderResult::ConnectionRefused:
+        return "connection-refused";
     case OrderResult::Dropped:
         return "dropped";
     }
--- a/Source/Basilgap/Dispatch/Ports.h
+++ b/Source/Basilgap/Dispatch/Ports.h
@@ -94,8 +94,11 @@
     WrongWorker,
     // The order may have been carried out, or may still be.
     Unanswered,
-    // The order never left this process.
+    // The order never left this process, for instance because connections are scarce or opening one
+    // took too long.
     NotSent,
+    // The order never left this process, since the worker's host refused the connection.
+    ConnectionRefused,
     // The order never left this process, since it was no longer wanted when its turn came.
     Dropped,
 };
--- a/Source/Basilgap/Network/ClientConnection.h
+++ b/Source/Basilgap/Network/ClientConnection.h
@@ -27,6 +27,9 @@
     HttpResponse response;
     // Whether any byte of the request left this process.
     bool bytesSent = false;
+    // The server's host has refused the connection, or the network knows no way to it. Otherwise a
+    // failure to connect may be a shortage of this process.
+    bool connectionRefused = false;
 };
 
 // A client connection to one HTTP server that carries one exchange at a time. It must be discarded
--- a/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
@@ -239,6 +239,78 @@
     ASSERT_EQ(ends.size(), 1U);
 }
 
+// Nobody listens at the worker's address, but no poll is due yet. Until it answers again, a task
+// would be planned on it over and over.
+TEST_F(WorkerSessionTest, aWorkerThatRefusesConnectionsIsNotUsableUntilItAnswers)
+{
+    openSession();
+    pollDelay = Millis(1000);
+    completeFirstPoll();
+    now += Millis(300);
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({ OrderResult::ConnectionRefused, std::nullopt });
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].outcome, schema::RUN_LOST) << "it never left, so it needs no stop";
+    EXPECT_TRUE(port.stops.empty());
+    EXPECT_EQ(port.starts.size(), 1U);
+    EXPECT_FALSE(session->isUsable());
+    EXPECT_FALSE(callLoss.isLossy(now)) << "no answer was lost";
+    const size_t polls = port.polls.size();
+    advanceAndTick(0);
+    ASSERT_EQ(port.polls.size(), polls + 1) << "a wrong suspicion must not wait for the next poll";
+    EXPECT_EQ(port.polls.back().order.wait, Millis(0));
+    port.polls.back().done(pollAnswer({}));
+    EXPECT_TRUE(session->isUsable());
+    advanceAndTick(1000);
+    EXPECT_TRUE(port.polls.back().order.leaseEnd.has_value());
+}
+
+// A long poll is pending at the time; it may never be answered.
+TEST_F(WorkerSessionTest, aWorkerThatRefusesConnectionsIsPolledBesideThePendingPoll)
+{
+    openSession();
+    completeFirstPoll();
+    advanceAndTick(MinPollIntervalMs);
+    const size_t polls = port.polls.size();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({ OrderResult::ConnectionRefused, std::nullopt });
+    EXPECT_FALSE(session->isUsable());
+    advanceAndTick(SessionTimes().minRetryInterval.count());
+    ASSERT_EQ(port.polls.size(), polls + 1);
+    port.polls.back().done({});
+    EXPECT_FALSE(session->isUsable());
+}
+
+TEST_F(WorkerSessionTest, aRefusedConnectionAfterAnUnansweredStartLeavesTheRunIndeterminate)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts[0].done({});
+    ASSERT_EQ(port.starts.size(), 2U);
+    port.starts[1].done({ OrderResult::ConnectionRefused, std::nullopt });
+    EXPECT_EQ(port.starts.size(), 2U);
+    EXPECT_TRUE(ends.empty());
+    EXPECT_EQ(session->runs().at(taskOf(0)).knownState, KnownRunState::Indeterminate);
+    EXPECT_FALSE(session->isUsable());
+}
+
+// A leader that is busy or short of connections must not take sound workers out of use.
+TEST_F(WorkerSessionTest, aStartThatDidNotLeaveThisProcessSaysNothingAboutTheWorker)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({ OrderResult::NotSent, std::nullopt });
+    EXPECT_EQ(ends.size(), 1U);
+    EXPECT_TRUE(session->isUsable());
+    EXPECT_FALSE(callLoss.isLossy(now));
+}
+
 // A start that waits for a connection is not given up: it is sent once there is one.
 TEST_F(WorkerSessionTest, droppedStartIsSentAgainOnceOrdersAreAllowed)
 {
--- a/Source/UnitTests/Network/NetworkTest.cpp
+++ b/Source/UnitTests/Network/NetworkTest.cpp
@@ -1,6 +1,7 @@
 #include <event2/bufferevent.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <sys/resource.h>
 
 #include "Basilgap/Network/BackgroundThread.h"
 #include "Basilgap/Network/HttpConnection.h"
@@ -205,6 +206,67 @@
     const auto refused = endOf("127.0.0.1:1", "/");
     EXPECT_EQ(refused.end, ExchangeEnd::ConnectFailed);
     EXPECT_FALSE(refused.bytesSent);
+    EXPECT_FALSE(endOf(address, "/reset").connectionRefused);
+    EXPECT_FALSE(endOf(address, "/never").connectionRefused);
+}
+
+TEST(HttpConnection, refusalByTheServerIsReported)
+{
+    EventLoop loop;
+    std::optional<ExchangeResult> result;
+    fetchOnce(loop, "127.0.0.1:1", { .method = "GET", .target = "/" }, Millis(300),
+        [&](const ExchangeResult &ended) { result = ended; });
+    ASSERT_TRUE(runUntil(loop, [&] { return result.has_value(); }));
+    EXPECT_EQ(result->end, ExchangeEnd::ConnectFailed);
+    EXPECT_TRUE(result->connectionRefused);
+}
+
+// A process without free descriptors must not take its servers for dead.
+TEST(HttpConnection, ownShortageIsNotReportedAsRefusal)
+{
+    EventLoop loop;
+    auto server = HttpServer::listen(loop, { .address = "127.0.0.1:0" },
+        [](const HttpRequest &, const ResponderPointer &responder) {
+            responder->answer({ 200, {}, "" });
+        });
+    std::optional<ExchangeResult> result;
+    rlimit before{};
+    ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+    const rlimit none{ 0, before.rlim_max };
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &none), 0);
+    fetchOnce(loop, (*server)->address(), { .method = "GET", .target = "/" }, Millis(300),
+        [&](const ExchangeResult &ended) { result = ended; });
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
+    ASSERT_TRUE(runUntil(loop, [&] { return result.has_value(); }));
+    EXPECT_EQ(result->end, ExchangeEnd::ConnectFailed);
+    EXPECT_FALSE(result->bytesSent);
+    EXPECT_FALSE(result->connectionRefused);
+}
+
+// The server closes a kept connection just when the next request is to go out. That alone does not
+// mean that it refuses connections.
+TEST(HttpConnection, aClosedConnectionIsNotReportedAsRefusal)
+{
+    EventLoop loop;
+    auto server = HttpServer::listen(loop, { .address = "127.0.0.1:0" },
+        [](const HttpRequest &, const ResponderPointer &responder) {
+            responder->answer({ 200, {}, "" });
+        });
+    HttpConnection connection(loop, { .address = (*server)->address() });
+    std::optional<ExchangeResult> result;
+    const auto fetch = [&] {
+        result.reset();
+        connection.exchange({ .method = "GET", .target = "/" }, Millis(300),
+            [&](const ExchangeResult &ended) { result = ended; });
+    };
+    fetch();
+    ASSERT_TRUE(runUntil(loop, [&] { return result.has_value(); }));
+    ASSERT_EQ(result->end, ExchangeEnd::Complete);
+    server->reset();
+    fetch();
+    ASSERT_TRUE(runUntil(loop, [&] { return result.has_value(); }));
+    EXPECT_NE(result->end, ExchangeEnd::Complete);
+    EXPECT_FALSE(result->connectionRefused);
 }
 
 TEST(Mailbox, deliversFromTheEventLoopUpToItsCapacity)
