Use no worker that refuses connections until it answers again

Weighed: a false suspicion costs the worker's starts, and its lease isn't renewed until the next answer; none costs log records and a task's time. "Not sent" as a whole would suspect sound workers while the leader is short of descriptors or its loop is busy longer than the start's 150 ms; so only a refusal counts, which comes from the worker's host or the network, not from a clock here. A connection that took too long to open stays "not sent": it costs 150 ms a round, and the polls judge. Change: a connection reports a refusal where the failure comes from the loop (a shortage fails inside the request) and the connection had never been open. After an unanswered send a refusal leaves the run indeterminate and is not repeated.

--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -293,6 +293,12 @@
     case OrderResult::NoTicket:
         options_.events.onTicketRefused(task);
         break;
+    case OrderResult::ConnectionRefused:
+        // The answer to a poll shows whether the worker is there.
+        nextPollAt_ =
+            std::min(nextPollAt_, std::max(now, lastPollAt_ + options_.times.minPollInterval));
+        setSuspect(true);
+        break;
     default:
         break;
     }
--- a/Source/Basilgap/Network/HttpConnection.cpp
+++ b/Source/Basilgap/Network/HttpConnection.cpp
@@ -124,9 +124,11 @@
     // timeout of the exchange is enforced by a timer.
     const timeval idleLimit{ timeout.count() / 1000 + IdleSeconds, 0 };
     evhttp_connection_set_timeout_tv(connection_, &idleLimit);
-    if (evhttp_make_request(
-            connection_, outgoing, methodType(request.method), request.target.c_str())
-        != 0)
+    isRequesting_ = true;
+    const int failed = evhttp_make_request(
+        connection_, outgoing, methodType(request.method), request.target.c_str());
+    isRequesting_ = false;
+    if (failed != 0)
         finish({ .end = ExchangeEnd::ConnectFailed, .response = {} });
 }
 
@@ -149,13 +151,22 @@
     if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
         const ExchangeEnd end =
             connection->bytesSent_ ? connection->failure_ : ExchangeEnd::ConnectFailed;
-        return connection->finish({ .end = end, .response = {} });
+        return connection->finish({ .end = end,
+            .response = {},
+            .connectionRefused = end == ExchangeEnd::ConnectFailed && connection->wasRefused() });
     }
     if (!connection->isComplete(request))
         return connection->finish({ .end = ExchangeEnd::Broken, .response = {} });
     connection->finish({ .end = ExchangeEnd::Complete, .response = readResponse(request) });
 }
 
+// A failure while the request is being made is one of this process, for instance without free
+// descriptors. A connection that had been open is closed before its request fails.
+bool HttpConnection::wasRefused() const
+{
+    return !isRequesting_ && reusable_;
+}
+
 void HttpConnection::onFailure(evhttp_request_error error, void *self)
 {
     auto *connection = static_cast<HttpConnection *>(self);
--- a/Source/Basilgap/Network/HttpConnection.h
+++ b/Source/Basilgap/Network/HttpConnection.h
@@ -37,6 +37,7 @@
     void connect();
     void finish(ExchangeResult result);
     bool isComplete(evhttp_request *request) const;
+    bool wasRefused() const;
 
     EventLoop &loop_;
     Options options_;
@@ -44,6 +45,8 @@
     std::function<void(ExchangeResult)> done_;
     bool reusable_ = true;
     bool isHead_ = false;
+    // While evhttp takes the request.
+    bool isRequesting_ = false;
     bool bytesSent_ = false;
     ExchangeEnd failure_ = ExchangeEnd::ConnectFailed;
     Timer timeoutTimer_;
