Add failing tests of a late request of a former disk

What operators would see: a healthy voter becomes a learner of an incarnation that no longer exists, and counts as dead until it asks to join again; beside another lost host that can cost the quorum. Tests: the leader of an open cell, and of one whose members are listed, gets a request under another incarnation for a voter that answers it. Seen: both replace the voter at once.

--- a/Source/UnitTests/Control/ReplicaCellTest.cpp
+++ b/Source/UnitTests/Control/ReplicaCellTest.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Millis MaxWait{ 30000 };
+// Longer than a leader takes to act on a request to join.
+constexpr Millis ReactionTime{ 500 };
 constexpr auto TurnPause = std::chrono::milliseconds(1);
 
 std::string nameOf(size_t index)
@@ -87,16 +89,43 @@
     void heal() { group_.clear(); }
 
     // Whether the replica's present incarnation has a vote in the membership of the leader.
-    bool hasVote(size_t index)
+    bool hasVote(size_t index) { return leader().has_value() && hasVote(index, *leader()); }
+
+    bool hasVote(size_t index, size_t inMembershipOf)
     {
-        if (!leader())
-            return false;
         const schema::Member *member = replication::findMember(
-            replica(*leader()).core().membership(), ReplicaId(nameOf(index)));
+            replica(inMembershipOf).core().membership(), ReplicaId(nameOf(index)));
         return member != nullptr && member->voter()
             && member->incarnation() == replica(index).incarnation().value();
     }
 
+    // Sends a request to join under the replica's id and another incarnation.
+    void probeAs(size_t index, size_t to)
+    {
+        std::unique_ptr<network::PeerLink> link;
+        bool isAnswered = false;
+        link = std::make_unique<network::PeerLink>(nodes_[to].loop,
+            network::PeerLink::Options{
+                .address = addresses_[to],
+                .cellKey = "key",
+                .hello = {},
+                .onMessage =
+                    [&isAnswered](const schema::PeerMessage &message) {
+                        isAnswered = isAnswered || message.has_probe_reply();
+                    },
+                .onUp =
+                    [&] {
+                        schema::PeerMessage message;
+                        message.mutable_probe()->set_id(nameOf(index));
+                        message.mutable_probe()->set_incarnation(
+                            replica(index).incarnation().value() + 1);
+                        link->send(message);
+                    },
+                .onDown = [] {},
+            });
+        ASSERT_TRUE(runUntil([&isAnswered] { return isAnswered; }));
+    }
+
     // Lists the first `count` replicas, the last one of them in a zone of its own.
     void list(size_t count)
     {
@@ -259,5 +288,18 @@
     EXPECT_EQ(leader(), joined);
 }
 
+// Guards against a healthy voter that loses its vote to a request that its former disk sent and
+// that arrives late.
+TEST_F(ReplicaCell, listedVoterThatAnswersIsNotReplacedByAnotherIncarnation)
+{
+    ASSERT_NO_FATAL_FAILURE(startCell(3, MembershipMode::Listed));
+    const size_t first = *leader();
+    const size_t voter = (first + 1) % 3;
+    ASSERT_NO_FATAL_FAILURE(probeAs(voter, first));
+    const Millis end = steadyNow() + ReactionTime;
+    ASSERT_TRUE(runUntil([&] { return steadyNow() >= end; }));
+    EXPECT_TRUE(hasVote(voter, first));
+}
+
 } // namespace
 } // namespace basilgap::control
--- a/Source/UnitTests/Replication/OpenMembershipTest.cpp
+++ b/Source/UnitTests/Replication/OpenMembershipTest.cpp
@@ -299,6 +299,28 @@
     EXPECT_TRUE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
 }
 
+// Guards against a healthy voter that loses its vote to a request that its former disk sent and
+// that arrives late. Nor does such a request wait for a moment in which the voter is silent.
+TEST(OpenMembership, voterThatAnswersIsNotReplacedByAnotherIncarnation)
+{
+    OpenCell cell(1);
+    const size_t leader = *cell.servingLeader();
+    const size_t voter = cell.anyFollower(leader);
+    OpenMembership policy{ ReplicaId(nameOf(leader)) };
+    EXPECT_FALSE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
+    schema::Member formerSelf = *cell.member(leader, voter);
+    formerSelf.set_incarnation(formerSelf.incarnation() + 1000);
+    policy.requestJoin(formerSelf);
+    EXPECT_FALSE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
+
+    cell.setUp(voter, false);
+    cell.run(Millis(1000));
+    ASSERT_TRUE(cell.cluster().core(leader).isEstablishedLeader());
+    EXPECT_FALSE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
+    policy.requestJoin(formerSelf);
+    EXPECT_TRUE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
+}
+
 // Guards against a replica that counts as a dead voter although its host is up: it followed a
 // leader whose record of its new disk was never committed, and waited for that leader for ever.
 TEST(OpenMembership, replicaAddedByALeaderThatIsDeposedJoinsAgain)
