Let a host come back later in tests of disks that were lost

Cause: both tests of a replica whose leader is deposed brought the replica back at the moment of its loss, while the leader still counted it as heard; no restart is that fast. Change: the host comes back once the leader has noticed its silence; a try starts only when every replica has its vote.

--- a/Source/UnitTests/Control/ReplicaCellTest.cpp
+++ b/Source/UnitTests/Control/ReplicaCellTest.cpp
@@ -64,21 +64,23 @@
         return nodes_.size() - 1;
     }
 
-    void wipe(size_t index)
+    // Ends the replica and removes its data.
+    void lose(size_t index)
     {
         Node &node = nodes_[index];
         node.replica.reset();
         std::filesystem::remove_all(node.folder);
-        startReplica(index, false);
     }
 
+    void restart(size_t index) { startReplica(index, false); }
+
     Node &node(size_t index) { return nodes_[index]; }
     Replica &replica(size_t index) { return *nodes_[index].replica; }
 
     std::optional<size_t> leader()
     {
         for (size_t i = 0; i < nodes_.size(); i++) {
-            if (replica(i).isLeading())
+            if (nodes_[i].replica && replica(i).isLeading())
                 return i;
         }
         return std::nullopt;
@@ -99,6 +101,15 @@
             && member->incarnation() == replica(index).incarnation().value();
     }
 
+    bool haveAllVotes()
+    {
+        for (size_t i = 0; i < nodes_.size(); i++) {
+            if (!hasVote(i))
+                return false;
+        }
+        return true;
+    }
+
     // Sends a request to join under the replica's id and another incarnation.
     void probeAs(size_t index, size_t to)
     {
@@ -248,11 +259,15 @@
     // The leader steps down soon without the others, sometimes before it has added the replica.
     for (bool isAdded = false; !isAdded;) {
         heal();
-        ASSERT_TRUE(runUntil([this] { return leader().has_value(); }));
+        ASSERT_TRUE(runUntil([this] { return haveAllVotes(); }));
         deposed = *leader();
         wiped = (deposed + 1) % 5;
+        lose(wiped);
+        ASSERT_TRUE(runUntil([&] {
+            return !replica(deposed).core().isRecentlyHeard(ReplicaId(nameOf(wiped)), steadyNow());
+        }));
         split({ nameOf(deposed), nameOf(wiped) });
-        wipe(wiped);
+        restart(wiped);
         ASSERT_TRUE(runUntil([&] {
             isAdded = !replica(wiped).core().isUninitialized();
             return isAdded || !replica(deposed).isLeading();
--- a/Source/UnitTests/Replication/OpenMembershipTest.cpp
+++ b/Source/UnitTests/Replication/OpenMembershipTest.cpp
@@ -21,6 +21,9 @@
 constexpr Millis WipedRestartDelay{ 500 };
 constexpr Millis CatchUpTime{ 4000 };
 
+// Longer than a leader takes to notice that a member is silent.
+constexpr Millis SilenceNoticeTime{ 700 };
+
 enum class Loss { Host, Disk };
 
 std::string nameOf(size_t index)
@@ -332,6 +335,7 @@
         const size_t deposed = *cell.servingLeader();
         const size_t wiped = cell.anyFollower(deposed);
         cell.setUp(wiped, false);
+        cell.run(SilenceNoticeTime);
         cell.cluster().wipe(wiped);
         cell.setUp(wiped, true);
         cell.setPairCut(deposed, wiped, true);
