Keep a member that answers when another incarnation asks to join

What operators would see: a healthy voter loses its vote to a request of a disk that it had before, which arrives late; it counts as dead until it has asked to join again, and beside another lost host that can cost the quorum. Cause: incarnations are random and have no order, and the leader let every request replace the member of that name. Ruled out: ordered incarnations (a host without its disk knows no earlier one, and clocks of hosts differ). Change: a request is dropped while the leader hears the member under its present incarnation (650 ms). Requests are repeated each 200 ms, and a member whose disk is lost falls silent, so that a real loss costs up to 650 ms after the last message. What remains: a request of a former disk that arrives while its voter is silent for more than 650 ms still replaces it.

--- a/Source/Basilgap/Control/ReplicaMembership.cpp
+++ b/Source/Basilgap/Control/ReplicaMembership.cpp
@@ -286,6 +286,10 @@
 {
     const ReplicaId id(wanted.id());
     const schema::Member *member = replication::findMember(core_->membership(), id);
+    // A request for a member that answers may come from a disk that was lost before. A member whose
+    // disk is lost soon falls silent, and its requests are repeated.
+    if (member != nullptr && core_->isRecentlyHeard(id, steadyNow()))
+        joinRequests_.erase(id);
     const auto joining = joinRequests_.find(id);
     if (joining != joinRequests_.end()
         && (member == nullptr || member->incarnation() != joining->second.incarnation())) {
--- a/Source/Basilgap/Replication/OpenMembership.cpp
+++ b/Source/Basilgap/Replication/OpenMembership.cpp
@@ -89,6 +89,10 @@
         const schema::Member *member = findMember(core.membership(), id);
         if (id == self_ || (member != nullptr && member->incarnation() == learner.incarnation()))
             continue;
+        // Requests have no order: this one may come from a disk that was lost before. They are
+        // repeated, and a member whose disk is lost soon falls silent.
+        if (member != nullptr && core.isRecentlyHeard(id, now))
+            continue;
         lastHeardAt_[id] = now;
         return MembershipChange{ .kind = MembershipChange::Kind::AddLearner,
             .member = id,
