--- a/Source/UnitTests/Replication/OpenMembershipTest.cpp
+++ b/Source/UnitTests/Replication/OpenMembershipTest.cpp
@@ -226,6 +226,34 @@
     }
 }
 
+// Guards against the path of a real outage: a host is gone for good, the leader is lost 8 s later,
+// so that the silence of the first one is counted anew, and disks and hosts follow 6 to 10 s apart.
+TEST(OpenMembership, quorumSurvivesTheLossOfTheLeaderBetweenOtherHosts)
+{
+    constexpr uint64_t Seeds = 20;
+    constexpr Millis MinGap{ 6000 };
+    constexpr Millis MaxGap{ 10000 };
+    constexpr Millis GapStep{ 1000 };
+    constexpr std::array Losses = { Loss::Host, Loss::Host, Loss::Disk, Loss::Host, Loss::Disk };
+    constexpr size_t LeaderLost = 1;
+    for (uint64_t seed = 1; seed <= Seeds; seed++) {
+        for (Millis gap = MinGap; gap <= MaxGap; gap += GapStep) {
+            SCOPED_TRACE(
+                "seed " + std::to_string(seed) + ", " + std::to_string(gap.count()) + " ms apart");
+            OpenCell cell(seed);
+            for (size_t i = 0; i < Losses.size(); i++) {
+                const auto leader = cell.servingLeader();
+                ASSERT_TRUE(leader.has_value()) << "no leader before loss " << i;
+                const Millis next = cell.cluster().now() + gap;
+                cell.lose(Losses[i], i == LeaderLost ? *leader : cell.anyFollower(*leader));
+                cell.run(next - cell.cluster().now());
+            }
+            EXPECT_TRUE(cell.servingLeader().has_value()) << "no leader after the last loss";
+            EXPECT_EQ(cell.cluster().violation().value_or(""), "");
+        }
+    }
+}
+
 // Guards against a host that was only frozen and then has to ask to join again.
 TEST(OpenMembership, frozenVoterStaysAMemberAndCatchesUp)
 {
