--- a/Source/Basilgap/Control/Replica.h
+++ b/Source/Basilgap/Control/Replica.h
@@ -24,7 +24,7 @@
     // The replicas listed in the configuration; until it is first applied, those of the settings.
     Listed,
     // Every replica that asks to join. The settings name some replicas to ask. A voter that stays
-    // silent is removed when a learner can replace it.
+    // silent and a learner that is ready change places.
     Open,
 };
 
