--- a/Source/UnitTests/Replication/OpenMembershipTest.cpp
+++ b/Source/UnitTests/Replication/OpenMembershipTest.cpp
@@ -30,6 +30,9 @@
 // Longer than it takes to elect a leader.
 constexpr Millis ElectionTime{ 3000 };
 
+// Longer than a leader takes to notice that a member is silent.
+constexpr Millis SilenceNoticeTime{ 700 };
+
 enum class Loss { Host, Disk };
 
 std::string nameOf(size_t index)
@@ -547,6 +550,34 @@
     }
 }
 
+// Guards against the path of a real outage: a host is gone for good, the leader is lost 8 s later,
+// so that the silence of the first one is counted anew, and disks and hosts follow 6 to 10 s apart.
+TEST(OpenMembership, quorumSurvivesTheLossOfTheLeaderBetweenOtherHosts)
+{
+    constexpr uint64_t Seeds = 20;
+    constexpr Millis MinGap{ 6000 };
+    constexpr Millis MaxGap{ 10000 };
+    constexpr Millis GapStep{ 1000 };
+    constexpr std::array Losses = { Loss::Host, Loss::Host, Loss::Disk, Loss::Host, Loss::Disk };
+    constexpr size_t LeaderLost = 1;
+    for (uint64_t seed = 1; seed <= Seeds; seed++) {
+        for (Millis gap = MinGap; gap <= MaxGap; gap += GapStep) {
+            SCOPED_TRACE(
+                "seed " + std::to_string(seed) + ", " + std::to_string(gap.count()) + " ms apart");
+            OpenCell cell(seed);
+            for (size_t i = 0; i < Losses.size(); i++) {
+                const auto leader = cell.servingLeader();
+                ASSERT_TRUE(leader.has_value()) << "no leader before loss " << i;
+                const Millis next = cell.cluster().now() + gap;
+                cell.lose(Losses[i], i == LeaderLost ? *leader : cell.anyFollower(*leader));
+                cell.run(next - cell.cluster().now());
+            }
+            EXPECT_TRUE(cell.servingLeader().has_value()) << "no leader after the last loss";
+            EXPECT_EQ(cell.cluster().violation().value_or(""), "");
+        }
+    }
+}
+
 // Guards against a host that was only frozen and then has to ask to join again.
 TEST(OpenMembership, frozenVoterStaysAMemberAndCatchesUp)
 {
@@ -623,6 +654,28 @@
     EXPECT_TRUE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
 }
 
+// Guards against a healthy voter that loses its vote to a request that its former disk sent and
+// that arrives late. Nor does such a request wait for a moment in which the voter is silent.
+TEST(OpenMembership, voterThatAnswersIsNotReplacedByAnotherIncarnation)
+{
+    OpenCell cell(1);
+    const size_t leader = *cell.servingLeader();
+    const size_t voter = cell.anyFollower(leader);
+    OpenMembership policy{ ReplicaId(nameOf(leader)) };
+    EXPECT_FALSE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
+    schema::Member formerSelf = *cell.member(leader, voter);
+    formerSelf.set_incarnation(formerSelf.incarnation() + 1000);
+    policy.requestJoin(formerSelf);
+    EXPECT_FALSE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
+
+    cell.setUp(voter, false);
+    cell.run(Millis(1000));
+    ASSERT_TRUE(cell.cluster().core(leader).isEstablishedLeader());
+    EXPECT_FALSE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
+    policy.requestJoin(formerSelf);
+    EXPECT_TRUE(policy.nextChange(cell.cluster().core(leader), cell.cluster().now()));
+}
+
 // Guards against a replica that counts as a dead voter although its host is up: it followed a
 // leader whose record of its new disk was never committed, and waited for that leader for ever.
 TEST(OpenMembership, replicaAddedByALeaderThatIsDeposedJoinsAgain)
@@ -634,6 +687,7 @@
         const size_t deposed = *cell.servingLeader();
         const size_t wiped = cell.anyFollower(deposed);
         cell.setUp(wiped, false);
+        cell.run(SilenceNoticeTime);
         cell.cluster().wipe(wiped);
         cell.setUp(wiped, true);
         cell.setPairCut(deposed, wiped, true);
