Release the runs of a restarted worker that has moved

What callers would see (LOST): a task that is to last, or any other, no longer runs although there is room for it, for as long as the leader leads. Cause: runs that the next incarnation of a worker may have accepted are stopped there first. Where that incarnation is at another address, or another worker has come to the address meanwhile, nobody answers the stop; a superseded session only repeats it and doesn't look at the lease. Ruled out: ending such runs with the lease; the next incarnation's clock starts anew, so that a late start would run there in time. Change: the runs end at once if no later incarnation of the worker is at its address, and when another worker refuses the stop: no start for the old id can be carried out there any more.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -154,6 +154,8 @@
         const schema::WorkerLife *newest = state_.works().newestIncarnation(incarnation.id());
         if (incarnation.gone() || newest == nullptr || newest->number() != incarnation.number())
             sessions_.at(number)->supersede(now);
+        if (newest == nullptr || newest->address() != incarnation.address())
+            sessions_.at(number)->releaseMovedRuns();
     }
     callLoss_.setSessionCount(sessions_.size());
 }
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -387,6 +387,9 @@
                 fenced_ = true;
                 return options_.events.onFenced();
             }
+            // No start for this worker can be carried out at an address that another one has.
+            if (superseded_ && answer.result == OrderResult::WrongWorker)
+                return endLostRun(task, schema::RUN_LOST);
             if (answer.result != OrderResult::Accepted)
                 return;
             // Only the answer to a poll sent after the stop shows whether the run had started.
@@ -543,4 +546,12 @@
     }
 }
 
+void WorkerSession::releaseMovedRuns()
+{
+    if (!superseded_ || fenced_)
+        return;
+    for (const auto &[task, known] : std::map(runs_))
+        endLostRun(task, schema::RUN_LOST);
+}
+
 } // namespace basilgap::dispatch
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -233,6 +233,9 @@
     // Called when a later incarnation of the worker has registered: the runs of this one have
     // ended.
     void supersede(Millis now);
+    // Called when no later incarnation of the worker is at its address, so that no start can reach
+    // one. Ends the runs of a superseded session.
+    void releaseMovedRuns();
 
     const std::map<StepTaskRef, SessionRun> &runs() const { return runs_; }
     // Sum over the worker's backfill tasks.
--- a/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
@@ -168,6 +168,37 @@
     EXPECT_EQ(ends[0].workerLoss, schema::WORKER_NOT_LOST);
 }
 
+// Guards against LOST: a run waited for ever for the answer to a stop that the worker's next
+// incarnation, at another address, never got.
+TEST_F(WorkerSessionTest, runsOfAWorkerThatRestartsAtAnotherAddressAreReleasedAtOnce)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    session->supersede(now);
+    EXPECT_TRUE(ends.empty()) << "the next incarnation may have accepted the start";
+    session->releaseMovedRuns();
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].outcome, schema::RUN_LOST);
+}
+
+// The next incarnation has ended in its turn, and another worker has come to its address.
+TEST_F(WorkerSessionTest, runsOfARestartedWorkerAreReleasedOnceAnotherWorkerHasItsAddress)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    session->supersede(now);
+    ASSERT_EQ(port.stops.size(), 1U);
+    port.stops[0].done({ OrderResult::WrongWorker, std::nullopt });
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].outcome, schema::RUN_LOST);
+}
+
 // The leader changes between the crash of a worker and the end of its lease.
 TEST_F(WorkerSessionTest, aNewLeaderBlamesTheRunsThatWereLoggedWithinTheLastLease)
 {
