Don't take answers of the next incarnation for the crashed worker's

What callers would see (BUDGET): a service whose task crashes its worker at the start is started again without limit, if the worker is back under its id within the lease. Cause: the stop of such a run goes to the next incarnation, whose answer counted as a sign of life of the crashed one, so that the worker seemed to be lost long after the start. Change: a superseded session takes neither time nor clock from answers.

--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -91,8 +91,8 @@
 
 void WorkerSession::noteHeard(const OrderAnswer &answer, Millis now)
 {
-    // Another worker at the address has a clock of its own.
-    if (!answer.workerClock || answer.result == OrderResult::WrongWorker)
+    // Another worker or incarnation at the address has a clock of its own.
+    if (!answer.workerClock || answer.result == OrderResult::WrongWorker || superseded_)
         return;
     setClock(*answer.workerClock, now);
     lastHeardAt_ = now;
--- a/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
@@ -143,14 +143,20 @@
     logStart(1, 1);
     session->start(taskOf(0), 1, "", now);
     port.starts.back().done({ OrderResult::Accepted, now });
-    now += SessionTimes().startLossWindow + Millis(1);
+    advanceAndTick(MinPollIntervalMs);
+    port.polls.back().done(pollAnswer({ 0 }));
+    now += SessionTimes().startLossWindow;
     session->start(taskOf(1), 1, "", now);
     now += Millis(5);
     port.starts.back().done({ OrderResult::Accepted, now });
     now += Millis(5);
     session->supersede(now);
-    ASSERT_EQ(ends.size(), 2U);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].task, taskOf(0));
     EXPECT_EQ(ends[0].workerLoss, schema::WORKER_LOST_LATER);
+    port.stops.back().done({ OrderResult::Accepted, std::nullopt });
+    advanceAndTick(SessionTimes().maxStopTime.count() + 1);
+    ASSERT_EQ(ends.size(), 2U);
     EXPECT_EQ(ends[1].workerLoss, schema::WORKER_LOST_AT_START);
 }
 
@@ -168,6 +174,25 @@
     EXPECT_EQ(ends[0].workerLoss, schema::WORKER_NOT_LOST);
 }
 
+// Guards against BUDGET: the restarted worker answered the stop of the run that had crashed it,
+// which looked like an answer of the incarnation that was gone.
+TEST_F(WorkerSessionTest, answersOfTheNextIncarnationDoNotClearTheRunsOfTheCrashedOne)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    now += Millis(5);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    now += Millis(3000);
+    session->supersede(now);
+    ASSERT_EQ(port.stops.size(), 1U);
+    port.stops[0].done({ OrderResult::Accepted, Millis(20) });
+    advanceAndTick(SessionTimes().maxStopTime.count() + 1);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].workerLoss, schema::WORKER_LOST_AT_START);
+}
+
 // Guards against LOST: a run waited for ever for the answer to a stop that the worker's next
 // incarnation, at another address, never got.
 TEST_F(WorkerSessionTest, runsOfAWorkerThatRestartsAtAnotherAddressAreReleasedAtOnce)
