Let every replica take the same incarnation of a worker for its newest

What operators would see: replicas that disagree on whether a run was lost in a crash, and so on whether its job has failed. Change: the highest incarnation that is left becomes the newest, as after a restore.

--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -155,11 +155,19 @@
 
 void WorkTable::removeIncarnation(std::map<WorkerNumber, schema::WorkerLife>::iterator incarnation)
 {
-    const auto newest = newestIncarnations_.find(incarnation->second.id());
-    if (newest != newestIncarnations_.end() && newest->second == incarnation->first)
-        newestIncarnations_.erase(newest);
+    const WorkerNumber number = incarnation->first;
+    const std::string id = incarnation->second.id();
     removeFromAddress(incarnation->second);
     workers_.erase(incarnation);
+    if (newestIncarnations_.at(id) != number)
+        return;
+    // An earlier incarnation whose runs have not all ended is the newest then.
+    const auto earlier = std::find_if(workers_.rbegin(), workers_.rend(),
+        [&id](const auto &entry) { return entry.second.id() == id; });
+    if (earlier == workers_.rend())
+        newestIncarnations_.erase(id);
+    else
+        newestIncarnations_[id] = earlier->first;
 }
 
 // Whether another incarnation has taken the worker's id or address.
--- a/Source/UnitTests/State/WorkTableCrashTest.cpp
+++ b/Source/UnitTests/State/WorkTableCrashTest.cpp
@@ -207,6 +207,25 @@
     EXPECT_EQ(phase(), WorkPhase::Failed);
 }
 
+// Guards against replicas that disagree: one that restored a snapshot took another incarnation for
+// the newest one of a worker.
+TEST_F(WorkTableCrashTest, newestIncarnationIsTheSameAfterASnapshot)
+{
+    submit();
+    registerWorker(1, "w", "a");
+    start(1, 0);
+    registerWorker(2, "w", "b");
+    start(2, 1);
+    registerWorker(3, "w", "c");
+    for (uint32_t number = 1; number <= 3; number++)
+        dropWorker(number, "w", std::string(1, static_cast<char>('a' + number - 1)));
+    WorkTable restored;
+    restored.restore(table.save());
+    ASSERT_NE(table.newestIncarnation("w"), nullptr);
+    EXPECT_EQ(table.newestIncarnation("w")->number(), 2U);
+    EXPECT_EQ(restored.newestIncarnation("w")->number(), 2U);
+}
+
 TEST_F(WorkTableCrashTest, countsSurviveASnapshot)
 {
     submit();
