Expire jobs that finished together in the same order on every replica

What operators would see: a job that one replica has forgotten and another one still shows. Cause: jobs that finished at the same time were kept in the order of their ends, and after a restore in the order of their numbers; the expiry stops at the first one with running tasks. Change: they are sorted by time and number. Test: WorkTable.jobsThatFinishTogetherExpireAlikeAfterARestore, written with the change.

--- a/Source/Basilgap/State/WorkTable.h
+++ b/Source/Basilgap/State/WorkTable.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "Basilgap/Common/Ids.h"
@@ -201,7 +202,8 @@
     std::map<WorkerNumber, Resources> reserved_;
     std::map<AccountName, Resources> usage_;
     std::map<AccountName, std::set<StepTaskRef>> runsByAccount_;
-    std::multimap<uint64_t, WorkSerial> finished_;
+    // Finished jobs by the time at which they finished.
+    std::set<std::pair<uint64_t, WorkSerial>> finished_;
     size_t running_ = 0;
 };
 
--- a/Source/UnitTests/State/WorkTableTest.cpp
+++ b/Source/UnitTests/State/WorkTableTest.cpp
@@ -220,6 +220,26 @@
 
 // Load pattern: thousands of jobs a minute, of which the finished ones are removed in an order that
 // is not that of their submission.
+// Guards against replicas that disagree: jobs that finish at the same time expired in another order
+// after a restore.
+TEST(WorkTable, jobsThatFinishTogetherExpireAlikeAfterARestore)
+{
+    WorkTable table;
+    table.submit(submitWorkCommand("a", { 1 }), 1);
+    table.submit(submitWorkCommand("b", { 1 }), 1);
+    table.apply(runStartBatch(2, 0, 0, 1), 2);
+    schema::CancelWork cancel;
+    for (const char *id : { "b", "a" }) {
+        cancel.set_id(id);
+        table.cancel(cancel, 10);
+    }
+    WorkTable restored;
+    restored.restore(table.save());
+    table.expire(1000, 100);
+    restored.expire(1000, 100);
+    EXPECT_EQ(restored.save().SerializeAsString(), table.save().SerializeAsString());
+}
+
 TEST(WorkTable, findsJobsBySerialWhileOthersExpire)
 {
     constexpr uint64_t Jobs = 200;
