Don't count workers that leave as crashed

What callers would see (LOST): a long job is shown as failed after four of its workers have left, or one has crashed and two have left. Cause: the runs on a worker that has drained and ended lapse like those of a crashed one, and its address is soon in use again. Change: losses with a worker that has announced that it leaves add nothing. Test: WorkTableCrashTest.workersThatLeaveAreNotCrashed, written with the change.

--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -343,7 +343,9 @@
         task.crashPoints = 0;
         return;
     }
-    if (end.worker_loss() == schema::WORKER_NOT_LOST || life.number() == 0 || !work->isActive())
+    // A leaving worker ends as announced, with all that runs on it.
+    if (end.worker_loss() == schema::WORKER_NOT_LOST || life.number() == 0 || life.leaving()
+        || !work->isActive())
         return;
     const uint32_t points = isAtStart ? StartCrashPoints : LaterCrashPoints;
     if (isReplaced(life))
--- a/Source/UnitTests/State/WorkTableCrashTest.cpp
+++ b/Source/UnitTests/State/WorkTableCrashTest.cpp
@@ -193,6 +193,25 @@
     EXPECT_EQ(task().unconfirmedCrashPoints, StartCrashPoints);
 }
 
+// Guards against LOST: a sound job was shown as failed after workers had left one after the other.
+TEST_F(WorkTableCrashTest, workersThatLeaveAreNotCrashed)
+{
+    submit();
+    for (uint32_t number = 1; number <= 6; number++) {
+        const std::string address = "address" + std::to_string(number);
+        registerWorker(2 * number, "id" + std::to_string(number), address);
+        start(2 * number);
+        schema::RunBatch leaves;
+        *leaves.add_workers() = life(2 * number, "id" + std::to_string(number), address);
+        leaves.mutable_workers(0)->set_leaving(true);
+        table.apply(leaves, 6);
+        end(schema::WORKER_LOST_AT_START);
+        registerWorker(2 * number + 1, "next" + std::to_string(number), address);
+    }
+    EXPECT_EQ(phase(), WorkPhase::Active);
+    EXPECT_EQ(task().crashPoints, 0U);
+}
+
 // A service runs on many workers in its life, and workers crash now and then.
 TEST_F(WorkTableCrashTest, servicesAreJudgedByCrashesAtTheirStartInARowOnly)
 {
