Clear a worker of crashes once it answers again

What callers would see (LOST): a job is shown as failed although its workers were only cut off for some seconds. Cause: only a start on the old incarnation showed that it had not crashed. A worker that came back full, leaving or in a zone that is taken out got none, and counted as crashed when it ended later. Change: the next record after the return names the worker, and its lost runs are forgotten. Test: WorkTableCrashTest.workerThatAnswersAgainHasNotCrashed, written with the change.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -1,5 +1,7 @@
 #include "Basilgap/Dispatch/WorkDispatcher.h"
 
+#include <utility>
+
 #include "Basilgap/Common/EventLog.h"
 
 namespace basilgap::dispatch {
@@ -185,6 +187,9 @@
                     [this, number] {
                         planWorkers_.markChanged(number);
                         isPlanDue_ = true;
+                        if (sessions_.at(number)->isUsable()
+                            && state_.works().lostWorkers().contains(number))
+                            returnedWorkers_.insert(number);
                         scheduleBatch();
                     },
                 .onFenced = [this] { fenced_ = true; },
@@ -304,13 +309,15 @@
     for (schema::RunEnd &end : pendingEnds_)
         *batch->add_ends() = std::move(end);
     pendingEnds_.clear();
+    for (const state::WorkerNumber number : std::exchange(returnedWorkers_, {}))
+        batch->add_returned(number.value());
     const Millis now = steadyNow();
     if (isPlanDue_ || hasEnds || now >= nextPlan_) {
         isPlanDue_ = false;
         nextPlan_ = now + IdlePlanInterval;
         plan(batch);
     }
-    if (batch->ends_size() == 0 && batch->starts_size() == 0)
+    if (batch->ends_size() == 0 && batch->starts_size() == 0 && batch->returned_size() == 0)
         return ackEnds(ends);
     isBatchPending_ = true;
     const schema::RunBatch sent = *batch;
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -183,6 +183,8 @@
     std::set<StepTaskRef> movedTasks_;
     // Cache of expected step ends; cleared by each check for stragglers.
     std::map<state::StepRef, std::optional<Millis>> expectedStepEnds_;
+    // Workers with lost runs that answer again, which is not logged yet.
+    std::set<state::WorkerNumber> returnedWorkers_;
     // Workers on which a task that may crash them has just started; nothing else starts there until
     // then.
     std::map<state::WorkerNumber, Millis> crashProbations_;
--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -98,6 +98,8 @@
 {
     for (const auto &incarnation : batch.workers())
         registerIncarnation(incarnation, stampMs);
+    for (const uint32_t number : batch.returned())
+        dismissCrash(lostWorkers_.take(WorkerNumber(number)));
     for (const auto &end : batch.ends())
         endRun(end, stampMs);
     for (const auto &start : batch.starts())
--- a/Source/UnitTests/State/WorkTableCrashTest.cpp
+++ b/Source/UnitTests/State/WorkTableCrashTest.cpp
@@ -137,6 +137,22 @@
     EXPECT_EQ(phase(), WorkPhase::Active);
 }
 
+// Guards against LOST: a worker that was cut off, answered again without getting work, and left
+// later was taken for crashed.
+TEST_F(WorkTableCrashTest, workerThatAnswersAgainHasNotCrashed)
+{
+    submit();
+    registerWorker(1, "w", "address");
+    start(1);
+    end(schema::WORKER_LOST_AT_START);
+    schema::RunBatch batch;
+    batch.add_returned(1);
+    table.apply(batch, 7);
+    EXPECT_EQ(task().unconfirmedCrashPoints, 0U);
+    registerWorker(2, "next", "address");
+    EXPECT_EQ(task().crashPoints, 0U);
+}
+
 TEST_F(WorkTableCrashTest, crashThatIsKnownBeforeTheLeaseEndsCounts)
 {
     submit();
