Count workers that never come back against all their tasks

What callers would see (BUDGET): a task that crashes its workers a second after its start is started again without limit, if they come back after more than 12 s or not at all. Cause: when a silent worker was dropped, only runs that had just started counted. Test: WorkTableCrashTest.workerThatNeverComesBackCounts takes the place of workerThatNeverComesBackCountsOnlyAtTheStart, which asked for the fault; the rest of what it asked for is the same.

--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -125,12 +125,8 @@
     storeIncarnation(incarnation);
     if (!incarnation.gone())
         return confirmCrash(lostWorkers_.takeReplacedBy(incarnation), stampMs);
-    // A worker that does not come back counts as crashed by the tasks that it had just started.
-    std::vector<LostRun> lost = lostWorkers_.take(number);
-    const auto later = std::stable_partition(
-        lost.begin(), lost.end(), [](const LostRun &run) { return run.isAtStart; });
-    confirmCrash({ lost.begin(), later }, stampMs);
-    dismissCrash({ later, lost.end() });
+    // A worker that does not come back counts as crashed.
+    confirmCrash(lostWorkers_.take(number), stampMs);
     // The runs on this incarnation are ended by their own records; it is kept until then.
     if (!runs_.contains(number))
         removeIncarnation(workers_.find(number));
--- a/Source/UnitTests/State/WorkTableCrashTest.cpp
+++ b/Source/UnitTests/State/WorkTableCrashTest.cpp
@@ -180,7 +180,9 @@
     EXPECT_EQ(task().crashPoints, StartCrashPoints);
 }
 
-TEST_F(WorkTableCrashTest, workerThatNeverComesBackCountsOnlyAtTheStart)
+// Guards against BUDGET: a task that crashed its workers some time after its start was started
+// again without limit if they came back late or never.
+TEST_F(WorkTableCrashTest, workerThatNeverComesBackCounts)
 {
     submit();
     registerWorker(1, "w", "address");
@@ -190,7 +192,7 @@
     end(schema::WORKER_LOST_LATER, schema::RUN_LAPSED, 1);
     dropWorker(1, "w", "address");
     EXPECT_EQ(task(0).crashPoints, StartCrashPoints);
-    EXPECT_EQ(task(1).crashPoints, 0U);
+    EXPECT_EQ(task(1).crashPoints, LaterCrashPoints);
     EXPECT_EQ(task(1).unconfirmedCrashPoints, 0U);
 }
 
