Measure how long suspects wait by the clock of the state

What callers would see: a task that waits for the fate of its workers does so for as long as the clock of a former leader was ahead, in place of 4 s. Cause: the times of task phases come from the clock of the state, which never goes backwards; they were compared with the present leader's own clock. Likewise a new leader whose clock was behind took every run for one that had just started. Change: the leader carries the clock of the state on by its steady clock, from the later of the two clocks at its start. Test: the planner's tests give the time of the state; the leader's clock itself has no test of its own.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -1,5 +1,6 @@
 #include "Basilgap/Dispatch/WorkDispatcher.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Basilgap/Common/EventLog.h"
@@ -37,6 +38,8 @@
           .initialQuarantine = FirstQuarantine,
           .maxQuarantine = MaxQuarantine })
     , leaderSince_(steadyNow())
+    , wallAtStart_(wallNow())
+    , stateMsAtStart_(state_.clockMs())
     , tickTimer_(loop, [this] { tick(); })
     , batchTimer_(loop, [this] { proposeBatch(); })
 {
@@ -199,6 +202,7 @@
                         const StepTaskRef &task) { permits_.invalidateTicket(task.step, number); },
                 .pollDelay = [this, number] { return pollDelay(number); },
             },
+            .wallClock = [this] { return stateNow(); },
         },
         now);
 }
@@ -250,6 +254,13 @@
     return !fenced_ && options_.replica.isConfirmedLeader(MaxOrderConfirmationAge);
 }
 
+Millis WorkDispatcher::stateNow() const
+{
+    const Millis ahead(
+        std::max<int64_t>(0, static_cast<int64_t>(stateMsAtStart_) - wallAtStart_.count()));
+    return wallAtStart_ + ahead + (steadyNow() - leaderSince_);
+}
+
 void WorkDispatcher::maintainWorkers(Millis now)
 {
     for (const auto &[number, session] : sessions_)
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -78,6 +78,9 @@
     // WorkDispatcher.cpp
     void tick();
     bool maySendOrders() const;
+    // The present time on the clock of the state. It runs on while this process' clock is behind
+    // it.
+    Millis stateNow() const;
     void maintainWorkers(Millis now);
     // Drops incarnations that have been silent for long and run nothing.
     void dropSilentWorkers(Millis now);
@@ -197,6 +200,9 @@
     bool isPlanDue_ = true;
     bool fenced_ = false;
     Millis leaderSince_;
+    // The wall clock and the clock of the state when this replica began to lead.
+    Millis wallAtStart_;
+    uint64_t stateMsAtStart_ = 0;
     Millis nextPlan_;
     Millis nextExpiry_;
     Millis nextStragglerCheck_;
--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -114,6 +114,7 @@
             .workers = refreshWorkers(now),
             .now = now,
             .wallMs = static_cast<uint64_t>(wallNow().count()),
+            .stateMs = static_cast<uint64_t>(stateNow().count()),
             .adviceClaims = adviceClaims_,
             .advisors = advicePool_.callSlots(),
             .freeAdvisors = advicePool_.availableCallSlots(now),
--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -277,7 +277,7 @@
 // Whether the task waits to learn whether its last workers have crashed, after which its job fails.
 bool StepPlanner::isHeldBack(const state::WorkTask &task) const
 {
-    return task.awaitsCrashVerdict() && input_.wallMs < task.phaseSinceMs + CrashVerdictWaitMs;
+    return task.awaitsCrashVerdict() && input_.stateMs < task.phaseSinceMs + CrashVerdictWaitMs;
 }
 
 // A task that may crash its worker goes where that does the least harm, and where no other task has
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -73,6 +73,8 @@
     std::vector<StepWorker> &workers;
     Millis now;
     uint64_t wallMs = 0;
+    // The same on the clock of the state, which never goes backwards: the one of task phases.
+    uint64_t stateMs = 0;
     const AdviceClaims &adviceClaims;
     // Processes that can request advice, and how many of them are free.
     size_t advisors = 0;
--- a/Source/UnitTests/Scheduling/StepPlannerFixture.h
+++ b/Source/UnitTests/Scheduling/StepPlannerFixture.h
@@ -66,7 +66,7 @@
 
     StepPlan plan() { return planAt(Wall); }
 
-    StepPlan planAt(uint64_t wallMs)
+    StepPlan planAt(uint64_t stateMs)
     {
         config.apply(configCommand);
         std::vector<StepWorker> current = workers;
@@ -83,7 +83,8 @@
                 .urgent = urgent,
                 .workers = current,
                 .now = Now,
-                .wallMs = wallMs,
+                .wallMs = Wall,
+                .stateMs = stateMs,
                 .adviceClaims = adviceClaims,
                 .advisors = advisors,
                 .freeAdvisors = freeAdvisors,
