Keep suspects away from workers on which tasks fail

What callers would see: a job fails because its task, a suspect, uses up its attempts on a worker that fails all tasks. Cause: a suspect went to the worker with the least work, which is often one on which everything fails. Change: workers with failures come last for suspects as for others, slow ones after those with a task that has just started. Test: StepPlannerCrashTest.suspectAvoidsWorkersOnWhichTasksFail, written with the change.

--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -239,7 +239,6 @@
     const std::vector<StepWorker *> &options)
 {
     const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
-    const auto failedOn = input_.health.failedOn().find(JobId(candidate.work->serial.value()));
     const auto expectedDuration = static_cast<double>(
         input_.durations.expectedDuration(*candidate.work, candidate.ref).count());
     StepWorker *best = nullptr;
@@ -251,9 +250,7 @@
         if (!reservation.fitsIn(worker.freeCapacity()) || !mayRun(worker, candidate))
             continue;
         // Attempts are limited, so workers with a recent failure are tried last.
-        const bool hasFailed = !input_.health.hasNoFailures(worker.number)
-            || (failedOn != input_.health.failedOn().end()
-                && failedOn->second.contains(worker.number));
+        const bool hasFailed = hasFailures(worker, candidate);
         const bool isRemoteRack = !spec.home_rack().empty() && worker.rack != spec.home_rack();
         double factor = worker.slowdown * (isRemoteRack ? RemoteRackFactor : 1.0);
         // Deferrable work leaves fast workers to urgent work, but still avoids degraded ones.
@@ -274,6 +271,13 @@
     return best;
 }
 
+bool StepPlanner::hasFailures(const StepWorker &worker, const Candidate &candidate) const
+{
+    const auto failedOn = input_.health.failedOn().find(JobId(candidate.work->serial.value()));
+    return !input_.health.hasNoFailures(worker.number)
+        || (failedOn != input_.health.failedOn().end() && failedOn->second.contains(worker.number));
+}
+
 // Whether the task waits to learn whether its last workers have crashed, after which its job fails.
 bool StepPlanner::isHeldBack(const state::WorkTask &task) const
 {
@@ -288,14 +292,15 @@
     if (!leavesHeadroom(candidate, reservation))
         return nullptr;
     StepWorker *best = nullptr;
-    std::tuple<bool, int64_t> bestScore;
+    std::tuple<bool, bool, bool, int64_t> bestScore;
     for (StepWorker *worker : options) {
         if (!reservation.fitsIn(worker->freeCapacity()) || !mayRun(*worker, candidate))
             continue;
         const bool hasFreshRun = input_.hasFreshRun(worker->number)
             || std::any_of(plan_.starts.begin(), plan_.starts.end(),
                 [&](const PlannedRun &start) { return start.worker == worker->number; });
-        const std::tuple score{ hasFreshRun, worker->reserved.millicores };
+        const std::tuple score{ hasFailures(*worker, candidate), hasFreshRun,
+            worker->slowdown >= DegradedSlowdown, worker->reserved.millicores };
         if (best == nullptr || score < bestScore) {
             best = worker;
             bestScore = score;
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -192,6 +192,8 @@
     void placeStep(const Candidate &candidate);
     void placeGang(const Candidate &candidate);
     bool isHeldBack(const state::WorkTask &task) const;
+    // Whether tasks have lately failed on the worker, or one of the job ever has.
+    bool hasFailures(const StepWorker &worker, const Candidate &candidate) const;
     // Chooses among workers that candidateWorkers() returned for the step.
     StepWorker *chooseWorkerForSuspect(const Candidate &candidate, const Resources &reservation,
         const std::vector<StepWorker *> &options) const;
--- a/Source/UnitTests/Scheduling/StepPlannerCrashTest.cpp
+++ b/Source/UnitTests/Scheduling/StepPlannerCrashTest.cpp
@@ -80,6 +80,23 @@
     EXPECT_EQ(planned.starts[0].worker, WorkerNumber(2));
 }
 
+// A worker on which tasks fail is often an empty one; attempts are limited for suspects too.
+TEST_F(StepPlannerCrashTest, suspectAvoidsWorkersOnWhichTasksFail)
+{
+    addWorkers(3, 8000);
+    registerWorker(1, "a");
+    const StepRef step = submit("urgent", 1, 1000);
+    apply(plan());
+    loseWorkerOf(step, 0);
+    applyEnds();
+    workers[1].reserved.millicores = 4000;
+    health.recordFailure(WorkerNumber(1), JobId(99), Now);
+    health.recordFailure(WorkerNumber(3), JobId(99), Now);
+    const StepPlan planned = plan();
+    ASSERT_EQ(startsOf(planned, step), 1U);
+    EXPECT_EQ(planned.starts[0].worker, WorkerNumber(2));
+}
+
 TEST_F(StepPlannerCrashTest, taskWaitsForTheFateOfItsWorkersBeforeItsLastStart)
 {
     addWorkers(3, 8000);
