--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -338,6 +338,8 @@
             if (outcome.code() != schema::ACCEPTED) {
                 for (const auto &[number, end] : ends)
                     workersWithListedEnds_.insert(number);
+                for (const uint32_t number : sent.returned())
+                    returnedWorkers_.insert(state::WorkerNumber(number));
                 return;
             }
             ackEnds(ends);
--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -241,6 +241,7 @@
     const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
     const auto expectedDuration = static_cast<double>(
         input_.durations.expectedDuration(*candidate.work, candidate.ref).count());
+    const std::set<WorkerNumber> *failed = failedWorkers(candidate);
     StepWorker *best = nullptr;
     std::tuple<bool, double, int64_t> bestScore;
     if (!leavesHeadroom(candidate, reservation))
@@ -250,7 +251,7 @@
         if (!reservation.fitsIn(worker.freeCapacity()) || !mayRun(worker, candidate))
             continue;
         // Attempts are limited, so workers with a recent failure are tried last.
-        const bool hasFailed = hasFailures(worker, candidate);
+        const bool hasFailed = hasFailures(worker, failed);
         const bool isRemoteRack = !spec.home_rack().empty() && worker.rack != spec.home_rack();
         double factor = worker.slowdown * (isRemoteRack ? RemoteRackFactor : 1.0);
         // Deferrable work leaves fast workers to urgent work, but still avoids degraded ones.
@@ -271,11 +272,17 @@
     return best;
 }
 
-bool StepPlanner::hasFailures(const StepWorker &worker, const Candidate &candidate) const
+const std::set<WorkerNumber> *StepPlanner::failedWorkers(const Candidate &candidate) const
+{
+    const auto found = input_.health.failedOn().find(JobId(candidate.work->serial.value()));
+    return found == input_.health.failedOn().end() ? nullptr : &found->second;
+}
+
+bool StepPlanner::hasFailures(
+    const StepWorker &worker, const std::set<WorkerNumber> *failedWorkers) const
 {
-    const auto failedOn = input_.health.failedOn().find(JobId(candidate.work->serial.value()));
     return !input_.health.hasNoFailures(worker.number)
-        || (failedOn != input_.health.failedOn().end() && failedOn->second.contains(worker.number));
+        || (failedWorkers != nullptr && failedWorkers->contains(worker.number));
 }
 
 // Whether the task waits to learn whether its last workers have crashed, after which its job fails.
@@ -291,6 +298,7 @@
 {
     if (!leavesHeadroom(candidate, reservation))
         return nullptr;
+    const std::set<WorkerNumber> *failed = failedWorkers(candidate);
     StepWorker *best = nullptr;
     std::tuple<bool, bool, bool, int64_t> bestScore;
     for (StepWorker *worker : options) {
@@ -299,7 +307,7 @@
         const bool hasFreshRun = input_.hasFreshRun(worker->number)
             || std::any_of(plan_.starts.begin(), plan_.starts.end(),
                 [&](const PlannedRun &start) { return start.worker == worker->number; });
-        const std::tuple score{ hasFailures(*worker, candidate), hasFreshRun,
+        const std::tuple score{ hasFailures(*worker, failed), hasFreshRun,
             worker->slowdown >= DegradedSlowdown, worker->reserved.millicores };
         if (best == nullptr || score < bestScore) {
             best = worker;
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -192,8 +192,10 @@
     void placeStep(const Candidate &candidate);
     void placeGang(const Candidate &candidate);
     bool isHeldBack(const state::WorkTask &task) const;
+    // The workers on which tasks of the job have failed, or null.
+    const std::set<WorkerNumber> *failedWorkers(const Candidate &candidate) const;
     // Whether tasks have lately failed on the worker, or one of the job ever has.
-    bool hasFailures(const StepWorker &worker, const Candidate &candidate) const;
+    bool hasFailures(const StepWorker &worker, const std::set<WorkerNumber> *failedWorkers) const;
     // Chooses among workers that candidateWorkers() returned for the step.
     StepWorker *chooseWorkerForSuspect(const Candidate &candidate, const Resources &reservation,
         const std::vector<StepWorker *> &options) const;
