Wait for the last report in the test of requests sent after a timeout

Cause: HttpConnection.requestSentAfterTheTimeoutIsReportedAsSent compares what the server saw with what was reported as sent, but left the loop 4 ms after the last request. On a busy machine the server has seen it by then and its end is not reported yet: 199 of 200. Ruled out: a request reported as unsent although it was sent. Change: the test waits until all 200 exchanges are reported. It is as strict: each request that the server saw must have been reported as sent.

--- a/Source/UnitTests/Network/NetworkTest.cpp
+++ b/Source/UnitTests/Network/NetworkTest.cpp
@@ -288,6 +288,7 @@
 TEST(HttpConnection, requestSentAfterTheTimeoutIsReportedAsSent)
 {
     EventLoop loop;
+    constexpr int Exchanges = 200;
     int seen = 0;
     auto server = HttpServer::listen(loop, { .address = "127.0.0.1:0" },
         [&](const HttpRequest &, const ResponderPointer &responder) {
@@ -296,14 +297,19 @@
         });
     ASSERT_TRUE(server);
     int sent = 0;
-    for (int i = 0; i < 200; i++) {
+    int reported = 0;
+    for (int i = 0; i < Exchanges; i++) {
         const HttpRequest request{ "POST", "/", {}, "x", "" };
-        fetchOnce(loop, (*server)->address(), request, Millis(i % 3),
-            [&](const ExchangeResult &result) { sent += result.bytesSent ? 1 : 0; });
+        fetchOnce(
+            loop, (*server)->address(), request, Millis(i % 3), [&](const ExchangeResult &result) {
+                reported++;
+                sent += result.bytesSent ? 1 : 0;
+            });
         Timer timer(loop, [&loop] { loop.stop(); });
         timer.startOnce(Millis(4));
         loop.run();
     }
+    ASSERT_TRUE(runUntil(loop, [&] { return reported == Exchanges; }));
     EXPECT_GE(sent, seen);
 }
 
