--- a/Source/UnitTests/Replication/OpenMembershipTest.cpp
+++ b/Source/UnitTests/Replication/OpenMembershipTest.cpp
@@ -17,8 +17,8 @@
 constexpr Millis Step{ 20 };
 constexpr Millis JoinInterval{ 200 };
 
-// The platform's bounds: a lost host's successor starts this long after the loss, and the loss
-// counts until the successor has been up for the catch-up time.
+// The bounds within which hosts are lost: a lost host's successor starts this long after the loss,
+// and the loss counts until the successor has been up for the catch-up time.
 constexpr Millis SuccessorDelay{ 1000 };
 constexpr Millis WipedRestartDelay{ 500 };
 constexpr Millis CatchUpTime{ 4000 };
