--- a/review/standin/CaseCrashes.cpp
+++ b/review/standin/CaseCrashes.cpp
@@ -1,4 +1,5 @@
-// Executors crash and come back; a job that could be done is shown as failed.
+// Executors crash just before an order reaches them, and come back; the job, whose task never
+// began, is shown as failed.
 #include "Cases.h"
 
 namespace review {
@@ -6,7 +7,6 @@
 namespace {
 
 constexpr int Executors = 12;
-constexpr int64_t CrashAfterMs = 150;
 constexpr int64_t DownMs = 1000;
 constexpr int Crashes = 2;
 constexpr const char *Path = "/lohu930/5c0e7a21d94b36f8";
@@ -18,21 +18,36 @@
     Loop loop;
     Record record(loop, folder + "/record.txt");
     std::vector<std::unique_ptr<Executor>> executors;
+    std::set<std::string> crashing;
     int crashes = 0;
+    int starts = 0;
     int failedEnds = 0;
     RunEvents events;
-    events.onStart = [&](const std::string &id, const std::string &, const std::string &task,
-                         uint32_t run) {
-        record.line("run of " + task + " number " + std::to_string(run) + " begins on " + id);
-        if (!withTrouble() || crashes >= Crashes)
-            return;
+    events.onOrder = [&](const std::string &id, const std::string &task, uint32_t run) {
+        const std::string name = "order to start " + task + " number " + std::to_string(run);
+        // A repeated order to an executor that is about to be gone.
+        if (crashing.contains(id))
+            return true;
+        if (!withTrouble() || crashes >= Crashes) {
+            record.line(name + " reaches " + id);
+            return false;
+        }
         crashes++;
-        loop.after(CrashAfterMs, [&, id] {
+        crashing.insert(id);
+        record.line(name + " finds " + id + " crashed");
+        loop.after(0, [&, id] {
+            crashing.erase(id);
             for (const auto &executor : executors) {
                 if (executor->id() == id)
                     executor->crash(DownMs);
             }
         });
+        return true;
+    };
+    events.onStart = [&](const std::string &id, const std::string &, const std::string &task,
+                         uint32_t run) {
+        starts++;
+        record.line("run of " + task + " number " + std::to_string(run) + " begins on " + id);
     };
     events.onEnd = [&](const std::string &id, const std::string &task, uint32_t run,
                        const std::string &how) {
@@ -72,7 +87,8 @@
             || state.find("failed") != std::string::npos;
     });
     const bool isFailed = state.find("failed") != std::string::npos;
-    record.line("state " + state + ", ends `failed`: " + std::to_string(failedEnds)
+    record.line("state " + state + ", runs that began: " + std::to_string(starts)
+        + ", ends `failed`: " + std::to_string(failedEnds)
         + ", crashes of executors: " + std::to_string(crashes));
     if (isFailed && failedEnds == 0)
         return ExitBroken;
--- a/review/standin/Harness.cpp
+++ b/review/standin/Harness.cpp
@@ -382,6 +382,11 @@
     const std::string path = evhttp_request_get_uri(request);
     const std::string task = body.HasMember("task") ? body["task"].GetString() : "";
     const auto run = static_cast<uint32_t>(number("run_id"));
+    if (path == "/run-start" && events_.onOrder(options_.id, task, run)) {
+        // The order is lost with the executor.
+        lostRequests_.push_back(request);
+        return;
+    }
     if (path == "/run-start")
         return start(
             request, task, run, std::atoll(body["spec"].GetString()), number("deadline_ms"));
--- a/review/standin/Harness.h
+++ b/review/standin/Harness.h
@@ -94,6 +94,10 @@
     std::function<void(
         const std::string &executor, const std::string &task, uint32_t run, const std::string &how)>
         onEnd = [](auto &&...) {};
+    // An order to start a run has come in. Returns whether the executor has crashed just before it,
+    // so that it isn't carried out.
+    std::function<bool(const std::string &executor, const std::string &task, uint32_t run)>
+        onOrder = [](auto &&...) { return false; };
     // The end has been taken note of: ack_cursor has reached it.
     std::function<void(
         const std::string &executor, const std::string &task, uint32_t run, const std::string &how)>
