Keep ends that the log does not take

Cause: while leadership is handed over the log takes no records. The ends were moved into a batch and dropped when it was refused; only the numbers to acknowledge were put back, and the next, empty batch acknowledged them.

Ruled out: a record that was logged and not applied, and one that was lost after it was proposed.

Change: a refused batch is put back as a whole and proposed again after 50 ms. The same holds for a full list of uncommitted records, by which the test shows it.

Test: WorkDispatcherTest.endsThatTheLogDoesNotTakeAreLoggedLaterAndNotAcknowledgedBefore, red before the change (the ends were acknowledged, the job never completed).

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -13,6 +13,8 @@
 
 // A new plan is made after this time even if no change is known.
 constexpr Millis IdlePlanInterval{ 100 };
+// Time until a batch that the log has not taken is proposed again.
+constexpr Millis BatchRetryInterval{ 50 };
 constexpr Millis ExpiryInterval{ 5000 };
 constexpr Millis DropInterval{ 1000 };
 
@@ -311,7 +313,8 @@
 
 void WorkDispatcher::proposeBatch()
 {
-    if (isBatchPending_ || fenced_ || !options_.replica.isLeading())
+    const Millis now = steadyNow();
+    if (isBatchPending_ || fenced_ || now < nextBatch_ || !options_.replica.isLeading())
         return;
     std::map<state::WorkerNumber, uint64_t> ends = takeListedEnds();
     schema::Command command;
@@ -322,7 +325,6 @@
     pendingEnds_.clear();
     for (const state::WorkerNumber number : std::exchange(returnedWorkers_, {}))
         batch->add_returned(number.value());
-    const Millis now = steadyNow();
     if (isPlanDue_ || hasEnds || now >= nextPlan_) {
         isPlanDue_ = false;
         nextPlan_ = now + IdlePlanInterval;
@@ -335,19 +337,32 @@
     options_.replica.propose(
         std::move(command), guarded([this, sent, ends](const schema::CommandOutcome &outcome) {
             isBatchPending_ = false;
-            if (outcome.code() != schema::ACCEPTED) {
-                for (const auto &[number, end] : ends)
-                    workersWithListedEnds_.insert(number);
-                for (const uint32_t number : sent.returned())
-                    returnedWorkers_.insert(state::WorkerNumber(number));
-                return;
-            }
+            if (outcome.code() != schema::ACCEPTED)
+                return restoreBatch(sent, ends, outcome);
             ackEnds(ends);
             sendStarts(sent);
             scheduleBatch();
         }));
 }
 
+// Puts back what the log has not taken, as during a transfer of leadership: an end is acknowledged
+// only once it is logged. The next plan repeats the starts.
+void WorkDispatcher::restoreBatch(const schema::RunBatch &batch,
+    const std::map<state::WorkerNumber, uint64_t> &ends, const schema::CommandOutcome &outcome)
+{
+    LogEvent("runs-not-logged", LogLevel::Warning)
+        .with("ends", batch.ends_size())
+        .with("starts", batch.starts_size())
+        .with("reason", outcome.message());
+    nextBatch_ = steadyNow() + BatchRetryInterval;
+    isPlanDue_ = true;
+    pendingEnds_.insert(pendingEnds_.begin(), batch.ends().begin(), batch.ends().end());
+    for (const auto &[number, end] : ends)
+        workersWithListedEnds_.insert(number);
+    for (const uint32_t number : batch.returned())
+        returnedWorkers_.insert(state::WorkerNumber(number));
+}
+
 // The ends that go into the next record, by the highest number of each worker.
 std::map<state::WorkerNumber, uint64_t> WorkDispatcher::takeListedEnds()
 {
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -86,6 +86,8 @@
     void dropSilentWorkers(Millis now);
     void scheduleBatch();
     void proposeBatch();
+    void restoreBatch(const schema::RunBatch &batch,
+        const std::map<state::WorkerNumber, uint64_t> &ends, const schema::CommandOutcome &outcome);
     void plan(schema::RunBatch *batch);
     void rebuildWorkers();
     // The planner's view of all workers, with current usage.
@@ -204,6 +206,8 @@
     Millis wallAtStart_;
     uint64_t stateMsAtStart_ = 0;
     Millis nextPlan_;
+    // No batch is proposed before then.
+    Millis nextBatch_;
     Millis nextExpiry_;
     Millis nextStragglerCheck_;
     Millis nextCellStatus_;
--- /dev/null
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -0,0 +1,207 @@
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <gtest/gtest.h>
+
+#include "Basilgap/Dispatch/WorkDispatcher.h"
+#include "FakeWorkerPort.h"
+#include "UnitTests/Control/SingleReplicaFixture.h"
+
+namespace basilgap::dispatch {
+namespace {
+
+constexpr const char *WorkId = "5c0e7a21d94b36f8";
+constexpr uint64_t IncarnationStartMs = 1000;
+
+class NoAdvice : public AdvicePort
+{
+public:
+    void requestAdvice(const std::string &, const std::vector<std::string> &, Millis,
+        std::function<void(AdviceAnswer)> done) override
+    {
+        done({});
+    }
+    std::string stepName(const std::string &, uint32_t, uint32_t) const override { return {}; }
+};
+
+// A worker that accepts every start and answers every poll at once. It lists the ends of its runs
+// until they are acknowledged.
+class AnsweringWorker
+{
+public:
+    explicit AnsweringWorker(FakeWorkerPort &port)
+        : port_(port)
+    {}
+
+    void answerCalls()
+    {
+        for (auto &start : std::exchange(port_.starts, {})) {
+            running_.insert({ start.order.task, start.order.run });
+            start.done({ OrderResult::Accepted, steadyNow() });
+        }
+        for (auto &poll : std::exchange(port_.polls, {})) {
+            ackedEndSequence_ = std::max(ackedEndSequence_, poll.order.ackedEndSequence);
+            poll.done(pollAnswer());
+        }
+    }
+
+    void endAllRuns()
+    {
+        for (const auto &[task, run] : std::exchange(running_, {}))
+            ends_.push_back({ ends_.size() + 1, task, run, schema::RUN_DONE, "" });
+    }
+
+    size_t runningCount() const { return running_.size(); }
+    size_t endCount() const { return ends_.size(); }
+    uint64_t ackedEndSequence() const { return ackedEndSequence_; }
+
+private:
+    PollAnswer pollAnswer() const
+    {
+        PollAnswer answer;
+        answer.result = OrderResult::Accepted;
+        answer.workerClock = steadyNow();
+        answer.incarnationStartMs = IncarnationStartMs;
+        for (const auto &[task, run] : running_)
+            answer.running.push_back({ task, run, "", 10, 0 });
+        for (const EndReport &end : ends_) {
+            if (end.sequence > ackedEndSequence_)
+                answer.ended.push_back(end);
+        }
+        return answer;
+    }
+
+    FakeWorkerPort &port_;
+    std::set<std::pair<TaskName, uint32_t>> running_;
+    std::vector<EndReport> ends_;
+    uint64_t ackedEndSequence_ = 0;
+};
+
+// A dispatcher on a cell of one replica, with one worker and one queue.
+class WorkDispatcherTest : public control::SingleReplicaFixture
+{
+protected:
+    void SetUp() override
+    {
+        SingleReplicaFixture::SetUp();
+        dispatcher_ = std::make_unique<WorkDispatcher>(loop_,
+            WorkDispatcher::Options{
+                .replica = *replica_, .workers = port_, .advice = advice_, .times = {} });
+        onApplied_ = [this](const auto &command, const auto &outcome) {
+            dispatcher_->handleApplied(command, outcome);
+        };
+        putConfig();
+        announceWorker();
+    }
+
+    void TearDown() override
+    {
+        onApplied_ = [](const auto &, const auto &) {};
+        dispatcher_.reset();
+        SingleReplicaFixture::TearDown();
+    }
+
+    void putConfig()
+    {
+        schema::Command command;
+        command.mutable_put_work_config()->set_version(1);
+        schema::WorkConfig *config = command.mutable_put_work_config()->mutable_config();
+        config->add_pools()->set_name("pool");
+        config->add_accounts()->set_name("team");
+        schema::QueueConfig *queue = config->add_queues();
+        queue->set_name("queue");
+        queue->set_pool("pool");
+        queue->set_slack_factor(2);
+        queue->set_target_latency_ms(500);
+        propose(std::move(command));
+        ASSERT_TRUE(runUntil([this] { return accepted_ == 1; }));
+    }
+
+    void announceWorker()
+    {
+        schema::RpcRequest request;
+        schema::WorkerLife *life = request.mutable_announcement()->mutable_life();
+        life->set_id("w1");
+        life->set_born_ms(IncarnationStartMs);
+        life->set_address("127.0.0.1:1");
+        life->set_zone("z1");
+        life->set_pool("pool");
+        life->set_millicores(8000);
+        life->set_memory_mb(8000);
+        request.mutable_announcement()->set_sequence(1);
+        dispatcher_->handleRequest(request, [](const schema::RpcReply &) {});
+    }
+
+    void submit(uint32_t tasks)
+    {
+        schema::Command command;
+        schema::SubmitWork *submit = command.mutable_submit_work();
+        submit->set_id(WorkId);
+        submit->set_queue("queue");
+        submit->set_account("team");
+        submit->set_max_attempts(3);
+        schema::StepSpec *step = submit->mutable_spec()->add_steps();
+        step->set_count(tasks);
+        step->set_millicores(1000);
+        step->set_memory_mb(10);
+        step->set_estimate_ms(1000);
+        propose(std::move(command));
+    }
+
+    bool runWorkerUntil(const std::function<bool()> &condition)
+    {
+        return runUntil([&] {
+            worker_.answerCalls();
+            return condition();
+        });
+    }
+
+    void runWorkerFor(Millis time)
+    {
+        const Millis end = steadyNow() + time;
+        runWorkerUntil([end] { return steadyNow() >= end; });
+    }
+
+    // Proposes records that can't be committed until the log takes no more.
+    void fillLog()
+    {
+        disk_.setBlocked(true);
+        bool isFull = false;
+        while (!isFull) {
+            schema::Command command;
+            command.mutable_expire();
+            replica_->propose(std::move(command), [&isFull](const schema::CommandOutcome &outcome) {
+                isFull = isFull || outcome.code() == schema::UNAVAILABLE;
+            });
+        }
+    }
+
+    const state::Work &work() const { return *replica_->state().works().find(WorkId); }
+
+    FakeWorkerPort port_;
+    NoAdvice advice_;
+    AnsweringWorker worker_{ port_ };
+    std::unique_ptr<WorkDispatcher> dispatcher_;
+};
+
+// Guards against TWICE: ends were acknowledged, but not logged, while the log took no records, as
+// during a transfer of leadership; the next leader started the tasks again.
+TEST_F(WorkDispatcherTest, endsThatTheLogDoesNotTakeAreLoggedLaterAndNotAcknowledgedBefore)
+{
+    submit(4);
+    ASSERT_TRUE(runWorkerUntil([this] { return worker_.runningCount() == 4; }));
+    fillLog();
+    worker_.endAllRuns();
+    runWorkerFor(Millis(600));
+    EXPECT_EQ(worker_.ackedEndSequence(), 0U);
+    EXPECT_EQ(work().runningTasks, 4U);
+    disk_.setBlocked(false);
+    EXPECT_TRUE(runWorkerUntil([this] { return work().phase == state::WorkPhase::Completed; }));
+    EXPECT_TRUE(
+        runWorkerUntil([this] { return worker_.ackedEndSequence() == worker_.endCount(); }));
+    EXPECT_EQ(worker_.endCount(), 4U);
+}
+
+} // namespace
+} // namespace basilgap::dispatch
