Fail a job only for crashes that its task must have caused

Cause: two losses of a worker about the start of a task, or four later ones, failed its job, whatever made the workers crash. A pending poll is answered after up to 1.4 s, so that "about the start" was up to 1.9 s; orders to workers that were already gone counted as well.

Ruled out: attempts counted wrongly.

Change: only losses within 0.5 s of the start count, four in a row, two of them of runs that the worker had accepted or listed. A run that outlives its start clears its task; the worker of a suspect is polled when the 0.5 s are over. A task that crashes three workers may be started twice more, so that four leave one start in reserve.

A new leader doesn't know whether a run that it adopted has begun (aNewLeaderBlamesTheRunsThatWereLoggedWithinTheLastLease).

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -127,7 +127,8 @@
         if (work == nullptr)
             continue;
         const state::StepRef ref{ work->serial, end.occurrence(), end.step() };
-        if (end.worker_loss() == schema::WORKER_LOST_AT_START)
+        if (end.worker_loss() == schema::WORKER_LOST_AT_START
+            || end.worker_loss() == schema::WORKER_LOST_BEFORE_ANSWER)
             logCrashSuspect({ ref, end.index() });
         const auto &tasks = work->stepAt(ref).tasks;
         for (uint32_t i = 0; i < tasks.size(); i++) {
--- a/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
@@ -330,10 +330,8 @@
         state_.works().lostWorkers().runsReplacedBy(*incarnation);
     options_.replica.propose(
         std::move(command), guarded([this, key, lost](const schema::CommandOutcome &outcome) {
-            for (const state::LostRun &run : lost) {
-                if (run.isAtStart)
-                    logCrashSuspect(run.task);
-            }
+            for (const state::LostRun &run : lost)
+                logCrashSuspect(run.task);
             const auto callbacks = std::move(pendingRegistrations_[key]);
             pendingRegistrations_.erase(key);
             for (const auto &callback : callbacks)
--- a/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
@@ -50,8 +50,9 @@
         .with("step", task.step.step)
         .with("task", task.index)
         .with("run", state->run)
-        .with("points", state->crashPoints)
-        .with("unconfirmed", state->unconfirmedCrashPoints)
+        .with("crashes", state->startCrashes.total)
+        .with("begun", state->startCrashes.begun)
+        .with("unconfirmed", state->unconfirmedStartCrashes.total)
         .with("failed", work->phase == state::WorkPhase::Failed ? 1 : 0);
 }
 
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -164,6 +164,9 @@
     known.lastProgressAt = now;
     known.ticket = ticket;
     setBackfillMillicores(task, &known);
+    const state::WorkTask *state = options_.table.find(task);
+    if (state != nullptr && state->isCrashSuspect())
+        survivalCheckAt_ = now + options_.times.startLossWindow;
     sendStart(task, &known, now);
 }
 
@@ -284,6 +287,7 @@
         && answer.result != OrderResult::Fenced;
     switch (mayStillRun ? OrderResult::Unanswered : answer.result) {
     case OrderResult::Accepted:
+        known.hasBegun = true;
         if (known.knownState == KnownRunState::Sent) {
             known.knownState = KnownRunState::Confirmed;
             known.knownStateSince = now;
@@ -411,6 +415,8 @@
     const bool needsSecondPoll = suspect_ && now - lastPollAt_ >= retryAfter(now);
     if ((pendingPolls_ == 0 && isPollDue(now)) || (pendingPolls_ == 1 && needsSecondPoll))
         poll(now);
+    if (survivalCheckAt_ && now >= *survivalCheckAt_)
+        checkSurvival(now);
     if (hasPendingStarts_)
         sendPendingStarts(now);
     if (now >= nextStopCheck_)
@@ -424,6 +430,16 @@
         endLostRun(task, schema::RUN_LAPSED);
 }
 
+// A pending poll may be answered much later. The answer to this one shows that the worker has
+// outlived the start, so that a later crash is not put down to it.
+void WorkerSession::checkSurvival(Millis now)
+{
+    const Millis due = *survivalCheckAt_;
+    survivalCheckAt_.reset();
+    if (!lastHeardAt_ || *lastHeardAt_ < due)
+        poll(now, true);
+}
+
 // Releases the runs that the new incarnation has stopped, and repeats the other stops.
 void WorkerSession::releaseSupersededRuns(Millis now)
 {
@@ -489,13 +505,19 @@
     const auto found = runs_.find(task);
     if (found == runs_.end())
         return;
+    endRun(task, outcome, lossOf(found->second));
+}
+
+// What the loss of the worker, at some time since it was last heard, says of a run.
+schema::WorkerLoss WorkerSession::lossOf(const SessionRun &run) const
+{
     // A worker that this leader has never heard was lost at some time since the last lease that an
     // earlier leader can have granted.
     const Millis earliestStart = lastHeardAt_ ? *lastHeardAt_ - options_.times.startLossWindow
                                               : openedAt_ - options_.times.leaseDuration;
-    endRun(task, outcome,
-        found->second.startedAt >= earliestStart ? schema::WORKER_LOST_AT_START
-                                                 : schema::WORKER_LOST_LATER);
+    if (run.startedAt < earliestStart)
+        return schema::WORKER_LOST_LATER;
+    return run.hasBegun ? schema::WORKER_LOST_AT_START : schema::WORKER_LOST_BEFORE_ANSWER;
 }
 
 void WorkerSession::ackEnds(uint64_t number)
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -138,6 +138,8 @@
     // answer.
     uint32_t sendCount = 0;
     uint32_t unansweredSends = 0;
+    // The worker has accepted the start or listed the run.
+    bool hasBegun = false;
     // This incarnation of the worker has listed the run. The answer to a start does not name the
     // incarnation that has accepted it.
     bool isListed = false;
@@ -269,7 +271,8 @@
     void withholdStart(const StepTaskRef &task, SessionRun *known, Millis now);
     void stopIndeterminateRun(const StepTaskRef &task, SessionRun *known, Millis now);
     Millis retryAfter(Millis now) const;
-    void poll(Millis now);
+    void poll(Millis now, bool isImmediate = false);
+    void checkSurvival(Millis now);
     bool isPollDue(Millis now) const;
     bool hasStoppedRun() const;
     bool hasStalledRun() const;
@@ -289,6 +292,7 @@
         schema::WorkerLoss workerLoss = schema::WORKER_NOT_LOST);
     // Ends a run because nothing is heard of the worker any more.
     void endLostRun(const StepTaskRef &task, schema::RunOutcome outcome);
+    schema::WorkerLoss lossOf(const SessionRun &run) const;
     void adoptRuns(Millis now);
     bool hasLeaseExpired(Millis now) const;
     std::optional<Millis> nextLeaseEnd(Millis now) const;
@@ -327,6 +331,8 @@
     Millis ackWaitEnd_;
     std::map<StepTaskRef, SessionRun> runs_;
     bool hasPendingStarts_ = false;
+    // When a task that may crash the worker will have outlived its start; absent if there is none.
+    std::optional<Millis> survivalCheckAt_;
     // When the runs are next searched for those that must be stopped.
     Millis nextStopCheck_;
     // Runs that have ended and whose end is not applied yet.
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -30,7 +30,8 @@
     return now >= nextPollAt_ && !isAckDue;
 }
 
-void WorkerSession::poll(Millis now)
+// The worker answers an immediate poll at once, even if no run has ended.
+void WorkerSession::poll(Millis now, bool isImmediate)
 {
     if (fenced_ || superseded_ || !options_.events.maySendOrders())
         return;
@@ -41,7 +42,7 @@
     const auto leaseEnd = suspect_ ? std::nullopt : nextLeaseEnd(now);
     if (leaseEnd)
         recordLeaseEnd(*leaseEnd);
-    const bool isImmediate = suspect_ || !synced_ || hasStoppedRun() || hasStrayRun_;
+    isImmediate = isImmediate || suspect_ || !synced_ || hasStoppedRun() || hasStrayRun_;
     const Millis normalWait = options_.callLoss.isLossy(now)
         ? std::min(
             options_.callLoss.lossyWait(options_.times.lossyPollWait), options_.times.pollWait)
@@ -179,6 +180,7 @@
         listed.insert(*task);
         SessionRun &known = found->second;
         known.isListed = true;
+        known.hasBegun = true;
         if (known.knownState == KnownRunState::Sent) {
             known.knownState = KnownRunState::Confirmed;
             known.knownStateSince = now;
--- a/Source/Basilgap/State/LostWorkers.cpp
+++ b/Source/Basilgap/State/LostWorkers.cpp
@@ -1,5 +1,6 @@
 #include "Basilgap/State/LostWorkers.h"
 
+#include <iterator>
 #include <utility>
 
 namespace basilgap::state {
@@ -32,6 +33,15 @@
     return runs;
 }
 
+void LostWorkers::dismiss(const StepTaskRef &task)
+{
+    for (auto worker = workers_.begin(); worker != workers_.end();) {
+        std::vector<LostRun> &runs = worker->second.runs;
+        std::erase_if(runs, [&task](const LostRun &run) { return run.task == task; });
+        worker = runs.empty() ? workers_.erase(worker) : std::next(worker);
+    }
+}
+
 std::vector<LostRun> LostWorkers::runs() const
 {
     std::vector<LostRun> runs;
@@ -61,8 +71,7 @@
             runState->set_occurrence(run.task.step.occurrence);
             runState->set_step(run.task.step.step);
             runState->set_index(run.task.index);
-            runState->set_crash_points(run.crashPoints);
-            runState->set_at_start(run.isAtStart);
+            runState->set_has_begun(run.hasBegun);
         }
     }
 }
@@ -73,7 +82,7 @@
     for (const auto &state : snapshot.lost_workers()) {
         for (const auto &run : state.runs()) {
             const StepRef step{ WorkSerial(run.work()), run.occurrence(), run.step() };
-            add(state.life(), { { step, run.index() }, run.crash_points(), run.at_start() });
+            add(state.life(), { { step, run.index() }, run.has_begun() });
         }
     }
 }
--- a/Source/Basilgap/State/WorkSnapshot.cpp
+++ b/Source/Basilgap/State/WorkSnapshot.cpp
@@ -36,7 +36,10 @@
                     taskState->set_failures(task.failures);
                     taskState->set_checkpoint(task.checkpoint);
                     taskState->set_since_ms(task.phaseSinceMs);
-                    taskState->set_crash_points(task.crashPoints);
+                    if (task.startCrashes.total > 0) {
+                        taskState->mutable_start_crashes()->set_total(task.startCrashes.total);
+                        taskState->mutable_start_crashes()->set_begun(task.startCrashes.begun);
+                    }
                 }
             }
         }
@@ -85,7 +88,8 @@
                     task.failures = savedTask.failures();
                     task.checkpoint = savedTask.checkpoint();
                     task.phaseSinceMs = savedTask.since_ms();
-                    task.crashPoints = savedTask.crash_points();
+                    task.startCrashes = { savedTask.start_crashes().total(),
+                        savedTask.start_crashes().begun() };
                     if (task.phase == RunPhase::Waiting) {
                         step.waiting++;
                         work.waitingTasks++;
@@ -120,7 +124,7 @@
     lostWorkers_.restore(snapshot);
     for (const LostRun &run : lostWorkers_.runs()) {
         if (WorkTask *task = findMutable(run.task))
-            task->unconfirmedCrashPoints += run.crashPoints;
+            task->unconfirmedStartCrashes += run.crash();
     }
 }
 
--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -333,23 +333,19 @@
     const schema::RunEnd &end, uint64_t stampMs)
 {
     WorkTask &task = *findMutable(ref);
-    const bool isAtStart = end.worker_loss() == schema::WORKER_LOST_AT_START;
     const bool hasOutlivedStart = end.worker_loss() == schema::WORKER_LOST_LATER
         || end.outcome() == schema::RUN_DONE || end.outcome() == schema::RUN_FAILED;
-    if (work->specOf(ref.step).service() && hasOutlivedStart) {
-        // A service runs until its worker ends, so that later losses are no evidence against it.
-        task.crashPoints = 0;
-        return;
-    }
+    if (hasOutlivedStart)
+        return clearStartCrashes(ref, &task);
     // A leaving worker ends as announced, with all that runs on it.
     if (end.worker_loss() == schema::WORKER_NOT_LOST || life.number() == 0 || life.leaving()
         || !work->isActive())
         return;
-    const uint32_t points = isAtStart ? StartCrashPoints : LaterCrashPoints;
+    const LostRun run{ ref, end.worker_loss() == schema::WORKER_LOST_AT_START };
     if (isReplaced(life))
-        return addCrashPoints(work, &task, points, stampMs);
-    task.unconfirmedCrashPoints += points;
-    lostWorkers_.add(life, { ref, points, isAtStart });
+        return addStartCrash(work, &task, run, stampMs);
+    task.unconfirmedStartCrashes += run.crash();
+    lostWorkers_.add(life, run);
 }
 
 void WorkTable::confirmCrash(const std::vector<LostRun> &runs, uint64_t stampMs)
@@ -357,7 +353,7 @@
     dismissCrash(runs);
     for (const LostRun &run : runs) {
         if (WorkTask *task = findMutable(run.task))
-            addCrashPoints(&works_.at(run.task.step.work), task, run.crashPoints, stampMs);
+            addStartCrash(&works_.at(run.task.step.work), task, run, stampMs);
     }
 }
 
@@ -365,17 +361,26 @@
 {
     for (const LostRun &run : runs) {
         if (WorkTask *task = findMutable(run.task))
-            task->unconfirmedCrashPoints -= run.crashPoints;
+            task->unconfirmedStartCrashes -= run.crash();
     }
 }
 
-void WorkTable::addCrashPoints(Work *work, WorkTask *task, uint32_t points, uint64_t stampMs)
+void WorkTable::addStartCrash(Work *work, WorkTask *task, const LostRun &run, uint64_t stampMs)
 {
-    task->crashPoints += points;
-    if (task->crashPoints >= MaxCrashPoints && work->isActive())
+    task->startCrashes += run.crash();
+    if (task->startCrashes.areConclusive() && work->isActive())
         finish(work, WorkPhase::Failed, stampMs);
 }
 
+// A run has outlived its start, so that the crashes before had other causes.
+void WorkTable::clearStartCrashes(const StepTaskRef &ref, WorkTask *task)
+{
+    if (task->unconfirmedStartCrashes.total > 0)
+        lostWorkers_.dismiss(ref);
+    task->startCrashes = {};
+    task->unconfirmedStartCrashes = {};
+}
+
 WorkTask *WorkTable::findMutable(const StepTaskRef &ref)
 {
     return const_cast<WorkTask *>(std::as_const(*this).find(ref));
--- a/Source/Basilgap/State/WorkTable.h
+++ b/Source/Basilgap/State/WorkTable.h
@@ -21,13 +21,6 @@
 using QueueName = StrongType<struct QueueNameTag, std::string>;
 using AccountName = StrongType<struct AccountNameTag, std::string>;
 
-// Evidence that a task crashes the workers that run it. A crash just after the start of its run
-// says more than a later one, which has other tasks as likely causes. A task fails its job after
-// two crashes at its start, or four later ones.
-constexpr uint32_t StartCrashPoints = 2;
-constexpr uint32_t LaterCrashPoints = 1;
-constexpr uint32_t MaxCrashPoints = 4;
-
 enum class WorkPhase { Active, Completed, Failed, Canceled };
 
 enum class RunPhase { Waiting, Running, Done };
@@ -45,17 +38,18 @@
     std::string checkpoint;
     // Time of the last change of phase, in Unix milliseconds.
     uint64_t phaseSinceMs = 0;
-    // Evidence that the task crashes its workers. Its job fails at MaxCrashPoints.
-    uint32_t crashPoints = 0;
-    // Points that count once its worker is known to have crashed.
-    uint32_t unconfirmedCrashPoints = 0;
+    // Crashes just after the start of its runs, since a run has last outlived its start.
+    StartCrashes startCrashes;
+    // Those that count once the worker is known to have crashed.
+    StartCrashes unconfirmedStartCrashes;
 
     // Whether the task may have crashed a worker, so that it should start alone.
-    bool isCrashSuspect() const { return crashPoints + unconfirmedCrashPoints >= StartCrashPoints; }
+    bool isCrashSuspect() const { return startCrashes.total + unconfirmedStartCrashes.total > 0; }
     // Whether the job fails if the workers whose fate is not known have crashed.
     bool awaitsCrashVerdict() const
     {
-        return unconfirmedCrashPoints > 0 && crashPoints + unconfirmedCrashPoints >= MaxCrashPoints;
+        return unconfirmedStartCrashes.total > 0
+            && (startCrashes + unconfirmedStartCrashes).areConclusive();
     }
 };
 
@@ -171,7 +165,8 @@
         const schema::RunEnd &end, uint64_t stampMs);
     void confirmCrash(const std::vector<LostRun> &runs, uint64_t stampMs);
     void dismissCrash(const std::vector<LostRun> &runs);
-    void addCrashPoints(Work *work, WorkTask *task, uint32_t points, uint64_t stampMs);
+    void addStartCrash(Work *work, WorkTask *task, const LostRun &run, uint64_t stampMs);
+    void clearStartCrashes(const StepTaskRef &ref, WorkTask *task);
     WorkTask *findMutable(const StepTaskRef &ref);
     void startRun(const schema::RunStart &start, uint64_t stampMs);
     void endRun(const schema::RunEnd &end, uint64_t stampMs);
--- a/Source/UnitTests/Dispatch/WorkerSessionFixture.h
+++ b/Source/UnitTests/Dispatch/WorkerSessionFixture.h
@@ -82,6 +82,33 @@
         table.apply(batch, static_cast<uint64_t>(loggedAt.count()));
     }
 
+    // Applies records after which the first run of the task may have crashed another worker.
+    void markAsSuspect(uint32_t index)
+    {
+        schema::RunBatch batch;
+        for (const uint64_t number : { 2, 3 }) {
+            schema::WorkerLife *life = batch.add_workers();
+            life->set_number(static_cast<uint32_t>(number));
+            life->set_id("w" + std::to_string(number));
+            life->set_address("crashed");
+            life->set_born_ms(number);
+        }
+        schema::RunStart *start = batch.add_starts();
+        start->set_work(1);
+        start->set_index(index);
+        start->set_run(1);
+        start->set_worker(2);
+        table.apply(batch, 2);
+        schema::RunBatch loss;
+        schema::RunEnd *end = loss.add_ends();
+        end->set_work(1);
+        end->set_index(index);
+        end->set_run(1);
+        end->set_outcome(schema::RUN_LAPSED);
+        end->set_worker_loss(schema::WORKER_LOST_AT_START);
+        table.apply(loss, 2);
+    }
+
     // The session is not told.
     void cancelJob()
     {
--- a/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
@@ -238,9 +238,61 @@
     }
     ASSERT_EQ(ends.size(), 2U);
     EXPECT_EQ(ends[0].workerLoss, schema::WORKER_LOST_LATER);
+    EXPECT_EQ(ends[1].workerLoss, schema::WORKER_LOST_BEFORE_ANSWER)
+        << "this leader does not know whether the run had begun";
+}
+
+// Guards against LOST: an order to a worker that had crashed before it arrived counted as a start
+// that had crashed the worker.
+TEST_F(WorkerSessionTest, aRunThatTheWorkerHasNeitherAcceptedNorListedMayNotHaveBegun)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    logStart(1, 1);
+    session->start(taskOf(0), 1, "", now);
+    dropAllStartAnswers();
+    session->start(taskOf(1), 1, "", now);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    for (int i = 0; i < 200 && ends.size() < 2; i++) {
+        const size_t polls = port.polls.size();
+        const size_t stops = port.stops.size();
+        advanceAndTick(50);
+        if (port.polls.size() > polls)
+            port.polls.back().done({});
+        if (port.stops.size() > stops)
+            port.stops.back().done({});
+    }
+    ASSERT_EQ(ends.size(), 2U);
+    EXPECT_EQ(ends[0].workerLoss, schema::WORKER_LOST_BEFORE_ANSWER);
     EXPECT_EQ(ends[1].workerLoss, schema::WORKER_LOST_AT_START);
 }
 
+// Guards against LOST: a crash long after the start was put down to it, since the worker had not
+// been asked in between.
+TEST_F(WorkerSessionTest, aSuspectIsLookedForOnceItHasOutlivedItsStart)
+{
+    openSession();
+    completeFirstPoll();
+    markAsSuspect(0);
+    logStart(0, 2);
+    advanceAndTick(MinPollIntervalMs);
+    const size_t polls = port.polls.size();
+    session->start(taskOf(0), 2, "", now);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    advanceAndTick(SessionTimes().startLossWindow.count() - 1);
+    EXPECT_EQ(port.polls.size(), polls) << "a poll is pending";
+    advanceAndTick(1);
+    ASSERT_EQ(port.polls.size(), polls + 1);
+    EXPECT_EQ(port.polls.back().order.wait, Millis());
+    now += Millis(5);
+    port.polls.back().done(pollAnswer({ 0 }, 2));
+    now += Millis(500);
+    session->supersede(now);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].workerLoss, schema::WORKER_LOST_LATER);
+}
+
 // Guards against LOST: the successor at a worker's address refused a stop, and its answer set the
 // clock by which the lease of the dead worker ends, so that its runs never lapsed.
 TEST_F(WorkerSessionTest, theClockOfAnotherWorkerAtTheAddressDelaysNoLapse)
