Take no run for lost before all ends are listed

Cause: a worker lists 500 ends at a time. A run that was neither running nor listed as ended was taken for lost, although the list was cut. A new leader's first poll of a worker had the same fault.

Ruled out: a lapsed lease (none did); answers applied in the wrong order. A test with one answer whose list is cut shows the fault by itself.

Change: a full list may not be complete. Until an answer lists all ends no run is lost, and a worker doesn't become known to a new leader.

--- a/Source/Basilgap/Dispatch/Ports.h
+++ b/Source/Basilgap/Dispatch/Ports.h
@@ -139,6 +139,8 @@
     std::optional<uint64_t> incarnationStartMs;
     std::vector<RunningReport> running;
     std::vector<EndReport> ended;
+    // The worker may have ended further runs, whose ends it lists once these are acknowledged.
+    bool mayHaveMoreEnds = false;
 };
 
 // Sends orders to workers. Every callback is called exactly once, from the event loop.
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -278,6 +278,7 @@
     bool hasStalledRun() const;
     void handlePollAnswer(PollAnswer answer, Millis sentAt, uint64_t number);
     void applyRunning(const PollAnswer &answer, Millis sentAt, Millis now);
+    void endMissingRuns(const std::set<StepTaskRef> &listed, Millis sentAt);
     static void recordProgress(SessionRun *known, int percent, Millis now);
     void applyEnds(const PollAnswer &answer);
     bool isStartWanted(const StepTaskRef &task, uint32_t run) const;
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -108,7 +108,8 @@
         applyRunning(answer, sentAt, now);
     }
     const bool wasSynced = synced_;
-    synced_ = true;
+    // Until all ends are listed, it is not known which runs of an earlier leader have ended.
+    synced_ = synced_ || !answer.mayHaveMoreEnds;
     setSuspect(false);
     if (!wasSynced || hadStrayRun != hasStrayRun_ || lingeringRuns != lingeringRuns_.size())
         options_.events.onAvailabilityChanged();
@@ -198,6 +199,13 @@
         known.latencyMsOrMillicores = report.latencyMsOrMillicores;
     }
     removeGoneLingeringRuns(listedLingering, sentAt);
+    if (!answer.mayHaveMoreEnds)
+        endMissingRuns(listed, sentAt);
+}
+
+// Ends the runs that the worker neither runs nor has ended.
+void WorkerSession::endMissingRuns(const std::set<StepTaskRef> &listed, Millis sentAt)
+{
     std::vector<StepTaskRef> gone;
     for (const auto &[task, known] : runs_) {
         if (listed.contains(task) || known.knownStateSince >= sentAt)
--- a/Source/UnitTests/Dispatch/ModelWorker.cpp
+++ b/Source/UnitTests/Dispatch/ModelWorker.cpp
@@ -8,6 +8,8 @@
 
 constexpr Millis MaxLease{ 10000 };
 constexpr int64_t MaxStopMs = 200;
+// Ends in one answer to a poll; small, so that lists are often cut.
+constexpr size_t MaxListedEnds = 2;
 // A steady clock may run 2 % slow.
 constexpr int64_t MaxSlownessPerMille = 20;
 
@@ -167,7 +169,9 @@
     answer.incarnationStartMs = incarnationStartMs_;
     for (const auto &[task, run] : running_)
         answer.running.push_back({ task, run.run, "", 50, 0 });
-    answer.ended = ended_;
+    answer.ended.assign(ended_.begin(),
+        ended_.begin() + static_cast<std::ptrdiff_t>(std::min(ended_.size(), MaxListedEnds)));
+    answer.mayHaveMoreEnds = answer.ended.size() == MaxListedEnds;
     return answer;
 }
 
--- a/Source/UnitTests/Dispatch/WorkerSessionFixture.h
+++ b/Source/UnitTests/Dispatch/WorkerSessionFixture.h
@@ -128,6 +128,11 @@
         return answer;
     }
 
+    static EndReport endOf(uint32_t index, uint64_t sequence)
+    {
+        return { sequence, { WorkId, 0, 0, index }, 1, schema::RUN_DONE, "" };
+    }
+
     void advanceAndTick(int64_t ms)
     {
         now += Millis(ms);
--- a/Source/UnitTests/Dispatch/WorkerSessionReportsTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionReportsTest.cpp
@@ -26,6 +26,60 @@
     EXPECT_EQ(ends[0].outcome, schema::RUN_LOST);
 }
 
+// Guards against TWICE: runs whose ends did not fit into the worker's list were taken for lost and
+// started again.
+TEST_F(WorkerSessionReportsTest, aRunWhoseEndIsNotListedYetIsNotLost)
+{
+    openSession();
+    completeFirstPoll();
+    for (uint32_t index = 0; index < 3; index++) {
+        logStart(index, 1);
+        session->start(taskOf(index), 1, "", now);
+        port.starts.back().done({ OrderResult::Accepted, now });
+    }
+    advanceAndTick(MinPollIntervalMs);
+    PollAnswer first = pollAnswer({});
+    first.ended = { endOf(0, 1) };
+    first.mayHaveMoreEnds = true;
+    port.polls.back().done(first);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].outcome, schema::RUN_DONE);
+    EXPECT_TRUE(session->isUsable());
+    session->ackEnds(1);
+    advanceAndTick(MinPollIntervalMs);
+    PollAnswer second = pollAnswer({});
+    second.ended = { endOf(1, 2) };
+    port.polls.back().done(second);
+    ASSERT_EQ(ends.size(), 3U);
+    EXPECT_EQ(ends[1].outcome, schema::RUN_DONE);
+    EXPECT_EQ(ends[2].outcome, schema::RUN_LOST) << "all ends are listed now";
+}
+
+// The same after a change of leader: the new one does not know whether the run has started.
+TEST_F(WorkerSessionReportsTest, anAdoptedRunIsLostOnlyOnceAllEndsAreListed)
+{
+    logStart(0, 1);
+    logStart(1, 1);
+    logStart(2, 1);
+    openSession();
+    advanceAndTick(0);
+    PollAnswer first = pollAnswer({});
+    first.ended = { endOf(0, 1) };
+    first.mayHaveMoreEnds = true;
+    port.polls.back().done(first);
+    EXPECT_EQ(ends.size(), 1U);
+    EXPECT_FALSE(session->isUsable()) << "it is not known what else runs there";
+    session->ackEnds(1);
+    advanceAndTick(MinPollIntervalMs);
+    PollAnswer second = pollAnswer({});
+    second.ended = { endOf(1, 2) };
+    port.polls.back().done(second);
+    ASSERT_EQ(ends.size(), 3U);
+    EXPECT_EQ(ends[1].outcome, schema::RUN_DONE);
+    EXPECT_EQ(ends[2].outcome, schema::RUN_LOST);
+    EXPECT_TRUE(session->isUsable());
+}
+
 TEST_F(WorkerSessionReportsTest, pollDelayShortensTheWait)
 {
     pollDelay = Millis(200);
