Keep no capacity free for urgent tasks that can't be placed

Cause: the demand of urgent work counted every waiting task. The peak of what can never start doesn't decay, so that deferrable work left the largest headroom, 40 % of the cell, free for ever.

Ruled out: the account's limit (there is none), advice (not in use), workers that are not usable (event=cell: four of four, 57.6 of 128 cores reserved).

Change: demand counts what the workers of the pool could hold if they were empty (EmptyCapacity, made when the list of workers changes) within the account's limit, once it is due, and until it is so late that it is placed like deferrable work. Headroom is kept for each pool by itself. Lateness and StepWorker have files of their own, as UrgentDemand needs them.

Tests: UrgentDemandTest.

--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -41,6 +41,7 @@
         worker.labels.assign(incarnation->labels().begin(), incarnation->labels().end());
         worker.capacity = state::capacityOf(*incarnation);
     }
+    emptyCapacity_ = scheduling::EmptyCapacity(workers);
     planWorkers_.assign(std::move(workers));
 }
 
@@ -102,7 +103,9 @@
     const auto planStart = std::chrono::steady_clock::now();
     if (now >= nextPrune_)
         pruneFinishedWorks(now);
-    urgentDemand_.update(state_.works(), state_.workConfig(), now);
+    std::vector<scheduling::StepWorker> &workers = refreshWorkers(now);
+    const auto wallMs = static_cast<uint64_t>(wallNow().count());
+    urgentDemand_.update(state_.works(), state_.workConfig(), emptyCapacity_, now, wallMs);
     scheduling::StepPlan plan = scheduling::StepPlanner(
         {
             .table = state_.works(),
@@ -111,9 +114,9 @@
             .health = health_,
             .durations = speeds_,
             .urgent = urgentDemand_,
-            .workers = refreshWorkers(now),
+            .workers = workers,
             .now = now,
-            .wallMs = static_cast<uint64_t>(wallNow().count()),
+            .wallMs = wallMs,
             .stateMs = static_cast<uint64_t>(stateNow().count()),
             .adviceClaims = adviceClaims_,
             .advisors = advicePool_.callSlots(),
--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-// A work earns nothing after three times its latency objective.
-constexpr int64_t ExpiredLatenessFactor = 3;
-
 // Slowdown from which deferrable work avoids a worker too.
 constexpr double DegradedSlowdown = 1.5;
 
@@ -34,22 +31,6 @@
 
 } // namespace
 
-uint64_t criticalPathMs(const state::Work &work, std::optional<uint32_t> remainingOf)
-{
-    std::vector<uint64_t> ends(static_cast<size_t>(work.spec.steps_size()), 0);
-    uint64_t longest = 0;
-    for (size_t i = 0; i < ends.size(); i++) {
-        const schema::StepSpec &step = work.spec.steps(static_cast<int>(i));
-        uint64_t begin = 0;
-        for (const uint32_t before : step.after())
-            begin = std::max(begin, ends[before]);
-        const bool isDone = remainingOf && work.occurrences[*remainingOf][i].isDone();
-        ends[i] = begin + (isDone ? 0 : step.estimate_ms());
-        longest = std::max(longest, ends[i]);
-    }
-    return longest;
-}
-
 bool StepPlanner::Candidate::operator<(const Candidate &other) const
 {
     return std::tie(latenessBand, priority, slackMs, ref)
@@ -80,8 +61,9 @@
     for (StepWorker &worker : input_.workers) {
         if (!worker.schedulable)
             continue;
-        capacity_ += worker.capacity;
-        freeCapacity_ += positivePart(worker.freeCapacity());
+        PoolCapacity &pool = pools_[worker.pool];
+        pool.total += worker.capacity;
+        pool.free += positivePart(worker.freeCapacity());
         // A backfill task needs memory only.
         if (worker.freeCapacity().memoryMb > 0)
             workersWithRoom_.push_back(&worker);
@@ -93,11 +75,14 @@
 {
     if (candidate.priority < DeferrablePriority && candidate.latenessBand < 2)
         return true;
+    const auto pool = pools_.find(candidate.queue->pool());
+    if (reservation.millicores == 0 || pool == pools_.end())
+        return true;
     const auto maxHeadroom =
-        static_cast<int64_t>(static_cast<double>(capacity_.millicores) * MaxHeadroomShare);
-    const int64_t headroom = std::min(maxHeadroom, input_.urgent.cellHeadroom().millicores);
-    return reservation.millicores == 0
-        || freeCapacity_.millicores - reservation.millicores >= headroom;
+        static_cast<int64_t>(static_cast<double>(pool->second.total.millicores) * MaxHeadroomShare);
+    const int64_t headroom =
+        std::min(maxHeadroom, input_.urgent.poolHeadroom(pool->first).millicores);
+    return pool->second.free.millicores - reservation.millicores >= headroom;
 }
 
 // Whether all predecessors are done or about to end, so that advice is prefetched.
@@ -128,30 +113,21 @@
     const schema::QueueConfig *queue = input_.config.findQueue(work.queue);
     if (queue == nullptr)
         return;
-    const auto chain = static_cast<double>(criticalPathMs(work, std::nullopt));
     for (uint32_t occurrence = 0; occurrence < work.occurrences.size(); occurrence++) {
-        const uint64_t due = std::max(work.dueMs(occurrence), work.submittedMs);
         if (work.dueMs(occurrence) > input_.wallMs)
             continue;
-        const auto objective = static_cast<int64_t>(
-            queue->slack_factor() * chain + static_cast<double>(queue->target_latency_ms()));
-        const auto age = static_cast<int64_t>(input_.wallMs) - static_cast<int64_t>(due);
-        const int64_t slack =
-            objective - age - static_cast<int64_t>(criticalPathMs(work, occurrence));
+        const Lateness lateness = latenessOf(work, *queue, occurrence, input_.wallMs);
         for (uint32_t step = 0; step < work.occurrences[occurrence].size(); step++) {
             const StepRef ref{ work.serial, occurrence, step };
             if (input_.pendingEnds.waitingTasks(work, ref) == 0)
                 continue;
-            const bool isService = work.specOf(ref).service();
-            const int latenessBand =
-                isService || slack >= 0 ? 0 : (age < ExpiredLatenessFactor * objective ? 1 : 2);
             Candidate candidate{
                 .ref = ref,
                 .work = &work,
                 .queue = queue,
                 .priority = queue->priority(),
-                .latenessBand = latenessBand,
-                .slackMs = slack,
+                .latenessBand = work.specOf(ref).service() ? 0 : lateness.band,
+                .slackMs = lateness.slackMs,
                 .isPrefetch = !input_.pendingEnds.isReady(work, ref),
             };
             if (!candidate.isPrefetch || mayPrefetchAdvice(candidate))
@@ -322,7 +298,7 @@
 {
     const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
     worker->reserved += state::reservationOf(spec);
-    freeCapacity_ -= state::reservationOf(spec);
+    pools_[candidate.queue->pool()].free -= state::reservationOf(spec);
     worker->backfillMillicores += spec.backfill() ? static_cast<int64_t>(spec.millicores()) : 0;
     if (worker->remainingStarts != UINT32_MAX)
         worker->remainingStarts--;
@@ -412,7 +388,7 @@
     uint32_t run = 0;
     for (const state::WorkTask &task : step.tasks)
         run = std::max(run, task.run);
-    const Resources freeBefore = freeCapacity_;
+    const auto poolsBefore = pools_;
     const auto addedBefore = plannedUsage_;
     const auto placedBefore = plannedTasks_;
     const size_t startsBefore = plan_.starts.size();
@@ -431,7 +407,7 @@
         return;
     for (size_t i = startsBefore; i < plan_.starts.size(); i++)
         undoStart(candidate, findWorker(plan_.starts[i].worker));
-    freeCapacity_ = freeBefore;
+    pools_ = poolsBefore;
     plannedUsage_ = addedBefore;
     plannedTasks_ = placedBefore;
     plan_.starts.resize(startsBefore);
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -11,9 +11,11 @@
 #include "Basilgap/Common/Millis.h"
 #include "Basilgap/Scheduling/AdviceClaims.h"
 #include "Basilgap/Scheduling/DurationEstimator.h"
+#include "Basilgap/Scheduling/Lateness.h"
 #include "Basilgap/Scheduling/PendingRunEnds.h"
 #include "Basilgap/Scheduling/PermitCache.h"
 #include "Basilgap/Scheduling/PollPacing.h"
+#include "Basilgap/Scheduling/StepWorker.h"
 #include "Basilgap/Scheduling/UrgentDemand.h"
 #include "Basilgap/Scheduling/WorkerHealth.h"
 #include "Basilgap/State/WorkConfigState.h"
@@ -21,32 +23,8 @@
 
 namespace basilgap::scheduling {
 
-using state::Resources;
 using state::StepRef;
 using state::StepTaskRef;
-using state::WorkerNumber;
-
-// State of a worker for the step planner.
-struct StepWorker
-{
-    WorkerNumber number;
-    std::string pool;
-    std::string rack;
-    std::vector<std::string> labels;
-    Resources capacity;
-    // Includes all runs whose end is not confirmed.
-    Resources reserved;
-    // Millicores that the backfill tasks on the worker would use.
-    int64_t backfillMillicores = 0;
-    // Whether it may be given new tasks.
-    bool schedulable = true;
-    // Duration relative to a typical worker.
-    double slowdown = 1;
-    // Number of tasks that may still be started; limited while the worker is on probation.
-    uint32_t remainingStarts = UINT32_MAX;
-
-    Resources freeCapacity() const { return capacity - reserved; }
-};
 
 // A running deferrable task that may be preempted for urgent work; it keeps its checkpoint.
 struct PreemptibleRun
@@ -231,8 +209,13 @@
 
     StepPlanInput input_;
     StepPlan plan_;
-    Resources capacity_;
-    Resources freeCapacity_;
+    // Capacity of the schedulable workers of a pool.
+    struct PoolCapacity
+    {
+        Resources total;
+        Resources free;
+    };
+    std::map<std::string, PoolCapacity> pools_;
     // Workers with free capacity at the start of the round, by number.
     std::vector<StepWorker *> workersWithRoom_;
     // Workers with free capacity when the first step asks for advice, and what steps claim there.
@@ -254,8 +237,4 @@
     std::map<std::pair<StepRef, WorkerNumber>, uint32_t> plannedTasks_;
 };
 
-// Length of the critical path through a work's steps by their estimates: of the steps of the given
-// occurrence that are not done yet, or of all steps.
-uint64_t criticalPathMs(const state::Work &work, std::optional<uint32_t> remainingOf);
-
 } // namespace basilgap::scheduling
--- a/Source/Basilgap/Scheduling/UrgentDemand.h
+++ b/Source/Basilgap/Scheduling/UrgentDemand.h
@@ -1,16 +1,19 @@
 #pragma once
 
 #include <map>
+#include <string>
 
 #include "Basilgap/Common/Millis.h"
+#include "Basilgap/Scheduling/EmptyCapacity.h"
 #include "Basilgap/State/WorkConfigState.h"
 #include "Basilgap/State/WorkTable.h"
 
 namespace basilgap::scheduling {
 
-// Tracks the decaying peak of the capacity that urgent work needed at a time, for the cell and for
-// each account, so that deferrable work leaves that much headroom. Load pattern: bursts of urgent
-// jobs on an account whose limit, or a cell whose capacity, is full of deferrable work.
+// Tracks the decaying peak of the capacity that urgent work needed at a time, for each pool and for
+// each account, so that deferrable work leaves that much headroom. Tasks that can't be placed, or
+// are so late that they are treated as deferrable, need none. Load pattern: bursts of urgent jobs
+// on an account whose limit, or a pool whose capacity, is full of deferrable work.
 class UrgentDemand
 {
 public:
@@ -19,11 +22,13 @@
         : deferrablePriority_(deferrablePriority)
     {}
 
-    void update(const state::WorkTable &table, const state::WorkConfigState &config, Millis now);
+    // Takes the present time on the steady clock and in Unix milliseconds.
+    void update(const state::WorkTable &table, const state::WorkConfigState &config,
+        const EmptyCapacity &capacity, Millis now, uint64_t wallMs);
 
     // Headroom for urgent work beyond what it uses now.
     state::Resources headroomFor(const state::AccountName &account) const;
-    state::Resources cellHeadroom() const;
+    state::Resources poolHeadroom(const std::string &pool) const;
 
 private:
     struct Demand
@@ -38,9 +43,13 @@
         state::Resources headroom() const;
     };
 
+    // Adds what the job's steps use and wait for.
+    void addWork(const state::Work &work, const schema::QueueConfig &queue,
+        const schema::AccountConfig *account, const EmptyCapacity &capacity, uint64_t wallMs);
+
     uint32_t deferrablePriority_;
     std::map<state::AccountName, Demand> accounts_;
-    Demand cellDemand_;
+    std::map<std::string, Demand> pools_;
     Millis observedAt_;
 };
 
--- a/Source/UnitTests/Scheduling/StepPlannerFixture.h
+++ b/Source/UnitTests/Scheduling/StepPlannerFixture.h
@@ -72,7 +72,7 @@
         std::vector<StepWorker> current = workers;
         for (StepWorker &worker : current)
             worker.reserved += table.reservedOn(worker.number);
-        urgent.update(table, config, Now);
+        urgent.update(table, config, EmptyCapacity(workers), Now, Wall);
         return StepPlanner(
             {
                 .table = table,
