--- a/Source/Basilgap/Control/Replica.h
+++ b/Source/Basilgap/Control/Replica.h
@@ -129,6 +129,7 @@
     void refreshConfirmation();
     void updateRole();
     void failPendingProposals();
+    LogIndex trailingStart() const;
     void maybeSnapshot();
     void updateLinks();
     void sendProbes();
--- a/Source/Basilgap/Control/ReplicaWriting.cpp
+++ b/Source/Basilgap/Control/ReplicaWriting.cpp
@@ -1,5 +1,6 @@
 // Replica methods that write the log and snapshots to disk.
 
+#include <algorithm>
 #include <utility>
 
 #include "Basilgap/Common/EventLog.h"
@@ -12,8 +13,9 @@
 constexpr Millis WriteRetryInterval{ 1000 };
 
 // Log records kept before a snapshot, so that a replica that was away for a short time can catch up
-// from the log and needs no snapshot.
-constexpr uint64_t TrailingRecords = 4000;
+// from the log and needs no snapshot. They take no more space than the records between two
+// snapshots.
+constexpr uint64_t MaxTrailingRecords = 4000;
 
 } // namespace
 
@@ -86,6 +88,16 @@
         });
 }
 
+// The records after this one are kept beside a snapshot of the present state.
+LogIndex Replica::trailingStart() const
+{
+    const LogIndex byCount(appliedIndex_.value() > MaxTrailingRecords
+            ? appliedIndex_.value() - MaxTrailingRecords
+            : 0);
+    const LogIndex byBytes = storage_->startOfLast(options_.settings.snapshot_bytes());
+    return std::min(appliedIndex_, std::max(byCount, byBytes));
+}
+
 void Replica::maybeSnapshot()
 {
     if (appliedIndex_ > durableIndex_
@@ -96,8 +108,7 @@
     snapshot.mutable_meta()->set_term(core_->termAt(appliedIndex_).value());
     *snapshot.mutable_meta()->mutable_membership() = core_->membershipAt(appliedIndex_);
     snapshot.set_state(state_.save());
-    const LogIndex keepFrom(
-        appliedIndex_.value() > TrailingRecords ? appliedIndex_.value() - TrailingRecords : 0);
+    const LogIndex keepFrom = trailingStart();
     const auto saved = storage_->saveSnapshot(snapshot, keepFrom);
     logBytesAtSnapshot_ = storage_->logBytes();
     if (!saved && isTransient(saved.error())) {
--- a/Source/Basilgap/Replication/LogStorage.cpp
+++ b/Source/Basilgap/Replication/LogStorage.cpp
@@ -1,5 +1,6 @@
 #include "Basilgap/Replication/LogStorage.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <filesystem>
 
@@ -308,6 +309,13 @@
     return rewriteLog(keepFrom, Term(term), kept);
 }
 
+LogIndex LogStorage::startOfLast(uint64_t maxBytes) const
+{
+    const uint64_t firstOffset = logLength_ > maxBytes ? logLength_ - maxBytes : 0;
+    const auto first = std::lower_bound(offsets_.begin(), offsets_.end(), firstOffset);
+    return LogIndex(baseIndex_ + static_cast<uint64_t>(first - offsets_.begin()));
+}
+
 Result<void> LogStorage::rewriteLog(
     LogIndex baseIndex, Term baseTerm, const std::vector<std::string> &records)
 {
--- a/Source/Basilgap/Replication/LogStorage.h
+++ b/Source/Basilgap/Replication/LogStorage.h
@@ -50,6 +50,8 @@
     Result<void> saveSnapshot(const schema::Snapshot &snapshot, LogIndex keepFrom);
 
     uint64_t logBytes() const { return logLength_; }
+    // The first record after which the log has at most that many bytes.
+    LogIndex startOfLast(uint64_t maxBytes) const;
 
 private:
     explicit LogStorage(Options options);
--- a/Source/UnitTests/Control/ReplicaTest.cpp
+++ b/Source/UnitTests/Control/ReplicaTest.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <filesystem>
+
 #include <gtest/gtest.h>
 
 #include "SingleReplicaFixture.h"
@@ -51,5 +54,47 @@
     EXPECT_EQ((*reopened)->takePersistentState().log.lastIndex(), last);
 }
 
+class ReplicaSnapshotTest : public SingleReplicaFixture
+{
+protected:
+    static constexpr uint32_t SnapshotBytes = 256 * 1024;
+
+    void SetUp() override
+    {
+        settings_.set_snapshot_bytes(SnapshotBytes);
+        SingleReplicaFixture::SetUp();
+    }
+
+    uint64_t logFileBytes() const { return std::filesystem::file_size(folder_ + "/log"); }
+};
+
+// Guards against LOST and CONFIG: the log kept a number of records whatever their size, so that
+// many large configurations filled the disks of all replicas.
+TEST_F(ReplicaSnapshotTest, theLogKeepsNoMoreBytesThanBetweenTwoSnapshots)
+{
+    constexpr size_t DocumentBytes = 50000;
+    uint64_t largest = 0;
+    for (int version = 1; version <= 100; version++) {
+        schema::Command command;
+        command.mutable_put_work_config()->set_version(static_cast<uint64_t>(version));
+        command.mutable_put_work_config()->set_document(std::string(DocumentBytes, 'x'));
+        propose(std::move(command));
+        ASSERT_TRUE(runUntil([&] { return accepted_ == version; }));
+        largest = std::max(largest, logFileBytes());
+    }
+    // Up to twice that, and one record beyond each bound.
+    EXPECT_LE(largest, 2 * (SnapshotBytes + DocumentBytes + 1000));
+    const LogIndex last = replica_->core().lastIndex();
+    replica_.reset();
+    auto reopened = replication::LogStorage::open(
+        { .folder = folder_, .replica = ReplicaId("r1"), .calls = &disk_ });
+    ASSERT_TRUE(reopened.has_value());
+    const replication::RaftPersistentState kept = (*reopened)->takePersistentState();
+    EXPECT_EQ(kept.log.lastIndex(), last);
+    state::CellState restored;
+    restored.restore(*kept.snapshotState);
+    EXPECT_GE(restored.workConfig().version(), 90U) << "the newest snapshot is recent";
+}
+
 } // namespace
 } // namespace basilgap::control
