--- a/Source/Benchmarks/StepPlanBench.cpp
+++ b/Source/Benchmarks/StepPlanBench.cpp
@@ -48,6 +48,7 @@
             list[i].pool = "pool";
             list[i].capacity = Capacity;
         }
+        capacity_ = scheduling::EmptyCapacity(list);
         workers_.assign(std::move(list));
         for (uint32_t job = 0; job < workers * 5 / TasksPerJob + WaitingJobs; job++)
             submit();
@@ -74,7 +75,7 @@
 
     scheduling::StepPlan plan()
     {
-        urgent_.update(table_, config_, Now);
+        urgent_.update(table_, config_, capacity_, Now, WallMs);
         return scheduling::StepPlanner(
             {
                 .table = table_,
@@ -144,6 +145,7 @@
     scheduling::AdviceClaims claims_;
     scheduling::WorkerHealth health_;
     scheduling::DurationEstimator durations_;
+    scheduling::EmptyCapacity capacity_;
     scheduling::UrgentDemand urgent_{ scheduling::DeferrablePriority };
     dispatch::PlanWorkers workers_;
     std::deque<std::pair<StepTaskRef, uint32_t>> running_;
