Give a task more time after each stop as hanging

Cause: a run without progress for 2.9 s was taken for hanging, whatever became of the runs before.

Change: each stop of a task as hanging doubles the time of its next run, up to 256 times. Only the first stop counts against the worker.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -186,6 +186,8 @@
     std::chrono::nanoseconds planTime_{};
     // Workers that have become slow, and their slowdown factor.
     std::map<state::WorkerNumber, double> slowWorkers_;
+    // How often the runs of a task were stopped as stalled.
+    std::map<StepTaskRef, uint32_t> stallCounts_;
     // Tasks whose run was stopped because its worker was slow.
     std::set<StepTaskRef> movedTasks_;
     // Cache of expected step ends; cleared by each check for stragglers.
--- a/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
@@ -75,6 +75,7 @@
             const schema::StepSpec &spec = work->specOf(task.step);
             if (spec.gang() || spec.service() || spec.backfill())
                 continue;
+            const auto stalls = stallCounts_.find(task);
             runs.push_back({
                 .task = task,
                 .worker = number,
@@ -87,6 +88,7 @@
                 .stalledReports = run.stalledReports,
                 .keepsProgress = spec.checkpointing(),
                 .wasStoppedAsSlow = movedTasks_.contains(task),
+                .stallCount = stalls == stallCounts_.end() ? 0 : stalls->second,
             });
         }
     }
@@ -107,9 +109,10 @@
             .with("worker", session.endpoint().id)
             .with("reason", isStalled ? "hanging" : "crawling")
             .with("percent", session.runs().at(straggler.task).progressPercent);
-        if (isStalled)
+        // A task that stalls on several workers says nothing about them.
+        if (isStalled && stallCounts_[straggler.task]++ == 0)
             health_.recordFailure(straggler.worker, JobId(work->serial.value()), now);
-        else
+        if (!isStalled)
             movedTasks_.insert(straggler.task);
         session.stop(straggler.task, now);
     }
--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -87,10 +87,13 @@
         const state::Work *work = state_.works().find(state::WorkSerial(job.value()));
         return work != nullptr && work->isActive();
     });
-    std::erase_if(movedTasks_, [this](const StepTaskRef &task) {
+    const auto isFinished = [this](const StepTaskRef &task) {
         const state::Work *work = state_.works().find(task.step.work);
         return work == nullptr || !work->isActive();
-    });
+    };
+    std::erase_if(movedTasks_, isFinished);
+    std::erase_if(
+        stallCounts_, [&isFinished](const auto &entry) { return isFinished(entry.first); });
     std::erase_if(startSentAt_, [this](const auto &entry) {
         const state::WorkTask *task = state_.works().find(entry.first);
         return task == nullptr || task->phase != state::RunPhase::Running;
--- a/Source/Basilgap/Scheduling/StragglerDetection.cpp
+++ b/Source/Basilgap/Scheduling/StragglerDetection.cpp
@@ -15,6 +15,9 @@
 constexpr int MinStalledReports = 3;
 constexpr Millis ReportedStallTimeout{ 800 };
 constexpr double StallShareOfEstimate = 0.05;
+// The time without progress doubles with each stop of the task, up to this many times, so that long
+// tasks end.
+constexpr uint32_t MaxStallDoublings = 8;
 
 // Smaller progress and shorter times are too inaccurate to derive a speed.
 constexpr int MinProgressPercent = 5;
@@ -80,13 +83,14 @@
 {
     if (run.percent >= 100)
         return false;
-    if (run.sinceProgress > StallTimeout)
+    const int64_t factor = int64_t{ 1 } << std::min(run.stallCount, MaxStallDoublings);
+    if (run.sinceProgress > StallTimeout * factor)
         return true;
     if (run.stalledReports < MinStalledReports || !run.correctedEstimate)
         return false;
     const auto share = static_cast<int64_t>(
         static_cast<double>(run.correctedEstimate->count()) * StallShareOfEstimate);
-    return run.sinceProgress > ReportedStallTimeout + Millis(share);
+    return run.sinceProgress > (ReportedStallTimeout + Millis(share)) * factor;
 }
 
 // Typical duration of the step's tasks on other workers, in milliseconds.
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -1,5 +1,5 @@
 #include <algorithm>
-#include <set>
+#include <map>
 #include <utility>
 
 #include <gtest/gtest.h>
@@ -25,8 +25,8 @@
     std::string stepName(const std::string &, uint32_t, uint32_t) const override { return {}; }
 };
 
-// A worker that accepts every start and answers every poll at once. It lists the ends of its runs
-// until they are acknowledged.
+// A worker that accepts every order and answers every poll at once. Its runs stay at 10 percent. It
+// lists their ends until they are acknowledged.
 class AnsweringWorker
 {
 public:
@@ -36,8 +36,12 @@
 
     void answerCalls()
     {
+        for (auto &stop : std::exchange(port_.stops, {})) {
+            endRun({ stop.order.task, stop.order.run }, schema::RUN_STOPPED);
+            stop.done({ OrderResult::Accepted, steadyNow() });
+        }
         for (auto &start : std::exchange(port_.starts, {})) {
-            running_.insert({ start.order.task, start.order.run });
+            running_[{ start.order.task, start.order.run }] = steadyNow();
             start.done({ OrderResult::Accepted, steadyNow() });
         }
         for (auto &poll : std::exchange(port_.polls, {})) {
@@ -46,10 +50,15 @@
         }
     }
 
-    void endAllRuns()
+    void endAllRuns() { endRunsOfAge(Millis()); }
+
+    // Ends the runs that have taken at least that long as done.
+    void endRunsOfAge(Millis age)
     {
-        for (const auto &[task, run] : std::exchange(running_, {}))
-            ends_.push_back({ ends_.size() + 1, task, run, schema::RUN_DONE, "" });
+        for (const auto &[run, startedAt] : std::map(running_)) {
+            if (steadyNow() - startedAt >= age)
+                endRun(run, schema::RUN_DONE);
+        }
     }
 
     size_t runningCount() const { return running_.size(); }
@@ -57,14 +66,22 @@
     uint64_t ackedEndSequence() const { return ackedEndSequence_; }
 
 private:
+    using Run = std::pair<TaskName, uint32_t>;
+
+    void endRun(const Run &run, schema::RunOutcome outcome)
+    {
+        if (running_.erase(run) > 0)
+            ends_.push_back({ ends_.size() + 1, run.first, run.second, outcome, "" });
+    }
+
     PollAnswer pollAnswer() const
     {
         PollAnswer answer;
         answer.result = OrderResult::Accepted;
         answer.workerClock = steadyNow();
         answer.incarnationStartMs = IncarnationStartMs;
-        for (const auto &[task, run] : running_)
-            answer.running.push_back({ task, run, "", 10, 0 });
+        for (const auto &[run, startedAt] : running_)
+            answer.running.push_back({ run.first, run.second, "", 10, 0 });
         for (const EndReport &end : ends_) {
             if (end.sequence > ackedEndSequence_)
                 answer.ended.push_back(end);
@@ -73,7 +90,7 @@
     }
 
     FakeWorkerPort &port_;
-    std::set<std::pair<TaskName, uint32_t>> running_;
+    std::map<Run, Millis> running_;
     std::vector<EndReport> ends_;
     uint64_t ackedEndSequence_ = 0;
 };
@@ -203,5 +220,21 @@
     EXPECT_EQ(worker_.endCount(), 4U);
 }
 
+// Guards against LOST: a task whose percentage rises slowly was stopped as hanging after three
+// seconds each time, and never done.
+TEST_F(WorkDispatcherTest, aTaskWhosePercentageRisesSlowlyIsDone)
+{
+    submit(1);
+    const auto isDone = [this] {
+        worker_.endRunsOfAge(Millis(4000));
+        return work().phase == state::WorkPhase::Completed;
+    };
+    ASSERT_TRUE(runWorkerUntil([this] { return worker_.runningCount() == 1; }));
+    bool done = false;
+    for (int i = 0; i < 3 && !done; i++)
+        done = runWorkerUntil(isDone);
+    EXPECT_TRUE(done);
+}
+
 } // namespace
 } // namespace basilgap::dispatch
--- a/Source/UnitTests/Scheduling/StragglerDetectionTest.cpp
+++ b/Source/UnitTests/Scheduling/StragglerDetectionTest.cpp
@@ -75,6 +75,25 @@
         << "one percent of a long task takes a while";
 }
 
+// Guards against LOST: a task of which one percent takes longer than the timeout was stopped again
+// and again, and never done.
+TEST(StragglerDetection, aTaskThatWasStoppedAsStalledGetsTwiceTheTime)
+{
+    RunObservation run = runOf(1, 0, 1, 40, 400);
+    run.correctedEstimate = Millis(800);
+    run.sinceProgress = Millis(3000);
+    EXPECT_EQ(detectStragglers({ run }).stragglers.size(), 1U);
+    run.stallCount = 1;
+    EXPECT_TRUE(detectStragglers({ run }).stragglers.empty());
+    run.sinceProgress = Millis(6000);
+    EXPECT_EQ(detectStragglers({ run }).stragglers.size(), 1U);
+    run.sinceProgress = Millis(1500);
+    run.stalledReports = 3;
+    EXPECT_TRUE(detectStragglers({ run }).stragglers.empty());
+    run.sinceProgress = Millis(2000);
+    EXPECT_EQ(detectStragglers({ run }).stragglers.size(), 1U);
+}
+
 // Guards against false positives: without any fault, a hundred runs were stopped on workers that
 // were as fast as all others.
 TEST(StragglerDetection, shortSiblingsDoNotMakeAWorkerSlow)
