Drop orders whose caller has gone

Cause: what the sockets of a suspended process hold is read and passed on although the caller has gone, and orders on zones have no version.

Ruled out: configurations, waves and submissions; their versions, names and ids make a late one harmless.

Change: before each send the process asks whether the caller is still there; if not, the order is dropped.

--- a/Source/Basilgap/Network/HttpServer.cpp
+++ b/Source/Basilgap/Network/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
@@ -124,7 +125,15 @@
         evhttp_send_reply(request, 503, nullptr, nullptr);
     }
 
-    bool isCallerGone() const override { return request_ == nullptr || isHungUp_; }
+    bool isCallerGone() const override
+    {
+        if (request_ == nullptr || isHungUp_ || !*alive_)
+            return true;
+        bufferevent *buffer =
+            evhttp_connection_get_bufferevent(evhttp_request_get_connection(request_));
+        pollfd socket{ .fd = bufferevent_getfd(buffer), .events = POLLRDHUP, .revents = 0 };
+        return ::poll(&socket, 1, 0) > 0;
+    }
 
     // evhttp does not read while a request is being answered, so it does not detect the end of the
     // connection by itself.
--- a/Source/Basilgap/Network/HttpServer.h
+++ b/Source/Basilgap/Network/HttpServer.h
@@ -24,6 +24,7 @@
     virtual void answer(HttpResponse response) = 0;
     // Closes the connection without an answer.
     virtual void abort() = 0;
+    // Asks the socket, as a process that was suspended reads requests of callers that have gone.
     virtual bool isCallerGone() const = 0;
     // Called when the caller closes its connection before the answer.
     virtual void onCallerGone(std::function<void()> callback) = 0;
--- a/Source/Basilgap/Network/RpcClient.cpp
+++ b/Source/Basilgap/Network/RpcClient.cpp
@@ -19,12 +19,15 @@
     , tickTimer_(loop, [this] { tick(); })
 {}
 
-void RpcClient::call(schema::RpcRequest request, Millis timeout, Callback callback)
+void RpcClient::call(
+    schema::RpcRequest request, Millis timeout, Callback callback, IsWanted isWanted)
 {
     const uint64_t id = nextId_++;
     request.set_id(id);
     const Millis now = steadyNow();
-    calls_.emplace(id, Call{ std::move(request), now + timeout, now, false, std::move(callback) });
+    calls_.emplace(id,
+        Call{ std::move(request), now + timeout, now, false, std::move(callback),
+            std::move(isWanted) });
     send(id);
     if (!tickTimer_.isPending())
         tickTimer_.startRepeating(TickInterval);
@@ -36,6 +39,10 @@
     const auto call = calls_.find(id);
     if (call == calls_.end())
         return;
+    if (call->second.isWanted && !call->second.isWanted()) {
+        calls_.erase(call);
+        return;
+    }
     schema::PeerMessage message;
     *message.mutable_rpc_request() = call->second.request;
     const Millis now = steadyNow();
--- a/Source/Basilgap/Network/RpcClient.h
+++ b/Source/Basilgap/Network/RpcClient.h
@@ -20,9 +20,14 @@
 
     RpcClient(EventLoop &loop, Send send);
 
+    // Whether a request may still be sent.
+    using IsWanted = std::function<bool()>;
+
     // The callback receives the answer of the leader, or an error after the timeout: Unreachable if
-    // the request was never passed to a connection, Timeout otherwise.
-    void call(schema::RpcRequest request, Millis timeout, Callback callback);
+    // the request was never passed to a connection, Timeout otherwise. It is not called once
+    // `isWanted` has returned false, which is asked before each send.
+    void call(
+        schema::RpcRequest request, Millis timeout, Callback callback, IsWanted isWanted = {});
 
     void handleReply(const schema::RpcReply &reply);
 
@@ -39,6 +44,7 @@
         Millis resendAt;
         bool sent = false;
         Callback callback;
+        IsWanted isWanted;
     };
 
     void send(uint64_t id);
