Count each stalled run once

A stalled run is found again every 200 ms until its stop is answered, and each time the next run of its task was given twice the time, and the repeated stop of this one came later. StallHistory counts a run once and leaves its own stop as it was.

Test: StallHistory.countsEachRunOnce, written with it.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -16,7 +16,9 @@
 #include "Basilgap/Scheduling/DurationEstimator.h"
 #include "Basilgap/Scheduling/PermitCache.h"
 #include "Basilgap/Scheduling/PollPacing.h"
+#include "Basilgap/Scheduling/StallHistory.h"
 #include "Basilgap/Scheduling/StepPlanner.h"
+#include "Basilgap/Scheduling/StragglerDetection.h"
 #include "Basilgap/Scheduling/WorkerHealth.h"
 
 namespace basilgap::dispatch {
@@ -101,6 +103,7 @@
     Millis pollDelay(state::WorkerNumber worker);
     std::optional<Millis> expectedStepEnd(const state::Work &work, const state::StepRef &step);
     void stopStragglers();
+    void recordStall(const scheduling::Straggler &straggler, uint32_t run, Millis now);
     void throttleBackfill();
     std::vector<scheduling::PreemptibleRun> preemptibleRunsOn(
         state::WorkerNumber worker, Millis now) const;
@@ -186,8 +189,7 @@
     std::chrono::nanoseconds planTime_{};
     // Workers that have become slow, and their slowdown factor.
     std::map<state::WorkerNumber, double> slowWorkers_;
-    // How often the runs of a task were stopped as stalled.
-    std::map<StepTaskRef, uint32_t> stallCounts_;
+    scheduling::StallHistory stalls_;
     // Tasks whose run was stopped because its worker was slow.
     std::set<StepTaskRef> movedTasks_;
     // Cache of expected step ends; cleared by each check for stragglers.
--- a/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
@@ -2,7 +2,6 @@
 
 #include "Basilgap/Common/EventLog.h"
 #include "Basilgap/Dispatch/WorkDispatcher.h"
-#include "Basilgap/Scheduling/StragglerDetection.h"
 
 namespace basilgap::dispatch {
 
@@ -75,7 +74,6 @@
             const schema::StepSpec &spec = work->specOf(task.step);
             if (spec.gang() || spec.service() || spec.backfill())
                 continue;
-            const auto stalls = stallCounts_.find(task);
             runs.push_back({
                 .task = task,
                 .worker = number,
@@ -88,7 +86,7 @@
                 .stalledReports = run.stalledReports,
                 .keepsProgress = spec.checkpointing(),
                 .wasStoppedAsSlow = movedTasks_.contains(task),
-                .stallCount = stalls == stallCounts_.end() ? 0 : stalls->second,
+                .earlierStalls = stalls_.earlierStalls(task, run.run),
             });
         }
     }
@@ -109,15 +107,22 @@
             .with("worker", session.endpoint().id)
             .with("reason", isStalled ? "hanging" : "crawling")
             .with("percent", session.runs().at(straggler.task).progressPercent);
-        // A task that stalls on several workers says nothing about them.
-        if (isStalled && stallCounts_[straggler.task]++ == 0)
-            health_.recordFailure(straggler.worker, JobId(work->serial.value()), now);
-        if (!isStalled)
+        if (isStalled)
+            recordStall(straggler, session.runs().at(straggler.task).run, now);
+        else
             movedTasks_.insert(straggler.task);
         session.stop(straggler.task, now);
     }
 }
 
+// A task that stalls on several workers says nothing about them.
+void WorkDispatcher::recordStall(const scheduling::Straggler &straggler, uint32_t run, Millis now)
+{
+    if (stalls_.earlierStalls(straggler.task, run) == 0)
+        health_.recordFailure(straggler.worker, JobId(straggler.task.step.work.value()), now);
+    stalls_.record(straggler.task, run);
+}
+
 // Latest expected end of the step's running tasks; empty while a task has no worker or no run has
 // an estimate.
 std::optional<Millis> WorkDispatcher::expectedStepEnd(
--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -92,8 +92,7 @@
         return work == nullptr || !work->isActive();
     };
     std::erase_if(movedTasks_, isFinished);
-    std::erase_if(
-        stallCounts_, [&isFinished](const auto &entry) { return isFinished(entry.first); });
+    stalls_.eraseIf(isFinished);
     std::erase_if(startSentAt_, [this](const auto &entry) {
         const state::WorkTask *task = state_.works().find(entry.first);
         return task == nullptr || task->phase != state::RunPhase::Running;
--- a/Source/Basilgap/Scheduling/StragglerDetection.cpp
+++ b/Source/Basilgap/Scheduling/StragglerDetection.cpp
@@ -83,7 +83,7 @@
 {
     if (run.percent >= 100)
         return false;
-    const int64_t factor = int64_t{ 1 } << std::min(run.stallCount, MaxStallDoublings);
+    const int64_t factor = int64_t{ 1 } << std::min(run.earlierStalls, MaxStallDoublings);
     if (run.sinceProgress > StallTimeout * factor)
         return true;
     if (run.stalledReports < MinStalledReports || !run.correctedEstimate)
--- a/Source/Basilgap/Scheduling/StragglerDetection.h
+++ b/Source/Basilgap/Scheduling/StragglerDetection.h
@@ -31,8 +31,9 @@
     bool keepsProgress = false;
     // The task was stopped as a slow straggler before; it may simply be a long task.
     bool wasStoppedAsSlow = false;
-    // How often the task was stopped as stalled. It may be one whose percentage rises slowly.
-    uint32_t stallCount = 0;
+    // How many earlier runs of the task were stopped as stalled. It may be one whose percentage
+    // rises slowly.
+    uint32_t earlierStalls = 0;
 };
 
 enum class StragglerKind { Stalled, Slow };
--- a/Source/UnitTests/Scheduling/StragglerDetectionTest.cpp
+++ b/Source/UnitTests/Scheduling/StragglerDetectionTest.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "Basilgap/Scheduling/DurationEstimator.h"
+#include "Basilgap/Scheduling/StallHistory.h"
 #include "Basilgap/Scheduling/StragglerDetection.h"
 
 namespace basilgap::scheduling {
@@ -83,7 +84,7 @@
     run.correctedEstimate = Millis(800);
     run.sinceProgress = Millis(3000);
     EXPECT_EQ(detectStragglers({ run }).stragglers.size(), 1U);
-    run.stallCount = 1;
+    run.earlierStalls = 1;
     EXPECT_TRUE(detectStragglers({ run }).stragglers.empty());
     run.sinceProgress = Millis(6000);
     EXPECT_EQ(detectStragglers({ run }).stragglers.size(), 1U);
@@ -94,6 +95,24 @@
     EXPECT_EQ(detectStragglers({ run }).stragglers.size(), 1U);
 }
 
+// A stalled run is found again until its stop is answered.
+TEST(StallHistory, countsEachRunOnce)
+{
+    const state::StepTaskRef task{ { state::WorkSerial(1), 0, 0 }, 0 };
+    StallHistory history;
+    EXPECT_EQ(history.earlierStalls(task, 1), 0U);
+    history.record(task, 1);
+    history.record(task, 1);
+    EXPECT_EQ(history.earlierStalls(task, 1), 0U) << "its stop is repeated after the same time";
+    EXPECT_EQ(history.earlierStalls(task, 2), 1U);
+    history.record(task, 3);
+    history.record(task, 3);
+    EXPECT_EQ(history.earlierStalls(task, 3), 1U);
+    EXPECT_EQ(history.earlierStalls(task, 4), 2U);
+    history.eraseIf([&task](const state::StepTaskRef &other) { return other == task; });
+    EXPECT_EQ(history.earlierStalls(task, 4), 0U);
+}
+
 // Guards against false positives: without any fault, a hundred runs were stopped on workers that
 // were as fast as all others.
 TEST(StragglerDetection, shortSiblingsDoNotMakeAWorkerSlow)
