--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include <gtest/gtest.h>
@@ -37,10 +38,16 @@
     void answerCalls()
     {
         for (auto &stop : std::exchange(port_.stops, {})) {
+            stopCount_++;
             endRun({ stop.order.task, stop.order.run }, schema::RUN_STOPPED);
             stop.done({ OrderResult::Accepted, steadyNow() });
         }
         for (auto &start : std::exchange(port_.starts, {})) {
+            if (refusedTask_ == start.order.task.index) {
+                refusedTask_.reset();
+                start.done({ OrderResult::NoTicket, steadyNow() });
+                continue;
+            }
             running_[{ start.order.task, start.order.run }] = steadyNow();
             start.done({ OrderResult::Accepted, steadyNow() });
         }
@@ -61,6 +68,10 @@
         }
     }
 
+    // Refuses the next start of the task with this index.
+    void refuseStartOf(uint32_t index) { refusedTask_ = index; }
+
+    size_t stopCount() const { return stopCount_; }
     size_t runningCount() const { return running_.size(); }
     size_t endCount() const { return ends_.size(); }
     uint64_t ackedEndSequence() const { return ackedEndSequence_; }
@@ -92,6 +103,8 @@
     FakeWorkerPort &port_;
     std::map<Run, Millis> running_;
     std::vector<EndReport> ends_;
+    std::optional<uint32_t> refusedTask_;
+    size_t stopCount_ = 0;
     uint64_t ackedEndSequence_ = 0;
 };
 
@@ -150,7 +163,7 @@
         dispatcher_->handleRequest(request, [](const schema::RpcReply &) {});
     }
 
-    void submit(uint32_t tasks)
+    void submit(uint32_t tasks, bool isGang = false)
     {
         schema::Command command;
         schema::SubmitWork *submit = command.mutable_submit_work();
@@ -160,6 +173,7 @@
         submit->set_max_attempts(3);
         schema::StepSpec *step = submit->mutable_spec()->add_steps();
         step->set_count(tasks);
+        step->set_gang(isGang);
         step->set_millicores(1000);
         step->set_memory_mb(10);
         step->set_estimate_ms(1000);
@@ -236,5 +250,18 @@
     EXPECT_TRUE(done);
 }
 
+// Shows GANG (KNOWN-RED.txt): the start of one member is refused, and the others wait for it in
+// vain. A worker ends a member that has waited for 4 s.
+TEST_F(WorkDispatcherTest, membersOfAGangAreStoppedOnceTheStartOfOneIsRefused)
+{
+    constexpr Millis GangTimeout{ 4000 };
+    worker_.refuseStartOf(1);
+    submit(3, true);
+    ASSERT_TRUE(runWorkerUntil([this] { return worker_.runningCount() == 2; }));
+    const Millis end = steadyNow() + GangTimeout;
+    runWorkerUntil([this, end] { return worker_.stopCount() == 2 || steadyNow() >= end; });
+    EXPECT_EQ(worker_.stopCount(), 2U);
+}
+
 } // namespace
 } // namespace basilgap::dispatch
