Name the file that a write failed on, and say what fills the disk

Operators saw the same fault under two names: disk-full named `log` on one site and `spare1` on the other.

Cause: an open file kept the path that it was opened under. The log is a renamed spare file until the process restarts, so that a full log was reported as spare1 by processes that had not restarted, and as log by those that had.

Metric basilgap_control_disk_unusable.

Test: LogStorageTest.writeErrorNamesTheLogBeforeAndAfterARestart; before the change it got spare1.

--- a/Source/Basilgap/Control/ControlProcess.cpp
+++ b/Source/Basilgap/Control/ControlProcess.cpp
@@ -240,6 +240,7 @@
     return line("basilgap_control_leading", replica_->isLeading() ? 1 : 0)
         + line("basilgap_control_term", core.term().value())
         + line("basilgap_control_commit_index", core.commitIndex().value())
+        + line("basilgap_control_disk_unusable", replica_->diskError().empty() ? 0 : 1)
         + line("basilgap_control_sent_bytes", replica_->sentBytes() + peers_->sentBytes())
         + line("basilgap_control_received_bytes", peers_->receivedBytes())
         + line("basilgap_jobs", replica_->state().jobs().jobs().size())
--- a/Source/Basilgap/Control/ReplicaWriting.cpp
+++ b/Source/Basilgap/Control/ReplicaWriting.cpp
@@ -17,6 +17,14 @@
 // snapshots.
 constexpr uint64_t MaxTrailingRecords = 4000;
 
+std::string toText(const std::vector<replication::FileSize> &files)
+{
+    std::string text;
+    for (const replication::FileSize &file : files)
+        text += (text.empty() ? "" : ",") + file.name + ":" + std::to_string(file.bytes);
+    return text;
+}
+
 } // namespace
 
 void Replica::startWrite(replication::RaftOutput output)
@@ -40,7 +48,11 @@
         diskError_ = written.result.error().text();
         const bool isDiskFull = written.result.error().code == ErrorCode::Full;
         LogEvent(isDiskFull ? "disk-full" : "descriptors-exhausted", LogLevel::Error)
-            .with(written.result.error());
+            .with(written.result.error())
+            .with("files", toText(storage_->fileSizes()))
+            .with("applied", appliedIndex_.value())
+            .with("durable", durableIndex_.value())
+            .with("snapshot", core_->snapshotIndex().value());
         core_->stepDown();
         failedOutput_ = output;
         updateRole();
@@ -112,14 +124,17 @@
     const auto saved = storage_->saveSnapshot(snapshot, keepFrom);
     logBytesAtSnapshot_ = storage_->logBytes();
     if (!saved && isTransient(saved.error())) {
-        LogEvent("snapshot-failed", LogLevel::Warning).with(saved.error());
+        LogEvent("snapshot-failed", LogLevel::Warning)
+            .with(saved.error())
+            .with("files", toText(storage_->fileSizes()));
         return;
     }
     if (!saved)
         return options_.onFatal(saved.error());
     LogEvent("snapshot-saved")
         .with("index", appliedIndex_.value())
-        .with("bytes", snapshot.state().size());
+        .with("bytes", snapshot.state().size())
+        .with("logBytes", storage_->logBytes());
     core_->compact(
         snapshot.meta(), std::make_shared<const std::string>(snapshot.state()), keepFrom);
 }
--- a/Source/Basilgap/Replication/DataFolder.cpp
+++ b/Source/Basilgap/Replication/DataFolder.cpp
@@ -1,5 +1,7 @@
 #include "Basilgap/Replication/DataFolder.h"
 
+#include <algorithm>
+#include <filesystem>
 #include <utility>
 
 #include <fcntl.h>
@@ -94,6 +96,7 @@
     if (::rename(pathOf(spare.name).c_str(), pathOf(name).c_str()) != 0)
         return fail(systemError("rename", pathOf(name)));
     DiskFile file = std::move(spare.file);
+    file.setPath(pathOf(name));
     spares_.erase(spares_.begin());
     if (auto synced = sync(); !synced)
         return fail(synced.error());
@@ -103,4 +106,20 @@
     return file;
 }
 
+std::vector<FileSize> DataFolder::fileSizes() const
+{
+    std::vector<FileSize> sizes;
+    std::error_code code;
+    for (std::filesystem::directory_iterator entry(path_, code), end; !code && entry != end;
+         entry.increment(code)) {
+        std::error_code unreadable;
+        const auto bytes = entry->file_size(unreadable);
+        if (!unreadable)
+            sizes.push_back({ .name = entry->path().filename().string(), .bytes = bytes });
+    }
+    std::sort(sizes.begin(), sizes.end(),
+        [](const FileSize &a, const FileSize &b) { return a.name < b.name; });
+    return sizes;
+}
+
 } // namespace basilgap::replication
--- a/Source/Basilgap/Replication/DataFolder.h
+++ b/Source/Basilgap/Replication/DataFolder.h
@@ -9,6 +9,13 @@
 
 namespace basilgap::replication {
 
+// A file of the folder and its size in bytes.
+struct FileSize
+{
+    std::string name;
+    uint64_t bytes = 0;
+};
+
 // A folder whose files are replaced atomically. The descriptors that this needs are opened in
 // advance, since a process that has run out of descriptors must still be able to save its state.
 class DataFolder
@@ -29,6 +36,9 @@
 
     std::string pathOf(const std::string &name) const { return path_ + "/" + name; }
 
+    // The files in the folder, by name.
+    std::vector<FileSize> fileSizes() const;
+
 private:
     Result<void> openSpares();
     Result<void> sync() const;
--- a/Source/Basilgap/Replication/DiskFile.h
+++ b/Source/Basilgap/Replication/DiskFile.h
@@ -39,6 +39,9 @@
 
     bool isOpen() const { return file_ >= 0; }
 
+    // Errors name this path. Called after the file has been renamed.
+    void setPath(std::string path) { path_ = std::move(path); }
+
 private:
     int file_ = -1;
     std::string path_;
--- a/Source/Basilgap/Replication/LogStorage.h
+++ b/Source/Basilgap/Replication/LogStorage.h
@@ -50,6 +50,7 @@
     Result<void> saveSnapshot(const schema::Snapshot &snapshot, LogIndex keepFrom);
 
     uint64_t logBytes() const { return logLength_; }
+    std::vector<FileSize> fileSizes() const { return folder_.fileSizes(); }
     // The first record after which the log has at most that many bytes.
     LogIndex startOfLast(uint64_t maxBytes) const;
 
--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -143,6 +143,8 @@
     Term term() const { return Term(hardState_.term()); }
     LogIndex commitIndex() const { return commitIndex_; }
     LogIndex lastIndex() const { return log_.lastIndex(); }
+    // Last record that the newest snapshot covers; 0 without one.
+    LogIndex snapshotIndex() const { return LogIndex(snapshotMeta_.index()); }
     Term termAt(LogIndex index) const { return log_.termAt(index); }
     const schema::Membership &membership() const { return memberships_.rbegin()->second; }
     schema::Membership membershipAt(LogIndex index) const;
--- a/Source/UnitTests/Replication/LogStorageTest.cpp
+++ b/Source/UnitTests/Replication/LogStorageTest.cpp
@@ -165,6 +165,23 @@
     EXPECT_EQ((*open())->takePersistentState().log.lastIndex(), LogIndex(6));
 }
 
+// An open file kept the name of the spare file that it once was, so that a log that had filled its
+// disk was reported as a spare file until the process restarted.
+TEST_F(LogStorageTest, writeErrorNamesTheLogBeforeAndAfterARestart)
+{
+    auto storage = open();
+    for (const uint64_t index : { 1U, 2U }) {
+        ASSERT_TRUE((*storage)->write(outputWithRecords(index, index)).has_value());
+        disk_.full = true;
+        const auto refused = (*storage)->write(outputWithRecords(index + 1, index + 1));
+        disk_.full = false;
+        ASSERT_FALSE(refused.has_value());
+        EXPECT_EQ(refused.error().peer, logPath());
+        storage->reset();
+        storage = open();
+    }
+}
+
 TEST_F(LogStorageTest, failedSyncIsNotReportedAsAFullDisk)
 {
     auto storage = open();
