--- a/Source/UnitTests/Control/ReplicaCellTest.cpp
+++ b/Source/UnitTests/Control/ReplicaCellTest.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <deque>
 #include <filesystem>
 #include <set>
@@ -15,6 +16,7 @@
 constexpr Millis MaxWait{ 30000 };
 // Longer than a leader takes to act on a request to join.
 constexpr Millis ReactionTime{ 500 };
+constexpr uint32_t SmallSnapshotBytes = 256 * 1024;
 constexpr auto TurnPause = std::chrono::milliseconds(1);
 
 std::string nameOf(size_t index)
@@ -22,11 +24,24 @@
     return "r" + std::to_string(index);
 }
 
+// A disk whose syncs take a while.
+class SlowDisk : public replication::DiskCalls
+{
+public:
+    int sync(int file) override
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(syncTime.load().count()));
+        return DiskCalls::sync(file);
+    }
+
+    std::atomic<Millis> syncTime{ Millis(0) };
+};
+
 // A replica with its own event loop, server and data folder.
 struct Node
 {
     network::EventLoop loop;
-    replication::DiskCalls disk;
+    SlowDisk disk;
     schema::ControlSettings settings;
     std::unique_ptr<network::PeerServer> server;
     std::unique_ptr<Replica> replica;
@@ -56,6 +71,9 @@
         ASSERT_TRUE(runUntil([this] { return leader().has_value(); }));
     }
 
+    // For the replicas that are started from now on.
+    void setSnapshotBytes(uint32_t bytes) { snapshotBytes_ = bytes; }
+
     // Starts a replica that the others don't know. It knows those of the start.
     size_t addReplica()
     {
@@ -219,6 +237,7 @@
         node.settings.set_id(nameOf(index));
         node.settings.set_peer_address(addresses_[index]);
         node.settings.set_data_folder(node.folder);
+        node.settings.set_snapshot_bytes(snapshotBytes_);
         for (size_t i = 0; i < peers_.size(); i++) {
             schema::PeerSettings *peer = node.settings.add_peers();
             peer->set_id(nameOf(i));
@@ -242,6 +261,7 @@
     }
 
     MembershipMode mode_ = MembershipMode::Listed;
+    uint32_t snapshotBytes_ = schema::ControlSettings().snapshot_bytes();
     std::deque<Node> nodes_;
     std::vector<std::string> addresses_;
     // Addresses of the replicas that the cell starts with.
@@ -316,5 +336,37 @@
     EXPECT_TRUE(hasVote(voter, first));
 }
 
+// Guards against LOST and CONFIG: a leader whose disk is slower than those of a majority had always
+// applied more than it had written, and took no snapshot while changes kept coming.
+TEST_F(ReplicaCell, slowDiskOfTheLeaderDoesNotKeepItsLogFromShrinking)
+{
+    constexpr size_t DocumentBytes = 50000;
+    constexpr uint64_t Changes = 120;
+    constexpr uint64_t ChangesInFlight = 8;
+    constexpr uint64_t MaxLogBytes = 2 * SmallSnapshotBytes + 2 * ChangesInFlight * DocumentBytes;
+    setSnapshotBytes(SmallSnapshotBytes);
+    ASSERT_NO_FATAL_FAILURE(startCell(3, MembershipMode::Listed));
+    const size_t slow = *leader();
+    node(slow).disk.syncTime = Millis(30);
+    uint64_t proposed = 0;
+    uint64_t accepted = 0;
+    uint64_t largestLog = 0;
+    ASSERT_TRUE(runUntil([&] {
+        while (proposed < Changes && proposed - accepted < ChangesInFlight) {
+            schema::Command command;
+            command.mutable_put_work_config()->set_version(++proposed);
+            command.mutable_put_work_config()->set_document(std::string(DocumentBytes, 'x'));
+            replica(slow).propose(std::move(command), [&](const schema::CommandOutcome &outcome) {
+                EXPECT_EQ(outcome.code(), schema::ACCEPTED);
+                accepted++;
+            });
+        }
+        largestLog =
+            std::max<uint64_t>(largestLog, std::filesystem::file_size(node(slow).folder + "/log"));
+        return accepted == Changes;
+    }));
+    EXPECT_LE(largestLog, MaxLogBytes);
+}
+
 } // namespace
 } // namespace basilgap::control
--- /dev/null
+++ b/Source/UnitTests/Control/ReplicaDiskTest.cpp
@@ -0,0 +1,84 @@
+#include <filesystem>
+
+#include <gtest/gtest.h>
+
+#include "SingleReplicaFixture.h"
+#include "StandIns/QuotaDisk.h"
+
+namespace basilgap::control {
+namespace {
+
+// A replica on a small disk that takes one large configuration after the other.
+class ReplicaDiskTest : public SingleReplicaFixture
+{
+protected:
+    static constexpr uint32_t SnapshotBytes = 256 * 1024;
+    static constexpr size_t DocumentBytes = 50000;
+
+    void SetUp() override
+    {
+        settings_.set_snapshot_bytes(SnapshotBytes);
+        SingleReplicaFixture::SetUp();
+    }
+
+    replication::DiskCalls &disk() override { return quota_; }
+
+    void restart()
+    {
+        replica_.reset();
+        startReplica();
+    }
+
+    // Proposes the next configuration and waits until it is accepted.
+    void configure()
+    {
+        schema::Command command;
+        command.mutable_put_work_config()->set_version(++version_);
+        command.mutable_put_work_config()->set_document(std::string(DocumentBytes, 'x'));
+        propose(std::move(command));
+        ASSERT_TRUE(runUntil([this] { return accepted_ == static_cast<int>(version_); }))
+            << "configuration " << version_ << ": " << replica_->diskError();
+    }
+
+    standins::QuotaDisk quota_{ folder_ };
+    uint64_t version_ = 0;
+};
+
+} // namespace
+
+// Guards against LOST and CONFIG: each restart let the log grow by as much as lies between two
+// snapshots before it was shortened, so that changes between restarts filled the disk.
+TEST_F(ReplicaDiskTest, changesBetweenRestartsDoNotFillTheDisk)
+{
+    constexpr uint64_t ChangesBetweenRestarts = 4;
+    constexpr int Restarts = 20;
+    static_assert(ChangesBetweenRestarts * DocumentBytes < SnapshotBytes);
+    quota_.setFreeBytes(8 * SnapshotBytes);
+    for (int i = 0; i < Restarts; i++) {
+        for (uint64_t change = 0; change < ChangesBetweenRestarts; change++)
+            ASSERT_NO_FATAL_FAILURE(configure());
+        ASSERT_NO_FATAL_FAILURE(restart());
+    }
+}
+
+// Guards against LOST and CONFIG: a replica whose write failed on a full disk only tried the same
+// write again, for ever, although a snapshot would have freed the space that its own log took.
+TEST_F(ReplicaDiskTest, fullDiskIsFreedByTheReplicaItself)
+{
+    constexpr int Changes = 40;
+    quota_.setFreeBytes(SnapshotBytes / 2);
+    for (int i = 0; i < Changes; i++)
+        ASSERT_NO_FATAL_FAILURE(configure());
+}
+
+// Guards against a quorum that is lost to full disks: a vote is a few bytes in a new file, for
+// which there was no space, so that after a power cut no replica could lead and free its disk.
+TEST_F(ReplicaDiskTest, replicaLeadsAfterARestartOnAFullDisk)
+{
+    ASSERT_NO_FATAL_FAILURE(configure());
+    quota_.setFreeBytes(0);
+    ASSERT_NO_FATAL_FAILURE(restart());
+    ASSERT_NO_FATAL_FAILURE(configure());
+}
+
+} // namespace basilgap::control
--- a/Source/UnitTests/Control/SingleReplicaFixture.h
+++ b/Source/UnitTests/Control/SingleReplicaFixture.h
@@ -28,11 +28,17 @@
         schema::PeerSettings *peer = settings_.add_peers();
         peer->set_id("r1");
         peer->set_address("127.0.0.1:1");
+        startReplica();
+    }
+
+    // Starts the replica on the data that its folder holds, and waits until it leads.
+    void startReplica()
+    {
         auto started = Replica::start(loop_,
             {
                 .settings = settings_,
                 .cellKey = "key",
-                .disk = disk_,
+                .disk = disk(),
                 .onLeadershipGained = [] {},
                 .onLeadershipLost = [] {},
                 .onApplied =
@@ -42,11 +48,13 @@
                 .onLinkMessage = [](const schema::PeerMessage &) {},
                 .onFatal = [](const Error &error) { ADD_FAILURE() << error.text(); },
             });
-        ASSERT_TRUE(started.has_value());
+        ASSERT_TRUE(started.has_value()) << started.error().text();
         replica_ = std::move(*started);
         ASSERT_TRUE(runUntil([this] { return replica_->isLeading(); }));
     }
 
+    virtual replication::DiskCalls &disk() { return disk_; }
+
     void TearDown() override
     {
         disk_.setBlocked(false);
