--- a/Source/Basilgap/Control/Replica.cpp
+++ b/Source/Basilgap/Control/Replica.cpp
@@ -52,7 +52,6 @@
         replication::RaftOptions{
             .self = self_, .incarnation = storage_->incarnation(), .seed = randomNumber() },
         std::move(restart), steadyNow());
-    logBytesAtSnapshot_ = storage_->logBytes();
     durableIndex_ = core_->lastIndex();
     updateLinks();
     tickTimer_.startRepeating(TickInterval);
--- a/Source/Basilgap/Control/Replica.h
+++ b/Source/Basilgap/Control/Replica.h
@@ -130,6 +130,7 @@
     void updateRole();
     void failPendingProposals();
     LogIndex trailingStart() const;
+    bool isSnapshotDue() const;
     void maybeSnapshot();
     void updateLinks();
     void sendProbes();
@@ -166,7 +167,7 @@
     LogIndex durableIndex_;
     // While true, the write thread uses the storage and the event loop must not.
     bool isWriting_ = false;
-    uint64_t logBytesAtSnapshot_ = 0;
+    Millis nextSnapshotTry_;
     std::string diskError_;
     replication::RaftOutput failedOutput_;
     // Replies of the other replicas since the last probe; used while this one is uninitialized.
--- a/Source/Basilgap/Control/ReplicaWriting.cpp
+++ b/Source/Basilgap/Control/ReplicaWriting.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Millis WriteRetryInterval{ 1000 };
+constexpr Millis SnapshotRetryInterval{ 1000 };
 
 // Log records kept before a snapshot, so that a replica that was away for a short time can catch up
 // from the log and needs no snapshot. They take no more space than the records between two
@@ -110,10 +111,14 @@
     return std::min(appliedIndex_, std::max(byCount, byBytes));
 }
 
+bool Replica::isSnapshotDue() const
+{
+    return core_->bytesSinceSnapshot() >= options_.settings.snapshot_bytes();
+}
+
 void Replica::maybeSnapshot()
 {
-    if (appliedIndex_ > durableIndex_
-        || storage_->logBytes() < logBytesAtSnapshot_ + options_.settings.snapshot_bytes())
+    if (!isSnapshotDue() || appliedIndex_ > durableIndex_ || steadyNow() < nextSnapshotTry_)
         return;
     schema::Snapshot snapshot;
     snapshot.mutable_meta()->set_index(appliedIndex_.value());
@@ -122,8 +127,8 @@
     snapshot.set_state(state_.save());
     const LogIndex keepFrom = trailingStart();
     const auto saved = storage_->saveSnapshot(snapshot, keepFrom);
-    logBytesAtSnapshot_ = storage_->logBytes();
     if (!saved && isTransient(saved.error())) {
+        nextSnapshotTry_ = steadyNow() + SnapshotRetryInterval;
         LogEvent("snapshot-failed", LogLevel::Warning)
             .with(saved.error())
             .with("files", toText(storage_->fileSizes()));
--- a/Source/Basilgap/Replication/RaftLog.h
+++ b/Source/Basilgap/Replication/RaftLog.h
@@ -34,11 +34,16 @@
     void reset(LogIndex baseIndex, Term baseTerm);
 
     size_t size() const { return records_.size(); }
+    // Size of the records after the index.
+    uint64_t bytesAfter(LogIndex index) const;
 
 private:
     uint64_t baseIndex_ = 0;
     uint64_t baseTerm_ = 0;
     std::deque<schema::LogRecord> records_;
+    // For each record the bytes of all records up to and including it, those before the window too.
+    std::deque<uint64_t> endBytes_;
+    uint64_t baseBytes_ = 0;
 };
 
 } // namespace basilgap::replication
