--- a/Source/Basilgap/Control/Replica.cpp
+++ b/Source/Basilgap/Control/Replica.cpp
@@ -220,7 +220,8 @@
 }
 
 // While an output is being written, the core collects the next one, so records proposed meanwhile
-// share one write. Messages and commits that do not depend on a local write are not held back.
+// share one write. Messages and commits that do not depend on a local write are not held back,
+// unless a snapshot is due: it holds what is applied, which must be written by then.
 void Replica::flush()
 {
     while (diskError_.empty() && !isWriting_) {
@@ -228,7 +229,7 @@
         if (output.isEmpty())
             break;
         send(output.messagesBeforeSync);
-        if (!output.install)
+        if (!output.install && !isSnapshotDue())
             applyAll(std::exchange(output.committed, {}));
         if (output.needsSync())
             startWrite(std::move(output));
@@ -236,9 +237,9 @@
             finishOutput(output);
     }
     if (isWriting_) {
-        const replication::RaftOutput early = core_->takeOutputBeforeSync();
-        send(early.messagesBeforeSync);
-        applyAll(early.committed);
+        send(core_->takeMessagesBeforeSync());
+        if (!isSnapshotDue())
+            applyAll(core_->takeCommittedBeforeSync());
     }
     updateRole();
     completeBarriers();
--- a/Source/Basilgap/Replication/RaftCore.cpp
+++ b/Source/Basilgap/Replication/RaftCore.cpp
@@ -254,15 +254,18 @@
         becomeFollower(term(), ReplicaId());
 }
 
-RaftOutput RaftCore::takeOutputBeforeSync()
+std::vector<schema::RaftMessage> RaftCore::takeMessagesBeforeSync()
 {
     if (isLeader())
         broadcast(false);
-    RaftOutput early;
-    early.messagesBeforeSync = std::exchange(output_.messagesBeforeSync, {});
-    if (!output_.install)
-        early.committed = std::exchange(output_.committed, {});
-    return early;
+    return std::exchange(output_.messagesBeforeSync, {});
+}
+
+std::vector<schema::LogRecord> RaftCore::takeCommittedBeforeSync()
+{
+    if (output_.install)
+        return {};
+    return std::exchange(output_.committed, {});
 }
 
 RaftOutput RaftCore::takeOutput()
--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -123,10 +123,11 @@
     void stepDown();
 
     RaftOutput takeOutput();
-    // Takes the part of the output that does not depend on a sync of this replica:
-    // messagesBeforeSync, and the committed records unless a snapshot must be installed first.
+    // The next two take the parts of the output that do not depend on a sync of this replica.
     // Called while an earlier output is being written.
-    RaftOutput takeOutputBeforeSync();
+    std::vector<schema::RaftMessage> takeMessagesBeforeSync();
+    // None if a snapshot must be installed first.
+    std::vector<schema::LogRecord> takeCommittedBeforeSync();
 
     RaftRole role() const { return role_; }
     bool isLeader() const { return role_ == RaftRole::Leader; }
--- a/Source/Basilgap/Replication/RaftLog.cpp
+++ b/Source/Basilgap/Replication/RaftLog.cpp
@@ -70,7 +70,8 @@
 {
     if (records_.empty() || index >= lastIndex())
         return 0;
-    return endBytes_.back() - (holds(index) ? endBytes_[index.value() - baseIndex_ - 1] : baseBytes_);
+    return endBytes_.back()
+        - (holds(index) ? endBytes_[index.value() - baseIndex_ - 1] : baseBytes_);
 }
 
 } // namespace basilgap::replication
