--- a/Source/Basilgap/Control/ReplicaWriting.cpp
+++ b/Source/Basilgap/Control/ReplicaWriting.cpp
@@ -113,7 +113,7 @@
 
 bool Replica::isSnapshotDue() const
 {
-    return core_->bytesSinceSnapshot() >= options_.settings.snapshot_bytes();
+    return core_->bytesSinceSnapshot(appliedIndex_) >= options_.settings.snapshot_bytes();
 }
 
 void Replica::maybeSnapshot()
--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -146,8 +146,11 @@
     LogIndex lastIndex() const { return log_.lastIndex(); }
     // Last record that the newest snapshot covers; 0 without one.
     LogIndex snapshotIndex() const { return LogIndex(snapshotMeta_.index()); }
-    // Size of the records that the newest snapshot does not cover.
-    uint64_t bytesSinceSnapshot() const { return log_.bytesAfter(snapshotIndex()); }
+    // Size of the records up to the index that the newest snapshot does not cover.
+    uint64_t bytesSinceSnapshot(LogIndex upTo) const
+    {
+        return log_.bytesAfter(snapshotIndex()) - log_.bytesAfter(std::max(upTo, snapshotIndex()));
+    }
     Term termAt(LogIndex index) const { return log_.termAt(index); }
     const schema::Membership &membership() const { return memberships_.rbegin()->second; }
     schema::Membership membershipAt(LogIndex index) const;
--- a/Source/UnitTests/Control/ReplicaCellTest.cpp
+++ b/Source/UnitTests/Control/ReplicaCellTest.cpp
@@ -368,5 +368,24 @@
     EXPECT_LE(largestLog, MaxLogBytes);
 }
 
+// Guards against a leader that writes one snapshot after the other while records wait for a quorum.
+TEST_F(ReplicaCell, recordsThatWaitForAQuorumCauseNoSnapshot)
+{
+    constexpr size_t DocumentBytes = 50000;
+    setSnapshotBytes(SmallSnapshotBytes);
+    ASSERT_NO_FATAL_FAILURE(startCell(3, MembershipMode::Listed));
+    const size_t alone = *leader();
+    split({ nameOf(alone) });
+    for (uint64_t version = 1; version <= 2 * SmallSnapshotBytes / DocumentBytes; version++) {
+        schema::Command command;
+        command.mutable_put_work_config()->set_version(version);
+        command.mutable_put_work_config()->set_document(std::string(DocumentBytes, 'x'));
+        replica(alone).propose(std::move(command), [](const schema::CommandOutcome &) {});
+    }
+    ASSERT_TRUE(runUntil([&] { return !replica(alone).isLeading(); }));
+    EXPECT_GT(std::filesystem::file_size(node(alone).folder + "/log"), SmallSnapshotBytes);
+    EXPECT_FALSE(std::filesystem::exists(node(alone).folder + "/snapshot"));
+}
+
 } // namespace
 } // namespace basilgap::control
