Let a replica free its own full disk

Cause: space could only be freed by what needs space. All replicas hold the same files, so all were full at once, and none could vote, lead or shorten its log.

Ruled out: that bounds on the log are enough. Others may fill the disk, and a power cut may come while it is full.

Otherwise the records are forgotten, as they were never acknowledged, and a leader sends them again.

--- a/Source/Basilgap/Control/ControlProcess.cpp
+++ b/Source/Basilgap/Control/ControlProcess.cpp
@@ -212,7 +212,8 @@
     dump.set_term(static_cast<double>(core.term().value()));
     dump.set_last_index(static_cast<double>(core.lastIndex().value()));
     dump.set_commit_index(static_cast<double>(core.commitIndex().value()));
-    dump.set_disk_trouble(replica_->diskError());
+    dump.set_disk_trouble(
+        replica_->diskError().empty() ? replica_->spaceError() : replica_->diskError());
     for (const auto &member : core.membership().members()) {
         schema::MemberDump *row = dump.add_members();
         row->set_id(member.id());
@@ -241,6 +242,7 @@
         + line("basilgap_control_term", core.term().value())
         + line("basilgap_control_commit_index", core.commitIndex().value())
         + line("basilgap_control_disk_unusable", replica_->diskError().empty() ? 0 : 1)
+        + line("basilgap_control_disk_space_low", replica_->spaceError().empty() ? 0 : 1)
         + line("basilgap_control_sent_bytes", replica_->sentBytes() + peers_->sentBytes())
         + line("basilgap_control_received_bytes", peers_->receivedBytes())
         + line("basilgap_jobs", replica_->state().jobs().jobs().size())
--- a/Source/Basilgap/Control/Replica.cpp
+++ b/Source/Basilgap/Control/Replica.cpp
@@ -21,6 +21,7 @@
         .folder = options.settings.data_folder(),
         .replica = ReplicaId(options.settings.id()),
         .calls = &options.disk,
+        .reserveBytes = options.settings.snapshot_bytes(),
     });
     if (!storage)
         return fail(storage.error());
@@ -54,6 +55,7 @@
         std::move(restart), steadyNow());
     durableIndex_ = core_->lastIndex();
     updateLinks();
+    restoreReserve();
     tickTimer_.startRepeating(TickInterval);
     probeTimer_.startRepeating(ProbeInterval);
 }
@@ -190,6 +192,10 @@
         leaderLastKnownAt_ = steadyNow();
     reportMissingLeader();
     refreshConfirmation();
+    if (!isWriting_ && diskError_.empty()) {
+        maybeSnapshot();
+        restoreReserve();
+    }
     flush();
     reconcileMembership();
 }
@@ -262,6 +268,9 @@
 
 void Replica::apply(const schema::LogRecord &record)
 {
+    // After a failed write, records that were applied before they were durable are committed again.
+    if (LogIndex(record.index()) <= appliedIndex_)
+        return;
     appliedIndex_ = LogIndex(record.index());
     if (record.kind() == schema::LogRecord::MEMBERSHIP)
         updateLinks();
--- a/Source/Basilgap/Control/Replica.h
+++ b/Source/Basilgap/Control/Replica.h
@@ -82,6 +82,9 @@
     uint64_t sentBytes() const;
     // Why records cannot be written; empty if they can.
     const std::string &diskError() const { return diskError_; }
+    // Why no disk space is held in reserve; empty if it is. What makes the state grow should then
+    // be refused.
+    const std::string &spaceError() const { return spaceError_; }
 
     // Other replicas to ask, by id, besides those of the settings and the members.
     void addSeeds(const std::map<ReplicaId, std::string> &addresses);
@@ -104,6 +107,8 @@
     {
         replication::RaftOutput output;
         Result<void> result;
+        // Whether the output is written again after a failure.
+        bool isRetry = false;
     };
 
     struct Barrier
@@ -118,8 +123,10 @@
     void tick();
     void scheduleFlush();
     void flush();
-    void startWrite(replication::RaftOutput output);
+    void startWrite(replication::RaftOutput output, bool isRetry = false);
     void handleWritten(const FinishedWrite &written);
+    void handleFailedWrite(const FinishedWrite &written);
+    bool freeSpaceForFailedWrite(const Error &error);
     void finishOutput(const replication::RaftOutput &output);
     void retryWrite();
     void send(const std::vector<schema::RaftMessage> &messages);
@@ -132,6 +139,9 @@
     LogIndex trailingStart() const;
     bool isSnapshotDue() const;
     void maybeSnapshot();
+    bool saveSnapshot();
+    void restoreReserve();
+    void setSpaceLow(const Error &reason);
     void updateLinks();
     void sendProbes();
     void handleProbe(network::PeerStream &stream, const schema::Probe &probe);
@@ -168,6 +178,13 @@
     // While true, the write thread uses the storage and the event loop must not.
     bool isWriting_ = false;
     Millis nextSnapshotTry_;
+    // The next snapshot must shorten the log as far as possible.
+    bool mustFreeSpace_ = false;
+    std::string spaceError_;
+    Millis nextReserveTry_;
+    // Leadership was handed over since the space became low. With all disks low alike, it would
+    // otherwise pass from one replica to the next for ever.
+    bool hasYieldedLead_ = false;
     std::string diskError_;
     replication::RaftOutput failedOutput_;
     // Replies of the other replicas since the last probe; used while this one is uninitialized.
--- a/Source/Basilgap/Control/ReplicaWriting.cpp
+++ b/Source/Basilgap/Control/ReplicaWriting.cpp
@@ -12,6 +12,10 @@
 
 constexpr Millis WriteRetryInterval{ 1000 };
 constexpr Millis SnapshotRetryInterval{ 1000 };
+constexpr Millis ReserveRetryInterval{ 1000 };
+
+// While disk space is low, the log may grow by this part of what it grows otherwise.
+constexpr uint64_t LowSpaceShare = 8;
 
 // Log records kept before a snapshot, so that a replica that was away for a short time can catch up
 // from the log and needs no snapshot. They take no more space than the records between two
@@ -28,11 +32,12 @@
 
 } // namespace
 
-void Replica::startWrite(replication::RaftOutput output)
+void Replica::startWrite(replication::RaftOutput output, bool isRetry)
 {
     isWriting_ = true;
     auto written = std::make_shared<FinishedWrite>();
     written->output = std::move(output);
+    written->isRetry = isRetry;
     writeThread_.run([this, written] { written->result = storage_->write(written->output); },
         [this, written] {
             isWriting_ = false;
@@ -45,19 +50,11 @@
     const replication::RaftOutput &output = written.output;
     if (!written.result && !isTransient(written.result.error()))
         return options_.onFatal(written.result.error());
-    if (!written.result) {
-        diskError_ = written.result.error().text();
-        const bool isDiskFull = written.result.error().code == ErrorCode::Full;
-        LogEvent(isDiskFull ? "disk-full" : "descriptors-exhausted", LogLevel::Error)
-            .with(written.result.error())
-            .with("files", toText(storage_->fileSizes()))
-            .with("applied", appliedIndex_.value())
-            .with("durable", durableIndex_.value())
-            .with("snapshot", core_->snapshotIndex().value());
-        core_->stepDown();
-        failedOutput_ = output;
-        updateRole();
-        return writeRetryTimer_.startOnce(WriteRetryInterval);
+    if (!written.result)
+        return handleFailedWrite(written);
+    if (!diskError_.empty()) {
+        LogEvent("disk-usable");
+        diskError_.clear();
     }
     if (output.truncateFrom)
         durableIndex_ = std::min(durableIndex_, LogIndex(output.truncateFrom->value() - 1));
@@ -67,7 +64,11 @@
         durableIndex_ = LogIndex(output.append.back().index());
     core_->markPersisted(durableIndex_);
     finishOutput(output);
+    if (storage_->isReserveReleased() && spaceError_.empty())
+        setSpaceLow({ ErrorCode::Full, "write", options_.settings.data_folder(),
+            "the reserve was released" });
     maybeSnapshot();
+    restoreReserve();
     flush();
 }
 
@@ -83,27 +84,76 @@
     applyAll(output.committed);
 }
 
-// Drops the messages of the failed output: the protocol resends what is still needed.
-void Replica::retryWrite()
+// The write is tried once more at once if a snapshot has freed disk space. Otherwise its records
+// are forgotten, and the rest is tried again later: the disk may never have space for all of them.
+void Replica::handleFailedWrite(const FinishedWrite &written)
 {
-    isWriting_ = true;
-    auto written = std::make_shared<FinishedWrite>();
-    written->output = std::exchange(failedOutput_, {});
-    written->output.messages.clear();
-    writeThread_.run([this, written] { written->result = storage_->write(written->output); },
-        [this, written] {
-            isWriting_ = false;
-            if (written->result) {
-                LogEvent("disk-usable");
-                diskError_.clear();
-            }
-            handleWritten(*written);
+    const bool isDiskFull = written.result.error().code == ErrorCode::Full;
+    LogEvent(isDiskFull ? "disk-full" : "descriptors-exhausted", LogLevel::Error)
+        .with(written.result.error())
+        .with("files", toText(storage_->fileSizes()))
+        .with("applied", appliedIndex_.value())
+        .with("durable", durableIndex_.value())
+        .with("snapshot", core_->snapshotIndex().value());
+    failedOutput_ = written.output;
+    if (!failedOutput_.install)
+        applyAll(std::exchange(failedOutput_.committed, {}));
+    if (isDiskFull && freeSpaceForFailedWrite(written.result.error()) && !written.isRetry)
+        return startWrite(std::exchange(failedOutput_, {}), true);
+    diskError_ = written.result.error().text();
+    failedOutput_.append.clear();
+    failedOutput_.messages.clear();
+    failedOutput_.committed.clear();
+    if (failedOutput_.truncateFrom)
+        durableIndex_ = std::min(durableIndex_, LogIndex(failedOutput_.truncateFrom->value() - 1));
+    core_->forgetUnwritten(durableIndex_);
+    updateRole();
+    writeRetryTimer_.startOnce(WriteRetryInterval);
+}
+
+// Shortens the log by a snapshot, which may cover records that the failed write was to make
+// durable, and leaves the records what the reserve can spare. Returns whether that has freed any
+// space.
+bool Replica::freeSpaceForFailedWrite(const Error &error)
+{
+    setSpaceLow(error);
+    const uint64_t reserved = storage_->reservedBytes();
+    const bool isInstallPending = appliedIndex_ < core_->snapshotIndex();
+    const bool isSaved = mustFreeSpace_ && !isInstallPending && appliedIndex_ <= core_->lastIndex()
+        && saveSnapshot();
+    if (isSaved && appliedIndex_ > durableIndex_) {
+        durableIndex_ = appliedIndex_;
+        std::erase_if(failedOutput_.append, [this](const schema::LogRecord &record) {
+            return LogIndex(record.index()) <= appliedIndex_;
         });
+        if (failedOutput_.truncateFrom && *failedOutput_.truncateFrom <= appliedIndex_)
+            failedOutput_.truncateFrom.reset();
+    }
+    const bool isHeld = storage_->restoreLeastReserve().has_value();
+    return isHeld && (isSaved || storage_->reservedBytes() < reserved);
+}
+
+void Replica::retryWrite()
+{
+    if (!spaceError_.empty()) {
+        const auto restored = storage_->restoreReserve();
+        if (!restored && !isTransient(restored.error()))
+            return options_.onFatal(restored.error());
+        if (!storage_->hasLeastReserve()) {
+            LogEvent("disk-full", LogLevel::Error)
+                .with(restored.error())
+                .with("files", toText(storage_->fileSizes()));
+            return writeRetryTimer_.startOnce(WriteRetryInterval);
+        }
+    }
+    startWrite(std::exchange(failedOutput_, {}), true);
 }
 
 // The records after this one are kept beside a snapshot of the present state.
 LogIndex Replica::trailingStart() const
 {
+    if (!spaceError_.empty())
+        return appliedIndex_;
     const LogIndex byCount(appliedIndex_.value() > MaxTrailingRecords
             ? appliedIndex_.value() - MaxTrailingRecords
             : 0);
@@ -113,13 +163,22 @@
 
 bool Replica::isSnapshotDue() const
 {
-    return core_->bytesSinceSnapshot(appliedIndex_) >= options_.settings.snapshot_bytes();
+    const uint64_t allowed =
+        options_.settings.snapshot_bytes() / (spaceError_.empty() ? 1 : LowSpaceShare);
+    return mustFreeSpace_ || core_->bytesSinceSnapshot(appliedIndex_) >= allowed;
 }
 
 void Replica::maybeSnapshot()
 {
-    if (!isSnapshotDue() || appliedIndex_ > durableIndex_ || steadyNow() < nextSnapshotTry_)
-        return;
+    const bool isInstallPending = appliedIndex_ < core_->snapshotIndex();
+    if (isSnapshotDue() && !isInstallPending && appliedIndex_ <= durableIndex_
+        && steadyNow() >= nextSnapshotTry_)
+        saveSnapshot();
+}
+
+// Saves a snapshot of the present state and shortens the log. Returns whether that was possible.
+bool Replica::saveSnapshot()
+{
     schema::Snapshot snapshot;
     snapshot.mutable_meta()->set_index(appliedIndex_.value());
     snapshot.mutable_meta()->set_term(core_->termAt(appliedIndex_).value());
@@ -127,21 +186,56 @@
     snapshot.set_state(state_.save());
     const LogIndex keepFrom = trailingStart();
     const auto saved = storage_->saveSnapshot(snapshot, keepFrom);
-    if (!saved && isTransient(saved.error())) {
+    if (!saved && !isTransient(saved.error())) {
+        options_.onFatal(saved.error());
+        return false;
+    }
+    if (!saved) {
         nextSnapshotTry_ = steadyNow() + SnapshotRetryInterval;
         LogEvent("snapshot-failed", LogLevel::Warning)
             .with(saved.error())
             .with("files", toText(storage_->fileSizes()));
-        return;
+        return false;
     }
-    if (!saved)
-        return options_.onFatal(saved.error());
+    mustFreeSpace_ = false;
     LogEvent("snapshot-saved")
         .with("index", appliedIndex_.value())
         .with("bytes", snapshot.state().size())
         .with("logBytes", storage_->logBytes());
     core_->compact(
         snapshot.meta(), std::make_shared<const std::string>(snapshot.state()), keepFrom);
+    return true;
+}
+
+void Replica::setSpaceLow(const Error &reason)
+{
+    spaceError_ = reason.text();
+    mustFreeSpace_ = storage_->logBytes() > options_.settings.snapshot_bytes() / LowSpaceShare;
+}
+
+// Must not be called while the write thread uses the storage.
+void Replica::restoreReserve()
+{
+    if (mustFreeSpace_ || (storage_->hasReserve() && spaceError_.empty())
+        || steadyNow() < nextReserveTry_)
+        return;
+    const auto restored = storage_->restoreReserve();
+    if (restored) {
+        if (!spaceError_.empty())
+            LogEvent("disk-space-regained").with("files", toText(storage_->fileSizes()));
+        spaceError_.clear();
+        hasYieldedLead_ = false;
+        return;
+    }
+    if (!isTransient(restored.error()))
+        return options_.onFatal(restored.error());
+    nextReserveTry_ = steadyNow() + ReserveRetryInterval;
+    LogEvent("disk-full", LogLevel::Error)
+        .with(restored.error())
+        .with("files", toText(storage_->fileSizes()));
+    setSpaceLow(restored.error());
+    if (isLeading_ && !hasYieldedLead_)
+        hasYieldedLead_ = transferLeadership();
 }
 
 } // namespace basilgap::control
--- a/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
@@ -14,6 +14,9 @@
 
 constexpr size_t WorkIdLength = 16;
 
+// A full disk is not freed within moments.
+constexpr uint32_t LowSpaceRetryAfterSeconds = 5;
+
 constexpr uint32_t Ok = 200;
 constexpr uint32_t BadRequest = 400;
 constexpr uint32_t Unauthorized = 401;
@@ -171,6 +174,12 @@
         log("work-refused", call.body_error());
         return reply(makeRpcReply(request, makeReply(BadRequest, call.body_error())));
     }
+    if (!options_.replica.spaceError().empty()) {
+        log("work-refused", options_.replica.spaceError());
+        schema::CallReply refusal = makeReply(Unavailable, "disk space is low");
+        refusal.set_retry_after_s(LowSpaceRetryAfterSeconds);
+        return reply(makeRpcReply(request, refusal));
+    }
     schema::Command command;
     schema::SubmitWork *submit = command.mutable_submit_work();
     submit->set_id(id);
@@ -218,6 +227,13 @@
     schema::Command command;
     switch (call.body_case()) {
     case schema::OperatorCall::kPutConfig:
+        if (!options_.replica.spaceError().empty()
+            && call.put_config().version() > config.version()) {
+            LogEvent("configuration-refused")
+                .with("version", call.put_config().version())
+                .with("reason", options_.replica.spaceError());
+            return reply(makeRpcReply(request, makeReply(Unavailable, "disk space is low")));
+        }
         *command.mutable_put_work_config() = call.put_config();
         return propose(request, std::move(command), reply,
             [version = call.put_config().version()](const schema::CommandOutcome &outcome) {
--- a/Source/Basilgap/Replication/DataFolder.cpp
+++ b/Source/Basilgap/Replication/DataFolder.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr const char *SparePrefix = "spare";
+constexpr const char *ReserveFile = "reserve";
 
 // One each for the hard state, a snapshot and the shortened log that follows it.
 constexpr size_t SpareCount = 3;
@@ -31,6 +32,7 @@
     , calls_(other.calls_)
     , folder_(std::exchange(other.folder_, -1))
     , spares_(std::move(other.spares_))
+    , reserve_(std::move(other.reserve_))
     , nextSpare_(other.nextSpare_)
 {}
 
@@ -44,6 +46,7 @@
     calls_ = other.calls_;
     folder_ = std::exchange(other.folder_, -1);
     spares_ = std::move(other.spares_);
+    reserve_ = std::move(other.reserve_);
     nextSpare_ = other.nextSpare_;
     return *this;
 }
@@ -56,6 +59,10 @@
     folder.folder_ = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     if (folder.folder_ < 0)
         return fail(systemError("open-folder", path));
+    auto reserve = DiskReserve::open(folder.pathOf(ReserveFile), calls);
+    if (!reserve)
+        return fail(reserve.error());
+    folder.reserve_ = std::move(*reserve);
     if (auto opened = folder.openSpares(); !opened)
         return fail(opened.error());
     return folder;
@@ -89,7 +96,7 @@
             return fail(opened.error());
     }
     Spare &spare = spares_.front();
-    if (auto written = spare.file.writeAt(0, content); !written)
+    if (auto written = writeSpare(&spare.file, content); !written)
         return fail(written.error());
     if (auto synced = spare.file.sync(); !synced)
         return fail(synced.error());
@@ -106,6 +113,15 @@
     return file;
 }
 
+Result<void> DataFolder::writeSpare(DiskFile *spare, std::string_view content)
+{
+    auto written = spare->writeAt(0, content);
+    if (written || written.error().code != ErrorCode::Full || !reserve_.release())
+        return written;
+    LogEvent("disk-reserve-released", LogLevel::Warning).with(written.error());
+    return spare->writeAt(0, content);
+}
+
 std::vector<FileSize> DataFolder::fileSizes() const
 {
     std::vector<FileSize> sizes;
--- a/Source/Basilgap/Replication/DataFolder.h
+++ b/Source/Basilgap/Replication/DataFolder.h
@@ -6,6 +6,7 @@
 
 #include "Basilgap/Common/Error.h"
 #include "Basilgap/Replication/DiskFile.h"
+#include "Basilgap/Replication/DiskReserve.h"
 
 namespace basilgap::replication {
 
@@ -17,7 +18,8 @@
 };
 
 // A folder whose files are replaced atomically. The descriptors that this needs are opened in
-// advance, since a process that has run out of descriptors must still be able to save its state.
+// advance, and disk space is held in reserve, since a process that has run out of either must still
+// be able to save its state.
 class DataFolder
 {
 public:
@@ -30,10 +32,15 @@
     static Result<DataFolder> open(const std::string &path, DiskCalls &calls);
 
     // Replaces the content of a file: after a crash it holds either the old or the new content.
-    // Returns the new file, which stays open. After a transient error (see isTransient()) nothing
-    // has been replaced; after any other the state on disk is unknown.
+    // Returns the new file, which stays open. On a full disk the reserve is released. After a
+    // transient error (see isTransient()) nothing has been replaced; after any other the state on
+    // disk is unknown.
     Result<DiskFile> replace(const std::string &name, std::string_view content);
 
+    // Holds that much disk space in reserve, or as much of it as there is.
+    Result<void> holdReserve(uint64_t bytes) { return reserve_.resize(bytes); }
+    uint64_t reservedBytes() const { return reserve_.bytes(); }
+
     std::string pathOf(const std::string &name) const { return path_ + "/" + name; }
 
     // The files in the folder, by name.
@@ -42,6 +49,7 @@
 private:
     Result<void> openSpares();
     Result<void> sync() const;
+    Result<void> writeSpare(DiskFile *spare, std::string_view content);
 
     std::string path_;
     DiskCalls *calls_ = nullptr;
@@ -53,6 +61,7 @@
         DiskFile file;
     };
     std::vector<Spare> spares_;
+    DiskReserve reserve_;
     uint64_t nextSpare_ = 0;
 };
 
--- a/Source/Basilgap/Replication/DiskFile.cpp
+++ b/Source/Basilgap/Replication/DiskFile.cpp
@@ -100,6 +100,14 @@
     return {};
 }
 
+Result<uint64_t> DiskFile::size() const
+{
+    const off_t length = ::lseek(file_, 0, SEEK_END);
+    if (length < 0)
+        return fail(systemError("seek", path_));
+    return static_cast<uint64_t>(length);
+}
+
 Result<std::string> DiskFile::read() const
 {
     std::string content;
--- a/Source/Basilgap/Replication/DiskFile.h
+++ b/Source/Basilgap/Replication/DiskFile.h
@@ -33,6 +33,7 @@
     // truncated to the offset again.
     Result<void> writeAt(uint64_t offset, std::string_view data);
     Result<void> truncate(uint64_t length);
+    Result<uint64_t> size() const;
     // Returns the whole content.
     Result<std::string> read() const;
     Result<void> sync();
--- /dev/null
+++ b/Source/Basilgap/Replication/DiskReserve.cpp
@@ -0,0 +1,56 @@
+#include "Basilgap/Replication/DiskReserve.h"
+
+#include <algorithm>
+
+namespace basilgap::replication {
+
+namespace {
+
+// Written at once, and lost again if they do not all fit.
+constexpr uint64_t ChunkBytes = 1024 * 1024;
+
+} // namespace
+
+Result<DiskReserve> DiskReserve::open(const std::string &path, DiskCalls &calls)
+{
+    auto file = DiskFile::open(path, calls);
+    if (!file)
+        return fail(file.error());
+    const auto size = file->size();
+    if (!size)
+        return fail(size.error());
+    DiskReserve reserve;
+    reserve.file_ = std::move(*file);
+    reserve.bytes_ = *size;
+    return reserve;
+}
+
+Result<void> DiskReserve::resize(uint64_t bytes)
+{
+    if (bytes < bytes_) {
+        if (auto truncated = file_.truncate(bytes); !truncated)
+            return truncated;
+        bytes_ = bytes;
+    }
+    if (bytes == bytes_)
+        return {};
+    const std::string zeros(std::min(ChunkBytes, bytes - bytes_), '\0');
+    while (bytes_ < bytes) {
+        const uint64_t length = std::min<uint64_t>(zeros.size(), bytes - bytes_);
+        if (auto written = file_.writeAt(bytes_, std::string_view(zeros).substr(0, length));
+            !written)
+            return written;
+        bytes_ += length;
+    }
+    return file_.sync();
+}
+
+bool DiskReserve::release()
+{
+    if (bytes_ == 0 || !file_.truncate(0))
+        return false;
+    bytes_ = 0;
+    return true;
+}
+
+} // namespace basilgap::replication
--- a/Source/Basilgap/Replication/LogStorage.cpp
+++ b/Source/Basilgap/Replication/LogStorage.cpp
@@ -21,6 +21,9 @@
 constexpr const char *LogFile = "log";
 constexpr const char *LockFile = "lock";
 
+// The reserve of a crowded disk holds this part of what it holds otherwise besides a snapshot.
+constexpr uint64_t LeastReserveShare = 8;
+
 Error damaged(const std::string &path, size_t offset)
 {
     return Error{ .code = ErrorCode::Damaged,
@@ -143,6 +146,7 @@
     const auto found = readFramedFile(path(SnapshotFile), &snapshot);
     if (!found)
         return fail(found.error());
+    snapshotBytes_ = snapshot.ByteSizeLong();
     persistentState_.snapshotMeta = snapshot.meta();
     persistentState_.snapshotState = std::make_shared<const std::string>(snapshot.state());
     return {};
@@ -285,10 +289,14 @@
 
 Result<void> LogStorage::saveSnapshot(const schema::Snapshot &snapshot, LogIndex keepFrom)
 {
-    if (auto done = replaceFile(SnapshotFile, framed(snapshot)); !done)
+    const std::string bytesOfSnapshot = framed(snapshot);
+    if (auto done = replaceFile(SnapshotFile, bytesOfSnapshot); !done)
         return done;
-    if (keepFrom.value() <= baseIndex_ || keepFrom.value() > lastIndex())
+    snapshotBytes_ = bytesOfSnapshot.size();
+    if (keepFrom.value() <= baseIndex_)
         return {};
+    if (keepFrom.value() > lastIndex())
+        return rewriteLog(keepFrom, Term(snapshot.meta().term()), {});
     const auto bytes = log_.read();
     if (!bytes)
         return fail(bytes.error());
@@ -309,6 +317,27 @@
     return rewriteLog(keepFrom, Term(term), kept);
 }
 
+Result<void> LogStorage::restoreReserve()
+{
+    if (options_.reserveBytes == 0)
+        return {};
+    auto held = folder_.holdReserve(wantedReserve());
+    if (held || held.error().code != ErrorCode::Full)
+        return held;
+    // On a crowded disk the reserve leaves some space for records.
+    if (folder_.reservedBytes() > leastReserve()) {
+        if (auto reduced = folder_.holdReserve(leastReserve()); !reduced)
+            return reduced;
+    }
+    return held;
+}
+
+uint64_t LogStorage::leastReserve() const
+{
+    return options_.reserveBytes == 0 ? 0
+                                      : options_.reserveBytes / LeastReserveShare + snapshotBytes_;
+}
+
 LogIndex LogStorage::startOfLast(uint64_t maxBytes) const
 {
     const uint64_t firstOffset = logLength_ > maxBytes ? logLength_ - maxBytes : 0;
--- a/Source/Basilgap/Replication/LogStorage.h
+++ b/Source/Basilgap/Replication/LogStorage.h
@@ -23,6 +23,8 @@
         ReplicaId replica;
         // Not owned; must outlive the storage.
         DiskCalls *calls = nullptr;
+        // Disk space held in reserve besides that for the next snapshot.
+        uint64_t reserveBytes = 0;
     };
 
     // Opens the folder and reads its files. A torn record at the end of the log is truncated;
@@ -46,9 +48,24 @@
     // durable state is unknown.
     Result<void> write(const RaftOutput &output);
 
-    // Writes a snapshot and removes the log records up to and including `keepFrom`.
+    // Writes a snapshot and removes the log records up to and including `keepFrom`. If that is
+    // beyond the end of the log, it must be the index of the snapshot, and the log continues there.
     Result<void> saveSnapshot(const schema::Snapshot &snapshot, LogIndex keepFrom);
 
+    // Holds disk space in reserve for a snapshot somewhat larger than the newest one. Fails if the
+    // disk has less; then it holds what it can. It is released for a snapshot, a vote or a
+    // shortened log that finds the disk full, and not for further records.
+    Result<void> restoreReserve();
+    Result<void> restoreLeastReserve() { return folder_.holdReserve(leastReserve()); }
+    bool hasReserve() const { return folder_.reservedBytes() >= wantedReserve(); }
+    // Whether it holds what a crowded disk must have for records to be written.
+    bool hasLeastReserve() const { return folder_.reservedBytes() >= leastReserve(); }
+    uint64_t reservedBytes() const { return folder_.reservedBytes(); }
+    bool isReserveReleased() const
+    {
+        return options_.reserveBytes > 0 && folder_.reservedBytes() == 0;
+    }
+
     uint64_t logBytes() const { return logLength_; }
     std::vector<FileSize> fileSizes() const { return folder_.fileSizes(); }
     // The first record after which the log has at most that many bytes.
@@ -71,6 +88,11 @@
         LogIndex baseIndex, Term baseTerm, const std::vector<std::string> &records);
     std::string path(const char *name) const { return options_.folder + "/" + name; }
     Result<void> replaceFile(const char *name, std::string_view content);
+    uint64_t wantedReserve() const
+    {
+        return options_.reserveBytes == 0 ? 0 : options_.reserveBytes + snapshotBytes_;
+    }
+    uint64_t leastReserve() const;
     uint64_t lastIndex() const { return baseIndex_ + offsets_.size(); }
 
     Options options_;
@@ -80,6 +102,7 @@
     RaftPersistentState persistentState_;
     DiskFile log_;
     uint64_t logLength_ = 0;
+    uint64_t snapshotBytes_ = 0;
     uint64_t tornBytes_ = 0;
     // Offset of each record in the log file. The first record has the index baseIndex_ + 1.
     uint64_t baseIndex_ = 0;
--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -98,6 +98,11 @@
     // Called when the log is durable up to and including the index.
     void markPersisted(LogIndex index);
 
+    // Called when records could not be written: gives up leadership and forgets the records after
+    // the index, the last one that is durable. They were not acknowledged, so that a leader sends
+    // them again; those that were committed are committed once more.
+    void forgetUnwritten(LogIndex durable);
+
     // Starts a read barrier: returns the number of a heartbeat round that starts after this call.
     // Once confirmedRound() has reached it, this replica was still the leader at some moment after
     // the call.
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -7,6 +7,7 @@
 
 #include "Basilgap/Dispatch/WorkDispatcher.h"
 #include "FakeWorkerPort.h"
+#include "StandIns/QuotaDisk.h"
 #include "UnitTests/Control/SingleReplicaFixture.h"
 
 namespace basilgap::dispatch {
@@ -263,5 +264,67 @@
     EXPECT_EQ(worker_.stopCount(), 2U);
 }
 
+class WorkDispatcherDiskTest : public WorkDispatcherTest
+{
+protected:
+    replication::DiskCalls &disk() override { return quota_; }
+
+    schema::CallReply call(const schema::RpcRequest &request)
+    {
+        std::optional<schema::CallReply> answer;
+        dispatcher_->handleRequest(
+            request, [&answer](const schema::RpcReply &reply) { answer = reply.call(); });
+        EXPECT_TRUE(runUntil([&answer] { return answer.has_value(); }));
+        return answer.value_or(schema::CallReply());
+    }
+
+    schema::CallReply submitAs(const std::string &id)
+    {
+        schema::RpcRequest request;
+        schema::QueueCall *submit = request.mutable_queue_call();
+        submit->set_kind(schema::QueueCall::SUBMIT);
+        submit->set_host("host");
+        submit->set_path("/queue/" + id);
+        submit->mutable_spec()->add_steps()->set_count(1);
+        return call(request);
+    }
+
+    schema::CallReply configure(uint64_t version)
+    {
+        schema::RpcRequest request;
+        schema::PutWorkConfig *put = request.mutable_operator_call()->mutable_put_config();
+        put->set_version(version);
+        schema::QueueConfig *queue = put->mutable_config()->add_queues();
+        queue->set_name("queue");
+        queue->set_host("host");
+        queue->set_prefix("/queue/");
+        queue->set_open(true);
+        return call(request);
+    }
+
+    standins::QuotaDisk quota_{ folder_ };
+};
+
+// Guards against LOST: with little disk space left, jobs and configurations were accepted until
+// nothing could be written any more, not even what would have ended jobs and freed their space.
+TEST_F(WorkDispatcherDiskTest, whatMakesTheStateGrowIsRefusedWhileDiskSpaceIsLow)
+{
+    ASSERT_EQ(configure(101).status(), 200U);
+    ASSERT_EQ(submitAs("00000000000000a1").status(), 200U);
+    quota_.setFreeBytes(0);
+    propose();
+    ASSERT_TRUE(runUntil([this] { return !replica_->spaceError().empty(); }));
+    const schema::CallReply refused = submitAs("00000000000000a2");
+    EXPECT_EQ(refused.status(), 503U);
+    EXPECT_GT(refused.retry_after_s(), 0U);
+    EXPECT_EQ(configure(102).status(), 503U);
+    EXPECT_EQ(submitAs("00000000000000a1").status(), 200U) << "it was accepted before";
+    EXPECT_EQ(configure(101).status(), 200U) << "it was accepted before";
+    quota_.setFreeBytes(64 * 1024 * 1024);
+    ASSERT_TRUE(runUntil([this] { return replica_->spaceError().empty(); }));
+    EXPECT_EQ(submitAs("00000000000000a2").status(), 200U);
+    EXPECT_EQ(configure(102).status(), 200U);
+}
+
 } // namespace
 } // namespace basilgap::dispatch
--- a/Source/UnitTests/Replication/LogStorageTest.cpp
+++ b/Source/UnitTests/Replication/LogStorageTest.cpp
@@ -239,6 +239,20 @@
     EXPECT_FALSE(other.has_value());
 }
 
+TEST_F(LogStorageTest, logContinuesAfterASnapshotOfRecordsThatWereNotWritten)
+{
+    {
+        auto storage = open();
+        ASSERT_TRUE((*storage)->write(outputWithRecords(1, 10)).has_value());
+        ASSERT_TRUE((*storage)->saveSnapshot(snapshotAt(15), LogIndex(15)).has_value());
+        ASSERT_TRUE((*storage)->write(outputWithRecords(16, 17)).has_value());
+    }
+    RaftPersistentState persistentState = (*open())->takePersistentState();
+    EXPECT_EQ(persistentState.snapshotMeta.index(), 15U);
+    EXPECT_EQ(persistentState.log.baseIndex(), LogIndex(15));
+    EXPECT_EQ(persistentState.log.lastIndex(), LogIndex(17));
+}
+
 TEST_F(LogStorageTest, snapshotDropsRecordsAndIsRestored)
 {
     {
--- a/Source/UnitTests/Replication/RaftCluster.cpp
+++ b/Source/UnitTests/Replication/RaftCluster.cpp
@@ -70,6 +70,9 @@
 void RaftCluster::apply(size_t index, const schema::LogRecord &record)
 {
     Node &node = nodes_[index];
+    // Committed again after a failed write.
+    if (record.index() <= node.applied)
+        return;
     if (record.index() != node.applied + 1)
         violation_ = "records were applied out of order";
     node.applied = record.index();
@@ -85,6 +88,10 @@
     for (RaftOutput output = node.core->takeOutput(); !output.isEmpty();
          output = node.core->takeOutput()) {
         send(output.messagesBeforeSync);
+        if (std::exchange(node.failsNextWrite, false) && !output.append.empty()) {
+            failWrite(&node, std::move(output));
+            continue;
+        }
         write(&node.disk, output);
         node.core->markPersisted(node.core->lastIndex());
         send(output.messages);
@@ -96,6 +103,19 @@
     checkLeaders();
 }
 
+// The disk has no space for the records.
+void RaftCluster::failWrite(Node *node, RaftOutput output)
+{
+    output.append.clear();
+    write(&node->disk, output);
+    if (output.install)
+        node->applied = output.install->meta().index();
+    for (const auto &record : output.committed)
+        apply(static_cast<size_t>(node - nodes_.data()), record);
+    const uint64_t durable = node->disk.snapshot.meta().index() + node->disk.records.size();
+    node->core->forgetUnwritten(LogIndex(durable));
+}
+
 void RaftCluster::send(const std::vector<schema::RaftMessage> &messages)
 {
     inFlight_.insert(inFlight_.end(), messages.begin(), messages.end());
@@ -153,7 +173,8 @@
 void RaftCluster::compact(size_t index)
 {
     Node &node = nodes_[index];
-    if (node.applied <= node.disk.snapshot.meta().index())
+    const bool isAhead = node.applied > node.core->lastIndex().value();
+    if (node.applied <= node.disk.snapshot.meta().index() || isAhead)
         return;
     schema::Snapshot snapshot;
     snapshot.mutable_meta()->set_index(node.applied);
@@ -222,6 +243,7 @@
         const size_t target = leaderIndex.value_or(node);
         nodes_[target].core->propose(
             schema::LogRecord::COMMAND, "command " + std::to_string(++proposals_));
+        nodes_[random_() % nodes_.size()].failsNextWrite = random_() % 8 == 0;
         // A crash at this point loses the record before it is durable.
         if (random_() % 8 == 0)
             crash(target);
