--- a/Source/Basilgap/Replication/RaftCore.cpp
+++ b/Source/Basilgap/Replication/RaftCore.cpp
@@ -242,6 +242,7 @@
         return;
     snapshotMeta_ = meta;
     snapshotState_ = std::move(state);
+    endIdleTransfers();
     log_.compactTo(std::min(keepFrom, LogIndex(meta.index())));
     const schema::Membership current = membershipAt(LogIndex(meta.index()));
     memberships_.erase(memberships_.begin(), memberships_.upper_bound(meta.index()));
--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -157,6 +157,15 @@
     bool isRecentlyHeard(const ReplicaId &id, Millis now) const;
 
 private:
+    // A snapshot that a member is being sent. It stays the same while newer ones are taken, since
+    // otherwise a slow member would never receive a whole one.
+    struct SnapshotTransfer
+    {
+        schema::SnapshotMeta meta;
+        std::shared_ptr<const std::string> state;
+        uint64_t offset = 0;
+    };
+
     struct Progress
     {
         // Incarnation of the member's data folder. Acknowledgements of another incarnation are
@@ -169,8 +178,7 @@
         bool isProbing = false;
         bool isProbeSent = false;
         uint64_t ackedRound = 0;
-        uint64_t snapshotOffset = 0;
-        uint64_t snapshotIndex = 0;
+        std::optional<SnapshotTransfer> transfer;
         int unansweredHeartbeats = 0;
         Millis lastHeardAt;
     };
@@ -199,6 +207,7 @@
     void replicateTo(const schema::Member &member, bool heartbeat);
     static void startProbing(Progress *progress, uint64_t agreedIndex);
     void sendSnapshotChunk(const schema::Member &member, Progress *progress);
+    void endIdleTransfers();
     void handleAppend(const schema::RaftMessage &message);
     void storeRecords(const schema::AppendRequest &request);
     void handleAppendReply(const schema::RaftMessage &message);
--- a/Source/Basilgap/Replication/RaftReplication.cpp
+++ b/Source/Basilgap/Replication/RaftReplication.cpp
@@ -10,6 +10,9 @@
 // Number of unanswered heartbeats after which unacknowledged records are sent again.
 constexpr int ResendHeartbeats = 3;
 
+// A member that has been silent for longer is sent the newest snapshot when it is back.
+constexpr Millis MaxTransferSilence{ 5000 };
+
 } // namespace
 
 void RaftCore::appendRecord(schema::LogRecord::Kind kind, std::string data)
@@ -69,6 +72,7 @@
             sendSnapshotChunk(member, &progress);
         return;
     }
+    progress.transfer.reset();
     const bool isNothingDue =
         progress.isProbing ? progress.isProbeSent : progress.nextIndex > log_.lastIndex().value();
     if (!heartbeat && isNothingDue)
@@ -102,20 +106,29 @@
 
 void RaftCore::sendSnapshotChunk(const schema::Member &member, Progress *progress)
 {
-    if (progress->snapshotIndex != snapshotMeta_.index()) {
-        progress->snapshotIndex = snapshotMeta_.index();
-        progress->snapshotOffset = 0;
-    }
+    if (!progress->transfer)
+        progress->transfer = SnapshotTransfer{ snapshotMeta_, snapshotState_ };
+    const SnapshotTransfer &transfer = *progress->transfer;
     schema::RaftMessage message = makeMessage(member);
     schema::SnapshotChunk *chunk = message.mutable_snapshot_chunk();
-    *chunk->mutable_meta() = snapshotMeta_;
-    chunk->set_offset(progress->snapshotOffset);
-    chunk->set_data(snapshotState_->substr(progress->snapshotOffset, options_.chunkBytes));
-    chunk->set_done(progress->snapshotOffset + chunk->data().size() == snapshotState_->size());
+    *chunk->mutable_meta() = transfer.meta;
+    chunk->set_offset(transfer.offset);
+    chunk->set_data(transfer.state->substr(transfer.offset, options_.chunkBytes));
+    chunk->set_done(transfer.offset + chunk->data().size() == transfer.state->size());
     chunk->set_round(round_);
     output_.messagesBeforeSync.push_back(std::move(message));
 }
 
+// Releases the snapshots that are held for members that have left or fallen silent.
+void RaftCore::endIdleTransfers()
+{
+    for (auto &[id, progress] : progress_) {
+        if (findMember(membership(), id) == nullptr
+            || now_ - progress.lastHeardAt > MaxTransferSilence)
+            progress.transfer.reset();
+    }
+}
+
 void RaftCore::handleAppend(const schema::RaftMessage &message)
 {
     const schema::AppendRequest &request = message.append_request();
@@ -273,15 +286,19 @@
         return;
     progress->ackedRound = std::max(progress->ackedRound, reply.round());
     progress->unansweredHeartbeats = 0;
+    std::optional<SnapshotTransfer> &transfer = progress->transfer;
     if (reply.installed()) {
         progress->matchIndex = std::max(progress->matchIndex, reply.index());
         progress->nextIndex = std::max(progress->nextIndex, progress->matchIndex + 1);
+        if (transfer && transfer->meta.index() <= reply.index())
+            transfer.reset();
         return;
     }
-    if (reply.index() != progress->snapshotIndex || reply.next_offset() > snapshotState_->size())
+    if (!transfer || reply.index() != transfer->meta.index()
+        || reply.next_offset() > transfer->state->size())
         return;
-    const bool advanced = reply.next_offset() != progress->snapshotOffset;
-    progress->snapshotOffset = reply.next_offset();
+    const bool advanced = reply.next_offset() != transfer->offset;
+    transfer->offset = reply.next_offset();
     const schema::Member *member = findMember(membership(), ReplicaId(message.from()));
     if (advanced)
         sendSnapshotChunk(*member, progress);
--- a/Source/UnitTests/Replication/RaftCluster.cpp
+++ b/Source/UnitTests/Replication/RaftCluster.cpp
@@ -98,9 +98,12 @@
 
 void RaftCluster::send(const std::vector<schema::RaftMessage> &messages)
 {
-    inFlight_.insert(inFlight_.end(), messages.begin(), messages.end());
-    for (const schema::RaftMessage &message : messages)
-        nodes_[indexOf(message.to())].bytesSentTo += message.ByteSizeLong();
+    for (const schema::RaftMessage &message : messages) {
+        Node &to = nodes_[indexOf(message.to())];
+        const Millis latency = std::max(to.latency, nodes_[indexOf(message.from())].latency);
+        inFlight_.push_back({ message, now_ + latency });
+        to.bytesSentTo += message.ByteSizeLong();
+    }
 }
 
 size_t RaftCluster::indexOf(const std::string &id) const
@@ -110,7 +113,7 @@
 
 void RaftCluster::deliver(size_t position, bool keep)
 {
-    const schema::RaftMessage message = inFlight_[position];
+    const schema::RaftMessage message = inFlight_[position].message;
     if (!keep)
         inFlight_.erase(inFlight_.begin() + static_cast<long>(position));
     const size_t to = indexOf(message.to());
@@ -122,8 +125,10 @@
 
 void RaftCluster::deliverAll()
 {
-    while (!inFlight_.empty())
-        deliver(0, false);
+    const auto isDue = [this](const InFlight &entry) { return entry.due <= now_; };
+    for (auto next = std::find_if(inFlight_.begin(), inFlight_.end(), isDue);
+         next != inFlight_.end(); next = std::find_if(inFlight_.begin(), inFlight_.end(), isDue))
+        deliver(static_cast<size_t>(next - inFlight_.begin()), false);
 }
 
 void RaftCluster::advance(Millis time)
@@ -150,7 +155,7 @@
     start(index);
 }
 
-void RaftCluster::compact(size_t index)
+void RaftCluster::compact(size_t index, size_t stateBytes)
 {
     Node &node = nodes_[index];
     if (node.applied <= node.disk.snapshot.meta().index())
@@ -161,6 +166,8 @@
     *snapshot.mutable_meta()->mutable_membership() =
         node.core->membershipAt(LogIndex(node.applied));
     snapshot.set_state("state at " + std::to_string(node.applied));
+    if (snapshot.state().size() < stateBytes)
+        snapshot.mutable_state()->resize(stateBytes, '.');
     node.disk.snapshot = snapshot;
     std::erase_if(
         node.disk.records, [&](const auto &record) { return record.index() <= node.applied; });
--- a/Source/UnitTests/Replication/RaftCluster.h
+++ b/Source/UnitTests/Replication/RaftCluster.h
@@ -44,13 +44,17 @@
     uint64_t bytesSentTo(size_t index) const { return nodes_[index].bytesSentTo; }
 
     void advance(Millis time);
+    // Delivers the messages whose latency is over, and those that these cause.
     void deliverAll();
     void crash(size_t index);
     // Crashes the replica and loses its durable state.
     void wipe(size_t index);
-    void compact(size_t index);
+    // Takes a snapshot whose state has at least that many bytes, and keeps no records before it.
+    void compact(size_t index, size_t stateBytes = 0);
     void setLinkCut(size_t from, size_t to, bool cut);
     bool isLinkCut(size_t from, size_t to) const;
+    // How long messages take in either direction between the replica and all others.
+    void setLatency(size_t index, Millis latency) { nodes_[index].latency = latency; }
     void isolate(size_t index, bool isolated);
     void processOutput(size_t index);
     // Tells a replica that its connection to the peer has been established.
@@ -71,6 +75,13 @@
         std::unique_ptr<RaftCore> core;
         uint64_t applied = 0;
         uint64_t bytesSentTo = 0;
+        Millis latency;
+    };
+
+    struct InFlight
+    {
+        schema::RaftMessage message;
+        Millis due;
     };
 
     void start(size_t index);
@@ -85,7 +96,7 @@
     std::mt19937_64 random_;
     Millis now_{ 1000 };
     std::vector<Node> nodes_;
-    std::vector<schema::RaftMessage> inFlight_;
+    std::vector<InFlight> inFlight_;
     std::map<std::pair<size_t, size_t>, bool> cutLinks_;
     std::vector<schema::LogRecord> referenceLog_;
     std::map<uint64_t, std::string> leaderOfTerm_;
--- a/Source/UnitTests/Replication/RaftCoreTest.cpp
+++ b/Source/UnitTests/Replication/RaftCoreTest.cpp
@@ -1,3 +1,5 @@
+#include <set>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -170,6 +172,75 @@
     EXPECT_FALSE(cluster.violation().has_value());
 }
 
+// Load pattern: the log grows so fast that the leader takes snapshots more often than one can be
+// sent. A replica that needs one must still get one after the other.
+TEST(RaftCore, replicaInstallsSnapshotsWhileTheLeaderTakesNewerOnes)
+{
+    constexpr size_t StateBytes = 100;
+    constexpr Millis Latency{ 20 };
+    constexpr Millis SnapshotInterval{ 100 };
+    for (const bool isWiped : { false, true }) {
+        RaftCluster cluster(3, 9);
+        ASSERT_TRUE(cluster.converge());
+        const size_t leader = *cluster.leader();
+        const size_t behind = (leader + 1) % 3;
+        RaftCore &core = cluster.core(leader);
+        if (isWiped) {
+            cluster.wipe(behind);
+            schema::Member member;
+            member.set_id("r" + std::to_string(behind));
+            member.set_incarnation(cluster.incarnationOf(behind).value());
+            ASSERT_TRUE(core.proposeMembership(withMember(core.membership(), member)).has_value());
+        }
+        cluster.isolate(behind, true);
+        cluster.advance(Millis(1000));
+        proposeAtLeader(cluster, "while away");
+        cluster.compact(leader, StateBytes);
+        cluster.isolate(behind, false);
+        cluster.setLatency(behind, Latency);
+        std::set<uint64_t> installed;
+        for (Millis time; time < Millis(6000); time += SnapshotInterval) {
+            proposeAtLeader(cluster, "record");
+            cluster.compact(leader, StateBytes);
+            cluster.advance(SnapshotInterval);
+            installed.insert(cluster.core(behind).snapshotIndex().value());
+        }
+        // Sending a snapshot takes 0.6 s, as it has 13 chunks of 8 bytes.
+        EXPECT_GE(installed.size(), 6U) << "wiped " << isWiped;
+        EXPECT_GT(cluster.core(behind).lastIndex().value() + 20, core.lastIndex().value())
+            << "wiped " << isWiped;
+        EXPECT_TRUE(cluster.converge()) << "wiped " << isWiped;
+    }
+}
+
+// A replica that has fallen silent must not keep the leader from releasing old snapshots, and gets
+// the newest one when it is back.
+TEST(RaftCore, replicaThatWasSilentForLongGetsTheNewestSnapshot)
+{
+    constexpr size_t StateBytes = 100;
+    RaftCluster cluster(3, 9);
+    ASSERT_TRUE(cluster.converge());
+    const size_t leader = *cluster.leader();
+    const size_t behind = (leader + 1) % 3;
+    cluster.isolate(behind, true);
+    proposeAtLeader(cluster, "while away");
+    cluster.compact(leader, StateBytes);
+    cluster.setLatency(behind, Millis(20));
+    cluster.isolate(behind, false);
+    cluster.advance(Millis(300));
+    cluster.isolate(behind, true);
+    cluster.advance(Millis(20000));
+    proposeAtLeader(cluster, "while silent");
+    cluster.compact(leader, StateBytes);
+    cluster.isolate(behind, false);
+    std::set<uint64_t> installed;
+    for (Millis time; time < Millis(3000); time += Millis(20)) {
+        cluster.advance(Millis(20));
+        installed.insert(cluster.core(behind).snapshotIndex().value());
+    }
+    EXPECT_EQ(installed, (std::set<uint64_t>{ 0, cluster.core(leader).snapshotIndex().value() }));
+}
+
 TEST(RaftCore, refusesToChangeTwoVotersAtOnce)
 {
     RaftCluster cluster(5, 7);
