Send a record that is larger than a batch by itself

What callers would see: nothing is committed any more (LOST, CONFIG), after a configuration of nearly 4 MiB with long names.

Cause: a batch was closed after the record that exceeded its size. 256 KiB of records and one of 8.2 MB make a message larger than a stream takes (8 MiB); it is dropped, and the same batch is made again. Class of fault: a bound that leaves out the last item.

Change: a batch ends before a record that would exceed its size.

Test: RaftCore.largeRecordIsSentByItself; before, a message had 4,440,850 bytes where 4,195,328 are allowed.

--- a/Source/Basilgap/Replication/RaftReplication.cpp
+++ b/Source/Basilgap/Replication/RaftReplication.cpp
@@ -85,10 +85,12 @@
     request->set_round(round_);
     progress.isProbeSent = progress.isProbing;
     size_t bytes = 0;
-    while (!progress.isProbing && progress.nextIndex <= log_.lastIndex().value()
-        && bytes < options_.maxBatchBytes) {
+    while (!progress.isProbing && progress.nextIndex <= log_.lastIndex().value()) {
         const schema::LogRecord &record = log_.at(LogIndex(progress.nextIndex));
         bytes += record.ByteSizeLong();
+        // A record that is larger than a batch is sent by itself.
+        if (bytes > options_.maxBatchBytes && request->records_size() > 0)
+            break;
         *request->add_records() = record;
         progress.nextIndex++;
     }
--- a/Source/UnitTests/Replication/RaftCluster.cpp
+++ b/Source/UnitTests/Replication/RaftCluster.cpp
@@ -123,6 +123,7 @@
         const Millis latency = std::max(to.latency, nodes_[indexOf(message.from())].latency);
         inFlight_.push_back({ message, now_ + latency });
         to.bytesSentTo += message.ByteSizeLong();
+        largestMessageBytes_ = std::max<uint64_t>(largestMessageBytes_, message.ByteSizeLong());
     }
 }
 
--- a/Source/UnitTests/Replication/RaftCluster.h
+++ b/Source/UnitTests/Replication/RaftCluster.h
@@ -40,6 +40,7 @@
     uint64_t appliedOf(size_t index) const { return nodes_[index].applied; }
     Incarnation incarnationOf(size_t index) const { return nodes_[index].disk.incarnation; }
     Millis now() const { return now_; }
+    uint64_t largestMessageBytes() const { return largestMessageBytes_; }
     // Bytes of all messages that were sent to the replica, whether they arrived or not.
     uint64_t bytesSentTo(size_t index) const { return nodes_[index].bytesSentTo; }
 
@@ -98,6 +99,7 @@
     std::mt19937_64 random_;
     Millis now_{ 1000 };
     std::vector<Node> nodes_;
+    uint64_t largestMessageBytes_ = 0;
     std::vector<InFlight> inFlight_;
     std::map<std::pair<size_t, size_t>, bool> cutLinks_;
     std::vector<schema::LogRecord> referenceLog_;
--- a/Source/UnitTests/Replication/RaftCoreTest.cpp
+++ b/Source/UnitTests/Replication/RaftCoreTest.cpp
@@ -97,6 +97,27 @@
     }
 }
 
+// Guards against a cell that commits nothing any more: a large record was sent together with those
+// before it, in a message larger than a stream takes.
+TEST(RaftCore, largeRecordIsSentByItself)
+{
+    constexpr size_t RecordBytes = 4 * 1024 * 1024;
+    constexpr size_t SmallRecords = 60;
+    constexpr size_t MessageOverhead = 1024;
+    RaftCluster cluster(3, 6);
+    cluster.advance(Millis(2000));
+    const size_t leader = *cluster.leader();
+    for (size_t i = 0; i < SmallRecords; i++) {
+        ASSERT_TRUE(cluster.core(leader)
+                        .propose(schema::LogRecord::COMMAND, std::string(4096, 'x'))
+                        .has_value());
+    }
+    proposeAtLeader(cluster, std::string(RecordBytes, 'x'));
+    cluster.advance(Millis(1000));
+    EXPECT_EQ(cluster.core(leader).commitIndex(), cluster.core(leader).lastIndex());
+    EXPECT_LE(cluster.largestMessageBytes(), RecordBytes + MessageOverhead);
+}
+
 TEST(RaftCore, oneWayPartitionDoesNotDisturbTheLeader)
 {
     RaftCluster cluster(3, 3);
