Bound the records that are not written in bytes, and by the leader's own disk

Cause: the records that wait for a quorum were bounded by their number (16,384), whatever their size, and those that a majority has committed but the leader's own slow disk has not written weren't bounded at all. Class of fault: a bound on a count where the bytes matter.

Change: no further record is taken while 16 MiB or more are not committed or not written by the leader. Callers are told that it is not available, and are sent again as before.

Test: RaftCore.recordsThatAreNotWrittenAreBoundedInBytes; before, more than 32 records of 1 MiB were taken.

--- a/Source/Basilgap/Replication/RaftCore.cpp
+++ b/Source/Basilgap/Replication/RaftCore.cpp
@@ -160,6 +160,8 @@
         return fail({ ErrorCode::Refused, "propose", leader_.value(), "not the leader" });
     if (log_.lastIndex().value() - commitIndex_.value() >= options_.maxUncommitted)
         return fail({ ErrorCode::Full, "propose", "", "too many records wait for a quorum" });
+    if (log_.bytesAfter(std::min(commitIndex_, persistedIndex_)) >= options_.maxUnwrittenBytes)
+        return fail({ ErrorCode::Full, "propose", "", "too many bytes wait to be written" });
     appendRecord(kind, std::move(data));
     return log_.lastIndex();
 }
--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -37,6 +37,9 @@
     size_t chunkBytes = 64 * 1024;
     // Maximum number of records that are not committed yet.
     size_t maxUncommitted = 16384;
+    // No further record is taken while those that are not committed, or not written by this replica,
+    // have that many bytes. Memory and disk hold them beside the state and its snapshots.
+    uint64_t maxUnwrittenBytes = 16 * 1024 * 1024;
 };
 
 // The durable state of the replica as read at the start of the process.
--- a/Source/UnitTests/Replication/RaftCoreTest.cpp
+++ b/Source/UnitTests/Replication/RaftCoreTest.cpp
@@ -97,6 +97,26 @@
     }
 }
 
+// Guards against a leader that runs out of memory and disk: the records that wait for a quorum, or
+// for its own disk, were bounded by their number alone.
+TEST(RaftCore, recordsThatAreNotWrittenAreBoundedInBytes)
+{
+    constexpr size_t RecordBytes = 1024 * 1024;
+    constexpr size_t MaxRecords = 32;
+    RaftCluster cluster(3, 5);
+    cluster.advance(Millis(2000));
+    const size_t leader = *cluster.leader();
+    size_t accepted = 0;
+    while (accepted <= MaxRecords
+        && cluster.core(leader).propose(schema::LogRecord::COMMAND, std::string(RecordBytes, 'x')))
+        accepted++;
+    EXPECT_GT(accepted, 0U);
+    EXPECT_LE(accepted, MaxRecords);
+    cluster.processOutput(leader);
+    cluster.deliverAll();
+    EXPECT_TRUE(cluster.core(leader).propose(schema::LogRecord::COMMAND, "later").has_value());
+}
+
 // Guards against a cell that commits nothing any more: a large record was sent together with those
 // before it, in a message larger than a stream takes.
 TEST(RaftCore, largeRecordIsSentByItself)
