Keep no finished jobs because an earlier one still has a run

Cause: expiry ended at the first finished job that still has a run.

Change: such a job is passed over and kept for the retention time again, as JobTable does it.

Test: WorkTable.canceledJobWhoseRunGoesOnKeepsNoOtherJob, red before.

--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -422,14 +422,19 @@
 
 void WorkTable::expire(uint64_t nowMs, uint64_t retentionMs)
 {
+    std::vector<std::pair<uint64_t, WorkSerial>> withRuns;
     while (!finished_.empty() && finished_.begin()->first + retentionMs < nowMs) {
         const auto found = works_.find(finished_.begin()->second);
-        // A run that has not ended still holds a reservation on its worker.
-        if (found != works_.end() && found->second.runningTasks > 0)
-            return;
         finished_.erase(finished_.begin());
         if (found == works_.end())
             continue;
+        // A run that has not ended still holds a reservation on its worker. The job is kept for as
+        // long again.
+        if (found->second.runningTasks > 0) {
+            found->second.finishedMs = nowMs;
+            withRuns.emplace_back(nowMs, found->first);
+            continue;
+        }
         byId_.erase(found->second.id);
         bySerial_[found->first.value() - firstIndexed_] = nullptr;
         works_.erase(found);
@@ -438,6 +443,7 @@
             firstIndexed_++;
         }
     }
+    finished_.insert(withRuns.begin(), withRuns.end());
 }
 
 const Work *WorkTable::find(const std::string &id) const
--- a/Source/UnitTests/State/WorkTableTest.cpp
+++ b/Source/UnitTests/State/WorkTableTest.cpp
@@ -95,6 +95,29 @@
     EXPECT_EQ(table.find("a")->phase, WorkPhase::Failed);
 }
 
+// Guards against a state that grows for as long as one run of a canceled job doesn't end: all jobs
+// that finished later were kept as well.
+TEST(WorkTable, canceledJobWhoseRunGoesOnKeepsNoOtherJob)
+{
+    constexpr uint64_t Retention = 100;
+    WorkTable table;
+    table.submit(submitWorkCommand("going-on", { 1 }), 1);
+    table.submit(submitWorkCommand("ended", { 1 }), 1);
+    table.apply(runStartBatch(1, 0, 0, 1), 2);
+    for (const char *id : { "going-on", "ended" }) {
+        schema::CancelWork cancel;
+        cancel.set_id(id);
+        table.cancel(cancel, 3);
+    }
+    table.expire(3 + Retention + 1, Retention);
+    EXPECT_EQ(table.find("ended"), nullptr);
+    ASSERT_NE(table.find("going-on"), nullptr);
+    table.apply(runEndBatch(1, 0, 0, 1, schema::RUN_STOPPED), 200);
+    table.expire(400, Retention);
+    EXPECT_EQ(table.find("going-on"), nullptr);
+    EXPECT_TRUE(table.works().empty());
+}
+
 TEST(WorkTable, ignoresTheEndOfAnEarlierRun)
 {
     WorkTable table;
