Stop the rest of a gang's run once the start of a member is refused

Cause: when the start of one member was refused, only that member waited for a new run. Nothing stopped the others, and a gang is placed again only once none of its members runs, so that they waited until their workers ended them as RUN_ALONE. The same held for a start that was given up after three unanswered sends, where the end of that member itself comes only with its stop or lease.

Ruled out: a second run beside a member that still runs (the planner waits for the logged ends of all), an attempt that counts (only RUN_FAILED does), a stop of a newer run (a stop names its run, and a new one starts only once all members wait). A new field in the log isn't needed: a gang starts in one record, so that a gang of which some members run and others wait is known to have lost one.

Change: - Work::hasBrokenGang says so from the replicated table. A session stops the runs of such a gang, drops or doesn't repeat their unanswered starts, and is told as soon as the end is applied. Any leader that takes over finds the same in its table. It holds for every end but RUN_DONE, so also for a member that was lost before its start arrived. - A start that is given up before its end is known (unanswered, or its worker has restarted) is reported to the dispatcher, which has the others of that run stopped. A later leader doesn't know this; it finds each member running, or ended, which the first rule covers.

Tests: seven new ones of WorkDispatcherTest (refused while the others run; a member whose stop is lost; a start that is unanswered while another is refused; a start that is given up; a change of leader after and before the refusal is logged; the job cancelled meanwhile), three of WorkerSessionModel (GANG in a network that refuses starts, loses calls, and with changes of leaders), one of WorkTable, and WorkerSessionModel.noWorkerIsOverItsCapacityWhenGangsEndWhileWorkersRestart.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -107,13 +107,35 @@
     if (work == nullptr || work->isActive() || work->runningTasks == 0)
         return;
     for (const auto &steps : work->occurrences) {
-        for (const state::WorkStep &step : steps) {
-            for (const state::WorkTask &task : step.tasks) {
-                const auto session = sessions_.find(task.worker);
-                if (task.phase == state::RunPhase::Running && session != sessions_.end())
-                    session->second->checkStops();
-            }
-        }
+        for (const state::WorkStep &step : steps)
+            checkStopsOf(step);
+    }
+}
+
+void WorkDispatcher::checkStopsOf(const state::WorkStep &step)
+{
+    for (const state::WorkTask &task : step.tasks) {
+        const auto session = sessions_.find(task.worker);
+        if (task.phase == state::RunPhase::Running && session != sessions_.end())
+            session->second->checkStops();
+    }
+}
+
+void WorkDispatcher::giveUpGang(const StepTaskRef &member, uint32_t run)
+{
+    const state::Work *work = state_.works().find(member.step.work);
+    if (work == nullptr || !work->specOf(member.step).gang())
+        return;
+    LogEvent("gang-given-up")
+        .with("work", work->id)
+        .with("step", member.step.step)
+        .with("task", member.index)
+        .with("run", run);
+    const auto &tasks = work->stepAt(member.step).tasks;
+    for (uint32_t i = 0; i < tasks.size(); i++) {
+        const auto session = sessions_.find(tasks[i].worker);
+        if (tasks[i].phase == state::RunPhase::Running && session != sessions_.end())
+            session->second->giveUp({ member.step, i }, run);
     }
 }
 
@@ -140,6 +162,8 @@
                 session->second->removeRun({ ref, i }, tasks[i].run);
         }
         checkStopsOf(work->serial);
+        if (work->hasBrokenGang(ref))
+            checkStopsOf(work->stepAt(ref));
     }
 }
 
@@ -203,6 +227,8 @@
                 .onTicketRefused =
                     [this, number](
                         const StepTaskRef &task) { permits_.invalidateTicket(task.step, number); },
+                .onStartGivenUp = [this](const StepTaskRef &task,
+                                      uint32_t run) { giveUpGang(task, run); },
                 .pollDelay = [this, number] { return pollDelay(number); },
             },
             .wallClock = [this] { return stateNow(); },
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -127,6 +127,9 @@
     void handleAppliedRuns(const schema::RunBatch &batch);
     // Has the sessions of the job's runs stop these once the job is no longer active.
     void checkStopsOf(state::WorkSerial serial);
+    void checkStopsOf(const state::WorkStep &step);
+    // Has the rest of a gang's run stopped, once the start of one member has been given up.
+    void giveUpGang(const StepTaskRef &member, uint32_t run);
     void reconcileSessions();
     void openSession(const schema::WorkerLife &incarnation, Millis now);
     void recordEnd(state::WorkerNumber worker, const EndedRun &ended);
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -176,7 +176,7 @@
     const state::WorkTask *state = options_.table.find(task);
     const auto leaseEnd = nextLeaseEnd(now);
     known->isStartPending = false;
-    if (work == nullptr || state == nullptr || !work->isActive() || !leaseEnd || superseded_)
+    if (state == nullptr || mustStop(task, *known) || !leaseEnd || superseded_)
         return abandonStart(task, known, now);
     known->isStartPending = !options_.events.maySendOrders();
     if (known->isStartPending) {
@@ -250,17 +250,36 @@
 // Stops a run that may have started, so that its task can be released.
 void WorkerSession::stopIndeterminateRun(const StepTaskRef &task, SessionRun *known, Millis now)
 {
+    const bool wasWanted = !mustStop(task, *known);
+    const uint32_t run = known->run;
     known->knownState = KnownRunState::Indeterminate;
     known->knownStateSince = now;
     nextStopCheck_ = now;
     stop(task, now);
+    if (wasWanted)
+        options_.events.onStartGivenUp(task, run);
+}
+
+void WorkerSession::giveUp(const StepTaskRef &task, uint32_t run)
+{
+    const auto found = runs_.find(task);
+    if (found == runs_.end() || found->second.run != run)
+        return;
+    found->second.isGivenUp = true;
+    checkStops();
+}
+
+bool WorkerSession::mustStop(const StepTaskRef &task, const SessionRun &known) const
+{
+    const state::Work *work = options_.table.find(task.step.work);
+    return known.knownState == KnownRunState::Indeterminate || known.isGivenUp || work == nullptr
+        || !work->isActive() || work->hasBrokenGang(task.step);
 }
 
 bool WorkerSession::isStartWanted(const StepTaskRef &task, uint32_t run) const
 {
     const auto known = runs_.find(task);
-    const state::Work *work = options_.table.find(task.step.work);
-    return known != runs_.end() && known->second.run == run && work != nullptr && work->isActive()
+    return known != runs_.end() && known->second.run == run && !mustStop(task, known->second)
         && !superseded_ && !fenced_ && options_.events.maySendOrders() && fitsCapacity(task);
 }
 
@@ -300,9 +319,8 @@
         return;
     case OrderResult::Unanswered: {
         options_.callLoss.recordLoss(now);
-        const state::Work *work = options_.table.find(task.step.work);
         const bool mayRepeat = known.knownState == KnownRunState::Sent && !suspect_ && !superseded_
-            && work != nullptr && work->isActive();
+            && !mustStop(task, known);
         const bool isWorthwhile =
             answer.result == OrderResult::Unanswered || answer.result == OrderResult::NotSent;
         if (mayRepeat && isWorthwhile && known.sendCount < options_.times.maxStartSends)
@@ -472,10 +490,7 @@
 {
     nextStopCheck_ = now + StopCheckInterval;
     for (auto &[task, known] : runs_) {
-        const state::Work *work = options_.table.find(task.step.work);
-        const bool mustStop = known.knownState == KnownRunState::Indeterminate || work == nullptr
-            || !work->isActive();
-        if (!mustStop)
+        if (!mustStop(task, known))
             continue;
         nextStopCheck_ = now;
         if (!known.isStopPending && known.knownState != KnownRunState::Stopped
@@ -563,8 +578,11 @@
         }
         // A start may have reached the new incarnation, or may still reach it, so the run is
         // stopped there first.
+        const bool wasWanted = !mustStop(task, runs_.at(task));
         runs_.at(task).knownState = KnownRunState::Indeterminate;
         stop(task, now);
+        if (wasWanted)
+            options_.events.onStartGivenUp(task, known.run);
     }
 }
 
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -110,6 +110,9 @@
     std::function<bool()> maySendOrders = [] { return true; };
     // A start was refused because it had no valid ticket.
     std::function<void(const StepTaskRef &)> onTicketRefused;
+    // The start of a run has been given up, and the run is being stopped before its end is known.
+    std::function<void(const StepTaskRef &, uint32_t run)> onStartGivenUp = [](const StepTaskRef &,
+                                                                                uint32_t) {};
     // Delay of the next poll after an answer.
     std::function<Millis()> pollDelay = [] { return Millis(0); };
 };
@@ -148,6 +151,8 @@
     std::string ticket;
     Millis lastStopAt;
     bool isStopPending = false;
+    // The run must be stopped, because the start of another member of its gang was given up.
+    bool isGivenUp = false;
     std::string checkpoint;
     // When the checkpoint was first reported.
     Millis checkpointAt;
@@ -219,7 +224,11 @@
     // expired.
     void tick(Millis now);
 
-    // Called when a run of the table may have to be stopped, because its job is no longer active.
+    // Stops the run if the worker still has it.
+    void giveUp(const StepTaskRef &task, uint32_t run);
+
+    // Called when a run of the table may have to be stopped, because its job is no longer active or
+    // its gang has lost a member.
     void checkStops() { nextStopCheck_ = Millis(); }
 
     // Called once ends up to this number are committed.
@@ -282,6 +291,8 @@
     static void recordProgress(SessionRun *known, int percent, Millis now);
     void applyEnds(const PollAnswer &answer);
     bool isStartWanted(const StepTaskRef &task, uint32_t run) const;
+    // Whether the run must be stopped, or not be started.
+    bool mustStop(const StepTaskRef &task, const SessionRun &known) const;
     void handleStartAnswer(const StepTaskRef &task, uint32_t run, const OrderAnswer &answer);
     void sendPendingStarts(Millis now);
     void sendDueStops(Millis now);
--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -21,6 +21,12 @@
     return true;
 }
 
+bool Work::hasBrokenGang(const StepRef &ref) const
+{
+    const WorkStep &step = stepAt(ref);
+    return specOf(ref).gang() && step.waiting > 0 && step.running > 0;
+}
+
 Resources reservationOf(const schema::StepSpec &step)
 {
     Resources need;
--- a/Source/Basilgap/State/WorkTable.h
+++ b/Source/Basilgap/State/WorkTable.h
@@ -98,6 +98,9 @@
     uint64_t dueMs(uint32_t occurrence) const;
     // Whether all tasks of the steps that this one depends on are done.
     bool isReady(const StepRef &ref) const;
+    // Whether the step is a gang of which some members run and others don't. Their run can't be
+    // completed, since a gang starts as a whole.
+    bool hasBrokenGang(const StepRef &ref) const;
 };
 
 // Resources that a task of the step reserves on its worker. A backfill task reserves no processor.
--- a/Source/UnitTests/Dispatch/ModelLeader.cpp
+++ b/Source/UnitTests/Dispatch/ModelLeader.cpp
@@ -91,6 +91,8 @@
                         .onFenced = [this] { isFenced_ = true; },
                         .maySendOrders = [this] { return isConfirmed_ && !isFenced_; },
                         .onTicketRefused = [](const StepTaskRef &) {},
+                        .onStartGivenUp = [this](const StepTaskRef &task,
+                                              uint32_t run) { giveUpGang(task, run); },
                     },
                     .clock = [this] { return options_.time.now(); },
                     .wallClock = [this] { return options_.time.now(); },
@@ -110,6 +112,17 @@
         session->checkStops();
 }
 
+void ModelLeader::giveUpGang(const StepTaskRef &member, uint32_t run)
+{
+    const state::Work &work = *options_.table.find(member.step.work);
+    const auto &tasks = work.stepAt(member.step).tasks;
+    for (uint32_t i = 0; work.specOf(member.step).gang() && i < tasks.size(); i++) {
+        const auto session = sessions_.find(tasks[i].worker);
+        if (tasks[i].phase == state::RunPhase::Running && session != sessions_.end())
+            session->second->giveUp({ member.step, i }, run);
+    }
+}
+
 void ModelLeader::preempt(const state::StepTaskRef &task)
 {
     const auto session = sessions_.find(options_.table.find(task)->worker);
--- a/Source/UnitTests/Dispatch/ModelLeader.h
+++ b/Source/UnitTests/Dispatch/ModelLeader.h
@@ -46,6 +46,8 @@
 
 private:
     void tick();
+    // As in WorkDispatcher.
+    void giveUpGang(const StepTaskRef &member, uint32_t run);
     void scheduleProposal();
     void propose();
     void planStarts(schema::RunBatch *batch);
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include <gtest/gtest.h>
@@ -14,6 +15,8 @@
 
 constexpr const char *WorkId = "5c0e7a21d94b36f8";
 constexpr uint64_t IncarnationStartMs = 1000;
+// How long a worker has the member of a gang wait for the others.
+constexpr Millis GangTimeout{ 4000 };
 
 class NoAdvice : public AdvicePort
 {
@@ -39,15 +42,27 @@
     {
         for (auto &stop : std::exchange(port_.stops, {})) {
             stopCount_++;
+            stops_.insert({ stop.order.task.index, stop.order.run });
+            if (lostStops_.contains(stop.order.task.index)) {
+                stop.done({});
+                continue;
+            }
             endRun({ stop.order.task, stop.order.run }, schema::RUN_STOPPED);
             stop.done({ OrderResult::Accepted, steadyNow() });
         }
         for (auto &start : std::exchange(port_.starts, {})) {
+            startCounts_[{ start.order.task.index, start.order.run }]++;
+            if (heldStarts_.contains(start.order.task.index)) {
+                heldStarts_[start.order.task.index] = std::move(start);
+                continue;
+            }
             if (refusedTask_ == start.order.task.index) {
                 refusedTask_.reset();
                 start.done({ OrderResult::NoTicket, steadyNow() });
                 continue;
             }
+            for (const auto &[run, startedAt] : running_)
+                EXPECT_NE(run.first, start.order.task) << "TWICE";
             running_[{ start.order.task, start.order.run }] = steadyNow();
             start.done({ OrderResult::Accepted, steadyNow() });
         }
@@ -71,6 +86,41 @@
     // Refuses the next start of the task with this index.
     void refuseStartOf(uint32_t index) { refusedTask_ = index; }
 
+    // Neither carries out nor answers the starts of the task with this index.
+    void holdStartOf(uint32_t index) { heldStarts_[index]; }
+    bool holdsStartOf(uint32_t index) const
+    {
+        const auto held = heldStarts_.find(index);
+        return held != heldStarts_.end() && held->second.done != nullptr;
+    }
+    bool isHeldStartStillWanted(uint32_t index) const
+    {
+        return heldStarts_.at(index).order.isStillWanted();
+    }
+    // Answers the last start of the task, and holds no further ones.
+    void answerHeldStart(uint32_t index, OrderResult result)
+    {
+        const auto held = heldStarts_.extract(index);
+        held.mapped().done({ result, steadyNow() });
+    }
+    // Loses the stops of the task with this index.
+    void loseStopsOf(uint32_t index) { lostStops_.insert(index); }
+    void loseNoStops() { lostStops_.clear(); }
+
+    // The task's index and the run.
+    using TaskRun = std::pair<uint32_t, uint32_t>;
+    // The runs that were told to stop.
+    const std::set<TaskRun> &stops() const { return stops_; }
+    size_t startCount(uint32_t index, uint32_t run) const
+    {
+        const auto count = startCounts_.find({ index, run });
+        return count == startCounts_.end() ? 0 : count->second;
+    }
+    size_t runningCount(uint32_t run) const
+    {
+        return static_cast<size_t>(std::count_if(running_.begin(), running_.end(),
+            [run](const auto &entry) { return entry.first.second == run; }));
+    }
     size_t stopCount() const { return stopCount_; }
     size_t runningCount() const { return running_.size(); }
     size_t endCount() const { return ends_.size(); }
@@ -104,6 +154,11 @@
     std::map<Run, Millis> running_;
     std::vector<EndReport> ends_;
     std::optional<uint32_t> refusedTask_;
+    // The last held start of each task whose starts are held.
+    std::map<uint32_t, FakeWorkerPort::Start> heldStarts_;
+    std::set<uint32_t> lostStops_;
+    std::set<TaskRun> stops_;
+    std::map<TaskRun, size_t> startCounts_;
     size_t stopCount_ = 0;
     uint64_t ackedEndSequence_ = 0;
 };
@@ -115,9 +170,7 @@
     void SetUp() override
     {
         SingleReplicaFixture::SetUp();
-        dispatcher_ = std::make_unique<WorkDispatcher>(loop_,
-            WorkDispatcher::Options{
-                .replica = *replica_, .workers = port_, .advice = advice_, .times = {} });
+        lead();
         onApplied_ = [this](const auto &command, const auto &outcome) {
             dispatcher_->handleApplied(command, outcome);
         };
@@ -132,6 +185,15 @@
         SingleReplicaFixture::TearDown();
     }
 
+    // Begins to lead, in the place of an earlier leader.
+    void lead()
+    {
+        dispatcher_.reset();
+        dispatcher_ = std::make_unique<WorkDispatcher>(loop_,
+            WorkDispatcher::Options{
+                .replica = *replica_, .workers = port_, .advice = advice_, .times = {} });
+    }
+
     void putConfig()
     {
         schema::Command command;
@@ -208,6 +270,50 @@
         }
     }
 
+    void cancel()
+    {
+        schema::Command command;
+        command.mutable_cancel_work()->set_id(WorkId);
+        propose(std::move(command));
+    }
+
+    // Less than a member of a gang waits for the others.
+    bool runWorkerUntilBeforeGangTimeout(const std::function<bool()> &condition)
+    {
+        const Millis end = steadyNow() + GangTimeout;
+        runWorkerUntil([&] { return condition() || steadyNow() >= end; });
+        return condition();
+    }
+
+    // Long enough for stops and new starts.
+    void runWorkerForAWhile() { runWorkerFor(Millis(1000)); }
+
+    // 0 until the job is logged.
+    uint32_t phaseCount(state::RunPhase phase) const
+    {
+        if (replica_->state().works().find(WorkId) == nullptr)
+            return 0;
+        const auto &tasks = work().occurrences[0][0].tasks;
+        return static_cast<uint32_t>(std::count_if(tasks.begin(), tasks.end(),
+            [phase](const state::WorkTask &task) { return task.phase == phase; }));
+    }
+
+    // Expects that the gang's second run soon runs as a whole, and nothing else.
+    void expectSecondRunOfGang(uint32_t members)
+    {
+        EXPECT_TRUE(runWorkerUntilBeforeGangTimeout(
+            [this, members] { return worker_.runningCount(2) == members; }));
+        EXPECT_EQ(worker_.runningCount(2), members);
+        EXPECT_EQ(worker_.runningCount(), members);
+        for (const auto &[index, run] : worker_.stops())
+            EXPECT_EQ(run, 1U) << "task " << index;
+        for (const state::WorkTask &task : work().occurrences[0][0].tasks) {
+            EXPECT_EQ(task.phase, state::RunPhase::Running);
+            EXPECT_EQ(task.run, 2U);
+            EXPECT_EQ(task.failures, 0U);
+        }
+    }
+
     const state::Work &work() const { return *replica_->state().works().find(WorkId); }
 
     FakeWorkerPort port_;
@@ -250,18 +356,126 @@
     EXPECT_TRUE(done);
 }
 
-// Shows GANG (KNOWN-RED.txt): the start of one member is refused, and the others wait for it in
-// vain. A worker ends a member that has waited for 4 s.
+// Guards against GANG: the start of one member was refused, and the others waited for it in vain. A
+// worker ends a member that has waited for 4 s.
 TEST_F(WorkDispatcherTest, membersOfAGangAreStoppedOnceTheStartOfOneIsRefused)
 {
-    constexpr Millis GangTimeout{ 4000 };
     worker_.refuseStartOf(1);
     submit(3, true);
     ASSERT_TRUE(runWorkerUntil([this] { return worker_.runningCount() == 2; }));
-    const Millis end = steadyNow() + GangTimeout;
-    runWorkerUntil([this, end] { return worker_.stopCount() == 2 || steadyNow() >= end; });
+    runWorkerUntilBeforeGangTimeout([this] { return worker_.stopCount() == 2; });
     EXPECT_EQ(worker_.stopCount(), 2U);
 }
 
+TEST_F(WorkDispatcherTest, aGangIsPlacedAnewOnceTheStartOfAMemberIsRefusedWhileTheOthersRun)
+{
+    worker_.holdStartOf(1);
+    submit(3, true);
+    ASSERT_TRUE(
+        runWorkerUntil([this] { return worker_.runningCount() == 2 && worker_.holdsStartOf(1); }));
+    runWorkerFor(Millis(300));
+    ASSERT_EQ(worker_.stopCount(), 0U);
+    worker_.answerHeldStart(1, OrderResult::NoTicket);
+    expectSecondRunOfGang(3);
+    const std::set<AnsweringWorker::TaskRun> others{ { 0, 1 }, { 2, 1 } };
+    EXPECT_EQ(worker_.stops(), others);
+    runWorkerForAWhile();
+    expectSecondRunOfGang(3);
+    worker_.endAllRuns();
+    EXPECT_TRUE(runWorkerUntil([this] { return work().phase == state::WorkPhase::Completed; }));
+}
+
+// A member counts as running until its end is listed.
+TEST_F(WorkDispatcherTest, aGangIsNotPlacedAnewWhileAMemberHasNotStopped)
+{
+    worker_.loseStopsOf(2);
+    worker_.refuseStartOf(1);
+    submit(3, true);
+    ASSERT_TRUE(runWorkerUntil([this] {
+        return worker_.stops().contains({ 2, 1 }) && phaseCount(state::RunPhase::Waiting) == 2;
+    }));
+    runWorkerForAWhile();
+    EXPECT_EQ(worker_.runningCount(), 1U);
+    EXPECT_EQ(phaseCount(state::RunPhase::Waiting), 2U);
+    worker_.loseNoStops();
+    expectSecondRunOfGang(3);
+}
+
+TEST_F(WorkDispatcherTest, anUnansweredStartIsStoppedAndNotRepeatedOnceThatOfAnotherIsRefused)
+{
+    worker_.holdStartOf(2);
+    worker_.refuseStartOf(1);
+    submit(3, true);
+    ASSERT_TRUE(runWorkerUntil([this] { return worker_.stops().contains({ 0, 1 }); }));
+    ASSERT_TRUE(worker_.holdsStartOf(2));
+    EXPECT_TRUE(worker_.stops().contains({ 2, 1 }));
+    EXPECT_FALSE(worker_.isHeldStartStillWanted(2));
+    worker_.answerHeldStart(2, OrderResult::Unanswered);
+    expectSecondRunOfGang(3);
+    EXPECT_EQ(worker_.startCount(2, 1), 1U);
+}
+
+// The run of a start that nobody answers ends only with the worker's lease.
+TEST_F(WorkDispatcherTest, membersOfAGangAreStoppedOnceTheStartOfOneIsGivenUp)
+{
+    worker_.holdStartOf(1);
+    worker_.loseStopsOf(1);
+    submit(3, true);
+    for (size_t sent = 1; sent <= SessionTimes().maxStartSends; sent++) {
+        ASSERT_TRUE(runWorkerUntil(
+            [this, sent] { return worker_.startCount(1, 1) == sent && worker_.holdsStartOf(1); }));
+        worker_.answerHeldStart(1, OrderResult::Unanswered);
+        worker_.holdStartOf(1);
+    }
+    EXPECT_TRUE(runWorkerUntilBeforeGangTimeout(
+        [this] { return phaseCount(state::RunPhase::Running) == 1; }));
+    const std::set<AnsweringWorker::TaskRun> all{ { 0, 1 }, { 1, 1 }, { 2, 1 } };
+    EXPECT_EQ(worker_.stops(), all);
+    EXPECT_EQ(worker_.runningCount(), 0U);
+}
+
+TEST_F(WorkDispatcherTest, aNewLeaderStopsAGangOfWhichAMemberWaits)
+{
+    for (const uint32_t index : { 0, 2 })
+        worker_.loseStopsOf(index);
+    worker_.refuseStartOf(1);
+    submit(3, true);
+    ASSERT_TRUE(runWorkerUntil([this] { return phaseCount(state::RunPhase::Waiting) == 1; }));
+    lead();
+    worker_.loseNoStops();
+    expectSecondRunOfGang(3);
+    const std::set<AnsweringWorker::TaskRun> others{ { 0, 1 }, { 2, 1 } };
+    EXPECT_EQ(worker_.stops(), others);
+}
+
+TEST_F(WorkDispatcherTest, aNewLeaderStopsAGangWhoseRefusedStartIsNotLogged)
+{
+    worker_.holdStartOf(1);
+    submit(3, true);
+    ASSERT_TRUE(
+        runWorkerUntil([this] { return worker_.runningCount() == 2 && worker_.holdsStartOf(1); }));
+    worker_.answerHeldStart(1, OrderResult::NoTicket);
+    lead();
+    ASSERT_EQ(phaseCount(state::RunPhase::Running), 3U);
+    expectSecondRunOfGang(3);
+}
+
+TEST_F(WorkDispatcherTest, aGangIsNotPlacedAnewOnceItsJobIsCanceled)
+{
+    for (const uint32_t index : { 0, 2 })
+        worker_.loseStopsOf(index);
+    worker_.refuseStartOf(1);
+    submit(3, true);
+    ASSERT_TRUE(runWorkerUntil([this] { return worker_.stops().size() == 2; }));
+    cancel();
+    ASSERT_TRUE(runWorkerUntil([this] { return work().phase == state::WorkPhase::Canceled; }));
+    worker_.loseNoStops();
+    EXPECT_TRUE(runWorkerUntil([this] { return work().runningTasks == 0; }));
+    runWorkerForAWhile();
+    EXPECT_EQ(worker_.runningCount(), 0U);
+    for (uint32_t index = 0; index < 3; index++)
+        EXPECT_EQ(worker_.startCount(index, 2), 0U);
+}
+
 } // namespace
 } // namespace basilgap::dispatch
--- a/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
@@ -30,6 +30,8 @@
     bool restartsWorkers = false;
     bool cutsLinks = false;
     bool hasGangs = false;
+    // No trouble is long enough for a member of a gang to wait in vain for the others.
+    bool forbidsLoneMembers = false;
 };
 
 // A cell with three workers and, at each time, one leader.
@@ -292,6 +294,9 @@
     // A member that ends alone ends the others.
     void breakGang(const TaskName &task, uint32_t run, schema::RunOutcome outcome)
     {
+        if (scenario_.forbidsLoneMembers && outcome == schema::RUN_ALONE)
+            report("GANG: run " + std::to_string(run) + " of " + task.work + "."
+                + std::to_string(task.index) + " has waited in vain");
         const bool isCause = outcome == schema::RUN_STOPPED || outcome == schema::RUN_LAPSED;
         if (table_.find(task.work)->spec.steps(0).gang() && isCause)
             endGang(task, run, Millis(), schema::RUN_BROKEN);
@@ -392,6 +397,38 @@
     playSeeds({ .trouble = Lossy, .changesLeader = true, .cancelsJobs = true, .hasGangs = true });
 }
 
+TEST(WorkerSessionModel, noWorkerIsOverItsCapacityWhenGangsEndWhileWorkersRestart)
+{
+    playSeeds({ .trouble = Lossy,
+        .cancelsJobs = true,
+        .preempts = true,
+        .restartsWorkers = true,
+        .hasGangs = true });
+}
+
+TEST(WorkerSessionModel, noMemberOfAGangWaitsInVainWhileStartsAreRefused)
+{
+    playSeeds({ .trouble = { .notSent = 3, .queued = 10, .unavailable = 3 },
+        .cancelsJobs = true,
+        .hasGangs = true,
+        .forbidsLoneMembers = true });
+}
+
+TEST(WorkerSessionModel, noMemberOfAGangWaitsInVainInALossyNetwork)
+{
+    playSeeds(
+        { .trouble = Lossy, .cancelsJobs = true, .hasGangs = true, .forbidsLoneMembers = true });
+}
+
+TEST(WorkerSessionModel, noMemberOfAGangWaitsInVainWhileLeadersChange)
+{
+    playSeeds({ .trouble = { .notSent = 3, .queued = 10, .unavailable = 3 },
+        .changesLeader = true,
+        .cancelsJobs = true,
+        .hasGangs = true,
+        .forbidsLoneMembers = true });
+}
+
 TEST(WorkerSessionModel, noWorkerIsOverItsCapacityWhileWorkersRestart)
 {
     playSeeds({ .trouble = Lossy, .preempts = true, .restartsWorkers = true });
--- a/Source/UnitTests/State/WorkTableTest.cpp
+++ b/Source/UnitTests/State/WorkTableTest.cpp
@@ -125,6 +125,33 @@
     EXPECT_EQ(table.runningTasks(), 0U);
 }
 
+TEST(WorkTable, aGangIsBrokenWhileSomeOfItsMembersRunAndOthersDoNot)
+{
+    WorkTable table;
+    schema::SubmitWork command = submitWorkCommand("a", { 2, 2 });
+    command.mutable_spec()->mutable_steps(0)->set_gang(true);
+    command.mutable_spec()->mutable_steps(1)->clear_after();
+    table.submit(command, 1);
+    const StepRef gang{ WorkSerial(1), 0, 0 };
+    const StepRef other{ WorkSerial(1), 0, 1 };
+    const Work *work = table.find("a");
+    schema::RunBatch starts;
+    for (const uint32_t step : { 0, 1 }) {
+        for (const uint32_t index : { 0, 1 })
+            starts.MergeFrom(runStartBatch(1, step, index, 1));
+    }
+    EXPECT_FALSE(work->hasBrokenGang(gang));
+    table.apply(starts, 2);
+    EXPECT_FALSE(work->hasBrokenGang(gang));
+    for (const uint32_t step : { 0, 1 })
+        table.apply(runEndBatch(1, step, 1, 1, schema::RUN_LOST), 3);
+    EXPECT_TRUE(work->hasBrokenGang(gang));
+    EXPECT_FALSE(work->hasBrokenGang(other));
+    table.apply(runEndBatch(1, 0, 0, 1, schema::RUN_STOPPED), 4);
+    EXPECT_FALSE(work->hasBrokenGang(gang));
+    EXPECT_EQ(table.find({ gang, 0 })->failures + table.find({ gang, 1 })->failures, 0U);
+}
+
 TEST(WorkTable, gangCountsOneFailurePerRunAndSharesTheCheckpoint)
 {
     WorkTable table;
