--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -37,8 +37,8 @@
     size_t chunkBytes = 64 * 1024;
     // Maximum number of records that are not committed yet.
     size_t maxUncommitted = 16384;
-    // No further record is taken while those that are not committed, or not written by this replica,
-    // have that many bytes. Memory and disk hold them beside the state and its snapshots.
+    // No further record is taken while those that are not committed, or not written by this
+    // replica, have that many bytes. Memory and disk hold them beside the state and its snapshots.
     uint64_t maxUnwrittenBytes = 16 * 1024 * 1024;
 };
 
