Go on from the disk after a write that found no space

Cause: after a write that failed for good the records in memory were forgotten, and what the disk held was worked out from indices.

Nothing is worked out, and a failed write has the same effect as a crash, which RaftDifferential covers; the failed writes that added to the simulated cluster go with what they simulated. The storage refuses to remove records that it doesn't have, and records that don't follow its last one.

--- a/Source/Basilgap/Control/Replica.cpp
+++ b/Source/Basilgap/Control/Replica.cpp
@@ -17,16 +17,21 @@
 
 Result<std::unique_ptr<Replica>> Replica::start(network::EventLoop &loop, Options options)
 {
-    auto storage = replication::LogStorage::open({
+    auto storage = openStorage(options);
+    if (!storage)
+        return fail(storage.error());
+    std::unique_ptr<Replica> replica(new Replica(loop, std::move(options), std::move(*storage)));
+    return replica;
+}
+
+Result<std::unique_ptr<replication::LogStorage>> Replica::openStorage(const Options &options)
+{
+    return replication::LogStorage::open({
         .folder = options.settings.data_folder(),
         .replica = ReplicaId(options.settings.id()),
         .calls = &options.disk,
         .reserveBytes = options.settings.snapshot_bytes(),
     });
-    if (!storage)
-        return fail(storage.error());
-    std::unique_ptr<Replica> replica(new Replica(loop, std::move(options), std::move(*storage)));
-    return replica;
 }
 
 Replica::Replica(
@@ -43,21 +48,27 @@
     , writeRetryTimer_(loop, [this] { retryWrite(); })
 {
     leaderLastKnownAt_ = steadyNow();
+    load();
+    updateLinks();
+    restoreReserve();
+    tickTimer_.startRepeating(TickInterval);
+    probeTimer_.startRepeating(ProbeInterval);
+}
+
+// Takes over the state that the storage has read.
+void Replica::load()
+{
     if (storage_->tornBytes() > 0)
         LogEvent("log-tail-cut", LogLevel::Warning).with("bytes", storage_->tornBytes());
-    replication::RaftPersistentState restart = storage_->takePersistentState();
-    if (restart.snapshotMeta.index() > 0)
-        state_.restore(*restart.snapshotState);
-    appliedIndex_ = LogIndex(restart.snapshotMeta.index());
+    replication::RaftPersistentState persistentState = storage_->takePersistentState();
+    const bool hasSnapshot = persistentState.snapshotMeta.index() > 0;
+    state_.restore(hasSnapshot ? *persistentState.snapshotState : std::string());
+    appliedIndex_ = LogIndex(persistentState.snapshotMeta.index());
     core_ = std::make_unique<replication::RaftCore>(
         replication::RaftOptions{
             .self = self_, .incarnation = storage_->incarnation(), .seed = randomNumber() },
-        std::move(restart), steadyNow());
+        std::move(persistentState), steadyNow());
     durableIndex_ = core_->lastIndex();
-    updateLinks();
-    restoreReserve();
-    tickTimer_.startRepeating(TickInterval);
-    probeTimer_.startRepeating(ProbeInterval);
 }
 
 uint64_t Replica::sentBytes() const
@@ -268,9 +279,6 @@
 
 void Replica::apply(const schema::LogRecord &record)
 {
-    // After a failed write, records that were applied before they were durable are committed again.
-    if (LogIndex(record.index()) <= appliedIndex_)
-        return;
     appliedIndex_ = LogIndex(record.index());
     if (record.kind() == schema::LogRecord::MEMBERSHIP)
         updateLinks();
--- a/Source/Basilgap/Control/Replica.h
+++ b/Source/Basilgap/Control/Replica.h
@@ -119,16 +119,18 @@
 
     Replica(network::EventLoop &loop, Options options,
         std::unique_ptr<replication::LogStorage> storage);
-    void restoreState();
+    static Result<std::unique_ptr<replication::LogStorage>> openStorage(const Options &options);
+    void load();
     void tick();
     void scheduleFlush();
     void flush();
     void startWrite(replication::RaftOutput output, bool isRetry = false);
     void handleWritten(const FinishedWrite &written);
     void handleFailedWrite(const FinishedWrite &written);
-    bool freeSpaceForFailedWrite(const Error &error);
+    bool freeSpaceForFailedWrite();
     void finishOutput(const replication::RaftOutput &output);
     void retryWrite();
+    void reopen();
     void send(const std::vector<schema::RaftMessage> &messages);
     void applyAll(const std::vector<schema::LogRecord> &records);
     void apply(const schema::LogRecord &record);
@@ -186,6 +188,7 @@
     // otherwise pass from one replica to the next for ever.
     bool hasYieldedLead_ = false;
     std::string diskError_;
+    bool isDiskFull_ = false;
     replication::RaftOutput failedOutput_;
     // Replies of the other replicas since the last probe; used while this one is uninitialized.
     std::map<ReplicaId, schema::ProbeReply> probeReplies_;
--- a/Source/Basilgap/Control/ReplicaWriting.cpp
+++ b/Source/Basilgap/Control/ReplicaWriting.cpp
@@ -12,7 +12,7 @@
 
 constexpr Millis WriteRetryInterval{ 1000 };
 constexpr Millis SnapshotRetryInterval{ 1000 };
-constexpr Millis ReserveRetryInterval{ 1000 };
+constexpr Millis ReserveRetryInterval{ 5000 };
 
 // While disk space is low, the log may grow by this part of what it grows otherwise.
 constexpr uint64_t LowSpaceShare = 8;
@@ -84,29 +84,28 @@
     applyAll(output.committed);
 }
 
-// The write is tried once more at once if a snapshot has freed disk space. Otherwise its records
-// are forgotten, and the rest is tried again later: the disk may never have space for all of them.
+// A write that found the disk full is tried once more at once, if space could be freed. If it fails
+// for good, the replica is silent, and goes on later from what is on its disk, as after a restart:
+// the disk may never have space for all records of the write.
 void Replica::handleFailedWrite(const FinishedWrite &written)
 {
-    const bool isDiskFull = written.result.error().code == ErrorCode::Full;
+    const Error &error = written.result.error();
+    const bool isDiskFull = error.code == ErrorCode::Full;
     LogEvent(isDiskFull ? "disk-full" : "descriptors-exhausted", LogLevel::Error)
-        .with(written.result.error())
+        .with(error)
         .with("files", toText(storage_->fileSizes()))
         .with("applied", appliedIndex_.value())
         .with("durable", durableIndex_.value())
         .with("snapshot", core_->snapshotIndex().value());
     failedOutput_ = written.output;
-    if (!failedOutput_.install)
-        applyAll(std::exchange(failedOutput_.committed, {}));
-    if (isDiskFull && freeSpaceForFailedWrite(written.result.error()) && !written.isRetry)
-        return startWrite(std::exchange(failedOutput_, {}), true);
-    diskError_ = written.result.error().text();
-    failedOutput_.append.clear();
-    failedOutput_.messages.clear();
-    failedOutput_.committed.clear();
-    if (failedOutput_.truncateFrom)
-        durableIndex_ = std::min(durableIndex_, LogIndex(failedOutput_.truncateFrom->value() - 1));
-    core_->forgetUnwritten(durableIndex_);
+    if (isDiskFull) {
+        setSpaceLow(error);
+        if (!written.isRetry && freeSpaceForFailedWrite())
+            return startWrite(std::exchange(failedOutput_, {}), true);
+    }
+    diskError_ = error.text();
+    isDiskFull_ = isDiskFull;
+    core_->stepDown();
     updateRole();
     writeRetryTimer_.startOnce(WriteRetryInterval);
 }
@@ -114,20 +113,18 @@
 // Shortens the log by a snapshot, which may cover records that the failed write was to make
 // durable, and leaves the records what the reserve can spare. Returns whether that has freed any
 // space.
-bool Replica::freeSpaceForFailedWrite(const Error &error)
+bool Replica::freeSpaceForFailedWrite()
 {
-    setSpaceLow(error);
     const uint64_t reserved = storage_->reservedBytes();
-    const bool isInstallPending = appliedIndex_ < core_->snapshotIndex();
-    const bool isSaved = mustFreeSpace_ && !isInstallPending && appliedIndex_ <= core_->lastIndex()
-        && saveSnapshot();
+    // While records on the disk are to be replaced, its log does not match the one in memory.
+    const bool isLogCurrent =
+        !failedOutput_.install && !failedOutput_.truncateFrom && !core_->hasPendingTruncation();
+    const bool isSaved = mustFreeSpace_ && isLogCurrent && saveSnapshot();
     if (isSaved && appliedIndex_ > durableIndex_) {
         durableIndex_ = appliedIndex_;
         std::erase_if(failedOutput_.append, [this](const schema::LogRecord &record) {
             return LogIndex(record.index()) <= appliedIndex_;
         });
-        if (failedOutput_.truncateFrom && *failedOutput_.truncateFrom <= appliedIndex_)
-            failedOutput_.truncateFrom.reset();
     }
     const bool isHeld = storage_->restoreLeastReserve().has_value();
     return isHeld && (isSaved || storage_->reservedBytes() < reserved);
@@ -135,18 +132,34 @@
 
 void Replica::retryWrite()
 {
-    if (!spaceError_.empty()) {
-        const auto restored = storage_->restoreReserve();
-        if (!restored && !isTransient(restored.error()))
-            return options_.onFatal(restored.error());
-        if (!storage_->hasLeastReserve()) {
-            LogEvent("disk-full", LogLevel::Error)
-                .with(restored.error())
-                .with("files", toText(storage_->fileSizes()));
-            return writeRetryTimer_.startOnce(WriteRetryInterval);
-        }
+    if (!isDiskFull_) {
+        // The protocol resends the messages that are still needed.
+        failedOutput_.messages.clear();
+        return startWrite(std::exchange(failedOutput_, {}), true);
     }
-    startWrite(std::exchange(failedOutput_, {}), true);
+    freeSpaceForFailedWrite();
+    if (storage_->hasLeastReserve())
+        return reopen();
+    LogEvent("disk-full", LogLevel::Error)
+        .with("error", diskError_)
+        .with("files", toText(storage_->fileSizes()));
+    writeRetryTimer_.startOnce(WriteRetryInterval);
+}
+
+// Goes on from what is on the disk. What was not written has not been acknowledged.
+void Replica::reopen()
+{
+    failedOutput_ = {};
+    storage_.reset();
+    auto storage = openStorage(options_);
+    if (!storage)
+        return options_.onFatal(storage.error());
+    storage_ = std::move(*storage);
+    load();
+    diskError_.clear();
+    LogEvent("disk-usable").with("index", core_->lastIndex().value());
+    updateLinks();
+    restoreReserve();
 }
 
 // The records after this one are kept beside a snapshot of the present state.
@@ -170,8 +183,7 @@
 
 void Replica::maybeSnapshot()
 {
-    const bool isInstallPending = appliedIndex_ < core_->snapshotIndex();
-    if (isSnapshotDue() && !isInstallPending && appliedIndex_ <= durableIndex_
+    if (isSnapshotDue() && !core_->hasPendingTruncation() && appliedIndex_ <= durableIndex_
         && steadyNow() >= nextSnapshotTry_)
         saveSnapshot();
 }
@@ -210,7 +222,9 @@
 void Replica::setSpaceLow(const Error &reason)
 {
     spaceError_ = reason.text();
-    mustFreeSpace_ = storage_->logBytes() > options_.settings.snapshot_bytes() / LowSpaceShare;
+    const uint64_t removable =
+        storage_->logBytes() - std::min(storage_->logBytes(), core_->bytesAfter(appliedIndex_));
+    mustFreeSpace_ = removable > options_.settings.snapshot_bytes() / LowSpaceShare;
 }
 
 // Must not be called while the write thread uses the storage.
--- a/Source/Basilgap/Replication/DiskReserve.cpp
+++ b/Source/Basilgap/Replication/DiskReserve.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Written at once, and lost again if they do not all fit.
-constexpr uint64_t ChunkBytes = 1024 * 1024;
+constexpr uint64_t ChunkBytes = 64 * 1024;
 
 } // namespace
 
--- a/Source/Basilgap/Replication/LogStorage.cpp
+++ b/Source/Basilgap/Replication/LogStorage.cpp
@@ -264,6 +264,10 @@
 {
     std::string bytes;
     std::vector<uint64_t> offsets;
+    if (!records.empty() && records.front().index() != lastIndex() + 1)
+        return fail({ ErrorCode::Invalid, "append", path(LogFile),
+            "record " + std::to_string(records.front().index()) + " does not follow record "
+                + std::to_string(lastIndex()) });
     for (const schema::LogRecord &record : records) {
         offsets.push_back(logLength_ + bytes.size());
         appendFrame(&bytes, record.SerializeAsString());
@@ -279,6 +283,9 @@
 {
     if (index.value() > lastIndex())
         return {};
+    if (index.value() <= baseIndex_)
+        return fail({ ErrorCode::Invalid, "truncate", path(LogFile),
+            "record " + std::to_string(index.value()) + " was removed before" });
     const uint64_t offset = offsets_[index.value() - baseIndex_ - 1];
     if (auto done = log_.truncate(offset); !done)
         return done;
--- a/Source/Basilgap/Replication/RaftCore.cpp
+++ b/Source/Basilgap/Replication/RaftCore.cpp
@@ -184,23 +184,6 @@
         advanceCommit();
 }
 
-void RaftCore::forgetUnwritten(LogIndex durable)
-{
-    stepDown();
-    if (output_.truncateFrom)
-        durable = std::min(durable, LogIndex(output_.truncateFrom->value() - 1));
-    // The records of a snapshot that is still to be installed replace those that were not written.
-    const LogIndex last = std::max(durable, log_.baseIndex());
-    log_.truncateFrom(LogIndex(last.value() + 1));
-    memberships_.erase(memberships_.upper_bound(last.value()), memberships_.end());
-    commitIndex_ = std::min(commitIndex_, last);
-    persistedIndex_ = std::min(persistedIndex_, last);
-    output_.append.clear();
-    std::erase_if(output_.committed,
-        [last](const schema::LogRecord &record) { return record.index() > last.value(); });
-    output_.messages.clear();
-}
-
 bool RaftCore::isEstablishedLeader() const
 {
     return isLeader() && commitIndex_.value() >= termStartIndex_;
--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -101,11 +101,6 @@
     // Called when the log is durable up to and including the index.
     void markPersisted(LogIndex index);
 
-    // Called when records could not be written: gives up leadership and forgets the records after
-    // the index, the last one that is durable. They were not acknowledged, so that a leader sends
-    // them again; those that were committed are committed once more.
-    void forgetUnwritten(LogIndex durable);
-
     // Starts a read barrier: returns the number of a heartbeat round that starts after this call.
     // Once confirmedRound() has reached it, this replica was still the leader at some moment after
     // the call.
@@ -154,6 +149,9 @@
     LogIndex lastIndex() const { return log_.lastIndex(); }
     // Last record that the newest snapshot covers; 0 without one.
     LogIndex snapshotIndex() const { return LogIndex(snapshotMeta_.index()); }
+    // Whether records that were written before are still to be removed from the disk.
+    bool hasPendingTruncation() const { return output_.truncateFrom || output_.install; }
+    uint64_t bytesAfter(LogIndex index) const { return log_.bytesAfter(index); }
     // Size of the records up to the index that the newest snapshot does not cover.
     uint64_t bytesSinceSnapshot(LogIndex upTo) const
     {
--- a/Source/UnitTests/Control/ReplicaCellTest.cpp
+++ b/Source/UnitTests/Control/ReplicaCellTest.cpp
@@ -418,5 +418,41 @@
     }));
 }
 
+// Guards against a log that is cut where it no longer reaches, or gets records that it has already:
+// a deposed leader still had records of its own on its disk when that was full.
+TEST_F(ReplicaCell, deposedLeaderOnAFullDiskReplacesItsOwnRecords)
+{
+    constexpr uint64_t OwnRecords = 20;
+    setSnapshotBytes(SmallSnapshotBytes);
+    ASSERT_NO_FATAL_FAILURE(startCell(3, MembershipMode::Listed));
+    ASSERT_NO_FATAL_FAILURE(propose(configuration(1)));
+    const size_t deposed = *leader();
+    const auto hasAllRecords = [this](size_t index) {
+        const replication::RaftCore &core = replica(*leader()).core();
+        return core.matchIndexOf(ReplicaId(nameOf(index))) == core.lastIndex();
+    };
+    ASSERT_TRUE(runUntil(
+        [&] { return hasAllRecords((deposed + 1) % 3) && hasAllRecords((deposed + 2) % 3); }));
+    split({ nameOf(deposed) });
+    for (uint64_t i = 0; i < OwnRecords; i++) {
+        schema::Command command;
+        command.mutable_expire();
+        replica(deposed).propose(std::move(command), [](const schema::CommandOutcome &) {});
+    }
+    ASSERT_TRUE(runUntil([&] { return !replica(deposed).isLeading() && leader().has_value(); }));
+    for (uint64_t version = 2; version <= 4; version++)
+        ASSERT_NO_FATAL_FAILURE(propose(configuration(version)));
+    node(deposed).disk.setFreeBytes(10000);
+    heal();
+    EXPECT_TRUE(runUntil([&] { return leader().has_value() && hasAllRecords(deposed); }));
+    node(deposed).disk.setFreeBytes(16 * SmallSnapshotBytes);
+    ASSERT_NO_FATAL_FAILURE(propose(configuration(5)));
+    EXPECT_TRUE(runUntil([&] { return leader().has_value() && hasAllRecords(deposed); }));
+    EXPECT_TRUE(runUntil([&] { return replica(deposed).state().workConfig().version() == 5; }));
+    node(deposed).replica.reset();
+    restart(deposed);
+    EXPECT_TRUE(runUntil([&] { return leader().has_value() && hasAllRecords(deposed); }));
+}
+
 } // namespace
 } // namespace basilgap::control
--- a/Source/UnitTests/Control/ReplicaDiskTest.cpp
+++ b/Source/UnitTests/Control/ReplicaDiskTest.cpp
@@ -81,4 +81,16 @@
     ASSERT_NO_FATAL_FAILURE(configure());
 }
 
+// A folder from before there was a reserve, on a disk with little space left.
+TEST_F(ReplicaDiskTest, replicaLeadsWithLittleSpaceAndNoReserve)
+{
+    replica_.reset();
+    std::filesystem::remove(folder_ + "/reserve");
+    quota_.setFreeBytes(20000);
+    startReplica();
+    propose();
+    ASSERT_TRUE(runUntil([this] { return accepted_ == 1; }));
+    EXPECT_FALSE(replica_->spaceError().empty());
+}
+
 } // namespace basilgap::control
--- a/Source/UnitTests/Replication/RaftCluster.cpp
+++ b/Source/UnitTests/Replication/RaftCluster.cpp
@@ -70,9 +70,6 @@
 void RaftCluster::apply(size_t index, const schema::LogRecord &record)
 {
     Node &node = nodes_[index];
-    // Committed again after a failed write.
-    if (record.index() <= node.applied)
-        return;
     if (record.index() != node.applied + 1)
         violation_ = "records were applied out of order";
     node.applied = record.index();
@@ -88,10 +85,6 @@
     for (RaftOutput output = node.core->takeOutput(); !output.isEmpty();
          output = node.core->takeOutput()) {
         send(output.messagesBeforeSync);
-        if (std::exchange(node.failsNextWrite, false) && !output.append.empty()) {
-            failWrite(&node, std::move(output));
-            continue;
-        }
         write(&node.disk, output);
         node.core->markPersisted(node.core->lastIndex());
         send(output.messages);
@@ -103,19 +96,6 @@
     checkLeaders();
 }
 
-// The disk has no space for the records.
-void RaftCluster::failWrite(Node *node, RaftOutput output)
-{
-    output.append.clear();
-    write(&node->disk, output);
-    if (output.install)
-        node->applied = output.install->meta().index();
-    for (const auto &record : output.committed)
-        apply(static_cast<size_t>(node - nodes_.data()), record);
-    const uint64_t durable = node->disk.snapshot.meta().index() + node->disk.records.size();
-    node->core->forgetUnwritten(LogIndex(durable));
-}
-
 void RaftCluster::send(const std::vector<schema::RaftMessage> &messages)
 {
     for (const schema::RaftMessage &message : messages) {
@@ -179,8 +159,7 @@
 void RaftCluster::compact(size_t index, size_t stateBytes)
 {
     Node &node = nodes_[index];
-    const bool isAhead = node.applied > node.core->lastIndex().value();
-    if (node.applied <= node.disk.snapshot.meta().index() || isAhead)
+    if (node.applied <= node.disk.snapshot.meta().index())
         return;
     schema::Snapshot snapshot;
     snapshot.mutable_meta()->set_index(node.applied);
@@ -251,7 +230,6 @@
         const size_t target = leaderIndex.value_or(node);
         nodes_[target].core->propose(
             schema::LogRecord::COMMAND, "command " + std::to_string(++proposals_));
-        nodes_[random_() % nodes_.size()].failsNextWrite = random_() % 8 == 0;
         // A crash at this point loses the record before it is durable.
         if (random_() % 8 == 0)
             crash(target);
--- a/Source/UnitTests/Replication/RaftCluster.h
+++ b/Source/UnitTests/Replication/RaftCluster.h
@@ -76,7 +76,6 @@
         std::unique_ptr<RaftCore> core;
         uint64_t applied = 0;
         uint64_t bytesSentTo = 0;
-        bool failsNextWrite = false;
         Millis latency;
     };
 
@@ -89,7 +88,6 @@
     void start(size_t index);
     void write(Disk *disk, const RaftOutput &output);
     void apply(size_t index, const schema::LogRecord &record);
-    void failWrite(Node *node, RaftOutput output);
     void send(const std::vector<schema::RaftMessage> &messages);
     void deliver(size_t position, bool keep);
     void checkLeaders();
