Try no write again on a full disk, and apply records in their order

Cause: a write that failed was tried again in place, while the core went on from what it had in memory.

Change: a write that found the disk full is never tried again. The replica shortens its log and opens its folder again, at once if space was freed, or else when there is some. A record that does not follow the last applied one ends the process before it does harm. A failed sync of the folder ends the process like any other failed sync. Space is low until the disk has room for the log to grow beside the reserve.

Tests: ReplicaCell.leaderWithAFullDiskLeavesTheLeadToTheOthers, written with the change. The follower's test compares the states as well. ReplicaDiskTest proposes a change again that was refused, as callers do: a replica that opens its folder again has given up its lead, and each change must still be accepted within the same time.

--- a/Source/Basilgap/Control/Replica.cpp
+++ b/Source/Basilgap/Control/Replica.cpp
@@ -68,6 +68,7 @@
         replication::RaftOptions{
             .self = self_, .incarnation = storage_->incarnation(), .seed = randomNumber() },
         std::move(persistentState), steadyNow());
+    core_->setReluctant(!spaceError_.empty());
     durableIndex_ = core_->lastIndex();
 }
 
@@ -255,7 +256,7 @@
     }
     if (isWriting_) {
         send(core_->takeMessagesBeforeSync());
-        if (!isSnapshotDue())
+        if (!isInstalling_ && !isSnapshotDue())
             applyAll(core_->takeCommittedBeforeSync());
     }
     updateRole();
@@ -279,6 +280,10 @@
 
 void Replica::apply(const schema::LogRecord &record)
 {
+    if (record.index() != appliedIndex_.value() + 1)
+        return options_.onFatal({ ErrorCode::Damaged, "apply", self_.value(),
+            "record " + std::to_string(record.index()) + " does not follow record "
+                + std::to_string(appliedIndex_.value()) });
     appliedIndex_ = LogIndex(record.index());
     if (record.kind() == schema::LogRecord::MEMBERSHIP)
         updateLinks();
--- a/Source/Basilgap/Control/Replica.h
+++ b/Source/Basilgap/Control/Replica.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -107,8 +108,6 @@
     {
         replication::RaftOutput output;
         Result<void> result;
-        // Whether the output is written again after a failure.
-        bool isRetry = false;
     };
 
     struct Barrier
@@ -124,10 +123,10 @@
     void tick();
     void scheduleFlush();
     void flush();
-    void startWrite(replication::RaftOutput output, bool isRetry = false);
+    void startWrite(replication::RaftOutput output);
     void handleWritten(const FinishedWrite &written);
     void handleFailedWrite(const FinishedWrite &written);
-    bool freeSpaceForFailedWrite();
+    void resumeFromDisk(bool isRetry);
     void finishOutput(const replication::RaftOutput &output);
     void retryWrite();
     void reopen();
@@ -143,6 +142,7 @@
     void maybeSnapshot();
     bool saveSnapshot();
     void restoreReserve();
+    bool isMuchRemovable() const;
     void setSpaceLow(const Error &reason);
     void updateLinks();
     void sendProbes();
@@ -179,6 +179,8 @@
     LogIndex durableIndex_;
     // While true, the write thread uses the storage and the event loop must not.
     bool isWriting_ = false;
+    // Whether the output that is being written has a snapshot to be installed.
+    bool isInstalling_ = false;
     Millis nextSnapshotTry_;
     // The next snapshot must shorten the log as far as possible.
     bool mustFreeSpace_ = false;
@@ -188,8 +190,10 @@
     // otherwise pass from one replica to the next for ever.
     bool hasYieldedLead_ = false;
     std::string diskError_;
-    bool isDiskFull_ = false;
-    replication::RaftOutput failedOutput_;
+    // Whether the log on the disk was the one in memory, but for its end, when the write failed.
+    bool isLogCurrent_ = false;
+    // Is written again once there are descriptors.
+    std::optional<replication::RaftOutput> failedOutput_;
     // Replies of the other replicas since the last probe; used while this one is uninitialized.
     std::map<ReplicaId, schema::ProbeReply> probeReplies_;
     // Probes of replicas that are not members and want to join a cell of listed replicas.
--- a/Source/Basilgap/Control/ReplicaWriting.cpp
+++ b/Source/Basilgap/Control/ReplicaWriting.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Millis WriteRetryInterval{ 1000 };
+// Those who are told that this replica has stopped leading let go of its state meanwhile.
+constexpr Millis ReopenDelay{ 20 };
 constexpr Millis SnapshotRetryInterval{ 1000 };
 constexpr Millis ReserveRetryInterval{ 5000 };
 
@@ -32,15 +34,16 @@
 
 } // namespace
 
-void Replica::startWrite(replication::RaftOutput output, bool isRetry)
+void Replica::startWrite(replication::RaftOutput output)
 {
     isWriting_ = true;
+    isInstalling_ = output.install.has_value();
     auto written = std::make_shared<FinishedWrite>();
     written->output = std::move(output);
-    written->isRetry = isRetry;
     writeThread_.run([this, written] { written->result = storage_->write(written->output); },
         [this, written] {
             isWriting_ = false;
+            isInstalling_ = false;
             handleWritten(*written);
         });
 }
@@ -84,12 +87,10 @@
     applyAll(output.committed);
 }
 
-// A write that found the disk full is tried once more at once, if space could be freed. If it fails
-// for good, the replica is silent, and goes on later from what is on its disk, as after a restart:
-// the disk may never have space for all records of the write.
 void Replica::handleFailedWrite(const FinishedWrite &written)
 {
     const Error &error = written.result.error();
+    const replication::RaftOutput &output = written.output;
     const bool isDiskFull = error.code == ErrorCode::Full;
     LogEvent(isDiskFull ? "disk-full" : "descriptors-exhausted", LogLevel::Error)
         .with(error)
@@ -97,69 +98,66 @@
         .with("applied", appliedIndex_.value())
         .with("durable", durableIndex_.value())
         .with("snapshot", core_->snapshotIndex().value());
-    failedOutput_ = written.output;
-    if (isDiskFull) {
-        setSpaceLow(error);
-        if (!written.isRetry && freeSpaceForFailedWrite())
-            return startWrite(std::exchange(failedOutput_, {}), true);
-    }
+    // While records on the disk are to be replaced, its log does not match the one in memory.
+    isLogCurrent_ = !output.install && !output.truncateFrom && !core_->hasPendingTruncation();
     diskError_ = error.text();
-    isDiskFull_ = isDiskFull;
     core_->stepDown();
     updateRole();
+    if (isDiskFull)
+        return resumeFromDisk(false);
+    failedOutput_ = output;
     writeRetryTimer_.startOnce(WriteRetryInterval);
 }
 
-// Shortens the log by a snapshot, which may cover records that the failed write was to make
-// durable, and leaves the records what the reserve can spare. Returns whether that has freed any
-// space.
-bool Replica::freeSpaceForFailedWrite()
+void Replica::retryWrite()
 {
-    const uint64_t reserved = storage_->reservedBytes();
-    // While records on the disk are to be replaced, its log does not match the one in memory.
-    const bool isLogCurrent =
-        !failedOutput_.install && !failedOutput_.truncateFrom && !core_->hasPendingTruncation();
-    const bool isSaved = mustFreeSpace_ && isLogCurrent && saveSnapshot();
-    if (isSaved && appliedIndex_ > durableIndex_) {
-        durableIndex_ = appliedIndex_;
-        std::erase_if(failedOutput_.append, [this](const schema::LogRecord &record) {
-            return LogIndex(record.index()) <= appliedIndex_;
-        });
-    }
-    const bool isHeld = storage_->restoreLeastReserve().has_value();
-    return isHeld && (isSaved || storage_->reservedBytes() < reserved);
+    if (!failedOutput_)
+        return resumeFromDisk(true);
+    replication::RaftOutput output = std::move(*failedOutput_);
+    failedOutput_.reset();
+    // The protocol resends the messages that are still needed.
+    output.messages.clear();
+    startWrite(std::move(output));
 }
 
-void Replica::retryWrite()
+// Goes on after a write that found the disk full: soon if space could be freed, or else once there
+// is some. The records of that write are not tried again, as the disk may never have
+// space for all of them at a time.
+void Replica::resumeFromDisk(bool isRetry)
 {
-    if (!isDiskFull_) {
-        // The protocol resends the messages that are still needed.
-        failedOutput_.messages.clear();
-        return startWrite(std::exchange(failedOutput_, {}), true);
-    }
-    freeSpaceForFailedWrite();
-    if (storage_->hasLeastReserve())
+    spaceError_ = diskError_;
+    core_->setReluctant(true);
+    nextReserveTry_ = steadyNow() + ReserveRetryInterval;
+    const uint64_t reserved = storage_->reservedBytes();
+    // The snapshot may cover records that were applied, but not written.
+    const bool isShortened = isLogCurrent_ && isMuchRemovable() && saveSnapshot();
+    const auto held = storage_->restoreLeastReserve();
+    if (!held && !isTransient(held.error()))
+        return options_.onFatal(held.error());
+    if (isRetry && !storage_->hasLeastReserve())
+        LogEvent("disk-full", LogLevel::Error)
+            .with("error", diskError_)
+            .with("files", toText(storage_->fileSizes()));
+    const bool hasFreed = isShortened || storage_->reservedBytes() < reserved;
+    if (isRetry && storage_->hasLeastReserve())
         return reopen();
-    LogEvent("disk-full", LogLevel::Error)
-        .with("error", diskError_)
-        .with("files", toText(storage_->fileSizes()));
-    writeRetryTimer_.startOnce(WriteRetryInterval);
+    writeRetryTimer_.startOnce(hasFreed ? ReopenDelay : WriteRetryInterval);
 }
 
-// Goes on from what is on the disk. What was not written has not been acknowledged.
+// Starts again from what is on the disk. What was not written has not been acknowledged.
 void Replica::reopen()
 {
-    failedOutput_ = {};
     storage_.reset();
     auto storage = openStorage(options_);
     if (!storage)
         return options_.onFatal(storage.error());
     storage_ = std::move(*storage);
-    load();
+    probeReplies_.clear();
+    mustFreeSpace_ = false;
     diskError_.clear();
+    load();
     LogEvent("disk-usable").with("index", core_->lastIndex().value());
     updateLinks();
-    restoreReserve();
 }
 
 // The records after this one are kept beside a snapshot of the present state.
@@ -222,9 +220,14 @@
 void Replica::setSpaceLow(const Error &reason)
 {
     spaceError_ = reason.text();
-    const uint64_t removable =
-        storage_->logBytes() - std::min(storage_->logBytes(), core_->bytesAfter(appliedIndex_));
-    mustFreeSpace_ = removable > options_.settings.snapshot_bytes() / LowSpaceShare;
+    core_->setReluctant(true);
+    mustFreeSpace_ = isMuchRemovable();
+}
+
+// Whether a snapshot would shorten the log by more than it may grow while disk space is low.
+bool Replica::isMuchRemovable() const
+{
+    return storage_->bytesUpTo(appliedIndex_) > options_.settings.snapshot_bytes() / LowSpaceShare;
 }
 
 // Must not be called while the write thread uses the storage.
@@ -233,11 +236,13 @@
     if (mustFreeSpace_ || (storage_->hasReserve() && spaceError_.empty())
         || steadyNow() < nextReserveTry_)
         return;
-    const auto restored = storage_->restoreReserve();
+    const auto restored =
+        spaceError_.empty() ? storage_->restoreReserve() : storage_->restoreReserveWithMargin();
     if (restored) {
         if (!spaceError_.empty())
             LogEvent("disk-space-regained").with("files", toText(storage_->fileSizes()));
         spaceError_.clear();
+        core_->setReluctant(false);
         hasYieldedLead_ = false;
         return;
     }
--- a/Source/Basilgap/Replication/DataFolder.cpp
+++ b/Source/Basilgap/Replication/DataFolder.cpp
@@ -84,9 +84,12 @@
 
 Result<void> DataFolder::sync() const
 {
-    if (::fsync(folder_) != 0)
-        return fail(systemError("sync-folder", path_));
-    return {};
+    if (::fsync(folder_) == 0)
+        return {};
+    // Nobody knows what a failed sync left on the disk, whatever its cause.
+    Error error = systemError("sync-folder", path_);
+    error.code = ErrorCode::Io;
+    return fail(error);
 }
 
 Result<DiskFile> DataFolder::replace(const std::string &name, std::string_view content)
@@ -100,8 +103,12 @@
         return fail(written.error());
     if (auto synced = spare.file.sync(); !synced)
         return fail(synced.error());
-    if (::rename(pathOf(spare.name).c_str(), pathOf(name).c_str()) != 0)
-        return fail(systemError("rename", pathOf(name)));
+    if (::rename(pathOf(spare.name).c_str(), pathOf(name).c_str()) != 0) {
+        const Error error = systemError("rename", pathOf(name));
+        if (auto emptied = spare.file.truncate(0); !emptied)
+            return fail(emptied.error());
+        return fail(error);
+    }
     DiskFile file = std::move(spare.file);
     file.setPath(pathOf(name));
     spares_.erase(spares_.begin());
--- a/Source/Basilgap/Replication/LogStorage.cpp
+++ b/Source/Basilgap/Replication/LogStorage.cpp
@@ -339,6 +339,22 @@
     return held;
 }
 
+Result<void> LogStorage::restoreReserveWithMargin()
+{
+    const auto margin = folder_.holdReserve(wantedReserve() + options_.reserveBytes);
+    auto held = folder_.holdReserve(margin ? wantedReserve() : leastReserve());
+    return margin ? held : margin;
+}
+
+uint64_t LogStorage::bytesUpTo(LogIndex index) const
+{
+    if (offsets_.empty() || index.value() <= baseIndex_)
+        return 0;
+    const uint64_t end =
+        index.value() >= lastIndex() ? logLength_ : offsets_[index.value() - baseIndex_];
+    return end - offsets_.front();
+}
+
 uint64_t LogStorage::leastReserve() const
 {
     return options_.reserveBytes == 0 ? 0
--- a/Source/Basilgap/Replication/LogStorage.h
+++ b/Source/Basilgap/Replication/LogStorage.h
@@ -60,6 +60,8 @@
     bool hasReserve() const { return folder_.reservedBytes() >= wantedReserve(); }
     // Whether it holds what a crowded disk must have for records to be written.
     bool hasLeastReserve() const { return folder_.reservedBytes() >= leastReserve(); }
+    // Fails, and leaves the reserve small, unless the disk has room for the log to grow beside it.
+    Result<void> restoreReserveWithMargin();
     uint64_t reservedBytes() const { return folder_.reservedBytes(); }
     bool isReserveReleased() const
     {
@@ -68,6 +70,8 @@
 
     uint64_t logBytes() const { return logLength_; }
     std::vector<FileSize> fileSizes() const { return folder_.fileSizes(); }
+    // Size of the records in the log up to and including the index.
+    uint64_t bytesUpTo(LogIndex index) const;
     // The first record after which the log has at most that many bytes.
     LogIndex startOfLast(uint64_t maxBytes) const;
 
--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -32,6 +32,8 @@
     Millis promptElectionMax{ 260 };
     // How long a pre-candidate refuses its pre-vote to pre-candidates that it outranks.
     Millis preVotePriorityTime{ 1000 };
+    // How much later a reluctant replica starts an election. The others elect a leader by then.
+    Millis reluctance{ 1500 };
     uint64_t seed = 1;
     size_t maxBatchBytes = 256 * 1024;
     size_t chunkBytes = 64 * 1024;
@@ -122,6 +124,10 @@
     // Called when a connection to the peer has been established: a pre-candidate requests its vote.
     void handlePeerConnected(const ReplicaId &peer, Millis now);
 
+    // A reluctant replica leaves elections to the others for a time, for instance because it has
+    // little disk space.
+    void setReluctant(bool isReluctant);
+
     // Gives up leadership, for instance because records can't be written any more.
     void stepDown();
 
@@ -206,6 +212,7 @@
     bool isElectionDue() const { return now_ >= electionDue_; }
     void resetElectionDue();
     void setPromptElectionDue();
+    void setElectionDue(Millis min, Millis max);
     void requestVotes(bool preVote, bool transfer);
     void requestVote(const schema::Member &member, bool preVote, bool transfer);
     bool outranks(const schema::RaftMessage &message) const;
@@ -266,6 +273,7 @@
     uint64_t round_ = 0;
     uint64_t termStartIndex_ = 0;
     bool transferring_ = false;
+    bool isReluctant_ = false;
     Millis transferDue_;
     schema::SnapshotMeta incomingMeta_;
     std::string incomingState_;
--- a/Source/Basilgap/Replication/RaftElection.cpp
+++ b/Source/Basilgap/Replication/RaftElection.cpp
@@ -7,16 +7,27 @@
 
 void RaftCore::resetElectionDue()
 {
-    const int64_t spread = (options_.electionMax - options_.electionMin).count();
-    const auto extra = static_cast<int64_t>(random_() % static_cast<uint64_t>(spread + 1));
-    electionDue_ = now_ + options_.electionMin + Millis(extra);
+    setElectionDue(options_.electionMin, options_.electionMax);
 }
 
 void RaftCore::setPromptElectionDue()
 {
-    const int64_t spread = (options_.promptElectionMax - options_.promptElectionMin).count();
-    const auto extra = static_cast<int64_t>(random_() % static_cast<uint64_t>(spread + 1));
-    electionDue_ = now_ + options_.promptElectionMin + Millis(extra);
+    setElectionDue(options_.promptElectionMin, options_.promptElectionMax);
+}
+
+void RaftCore::setElectionDue(Millis min, Millis max)
+{
+    const auto spread = static_cast<uint64_t>((max - min).count());
+    const auto extra = static_cast<int64_t>(random_() % (spread + 1));
+    const bool leavesIt = isReluctant_ && voterCount(membership()) > 1;
+    electionDue_ = now_ + min + Millis(extra) + (leavesIt ? options_.reluctance : Millis());
+}
+
+void RaftCore::setReluctant(bool isReluctant)
+{
+    if (isReluctant && !isReluctant_ && voterCount(membership()) > 1)
+        electionDue_ += options_.reluctance;
+    isReluctant_ = isReluctant;
 }
 
 void RaftCore::handleLeaderExit(const ReplicaId &leader, Millis now)
--- a/Source/UnitTests/Control/ReplicaCellTest.cpp
+++ b/Source/UnitTests/Control/ReplicaCellTest.cpp
@@ -403,6 +403,7 @@
 
 // Guards against a replica that stays silent for good on a disk that its own log has filled: it had
 // applied records that the others had written and it had not, and took no snapshot.
+
 TEST_F(ReplicaCell, followerThatHasAppliedMoreThanItHasWrittenFreesItsFullDisk)
 {
     setSnapshotBytes(SmallSnapshotBytes);
@@ -416,6 +417,8 @@
         const replication::RaftCore &core = replica(*leader()).core();
         return core.matchIndexOf(ReplicaId(nameOf(slow))) == core.lastIndex();
     }));
+    EXPECT_TRUE(runUntil(
+        [&] { return replica(slow).state().save() == replica(*leader()).state().save(); }));
 }
 
 // Guards against a log that is cut where it no longer reaches, or gets records that it has already:
@@ -454,5 +457,17 @@
     EXPECT_TRUE(runUntil([&] { return leader().has_value() && hasAllRecords(deposed); }));
 }
 
+// Guards against a cell without a leader that lasts: a replica with a full disk led, failed, and
+// was the first to stand for election again.
+TEST_F(ReplicaCell, leaderWithAFullDiskLeavesTheLeadToTheOthers)
+{
+    setSnapshotBytes(SmallSnapshotBytes);
+    ASSERT_NO_FATAL_FAILURE(startCell(3, MembershipMode::Listed));
+    const size_t full = *leader();
+    node(full).disk.setFreeBytes(DocumentBytes / 2);
+    ASSERT_NO_FATAL_FAILURE(configure([] {}));
+    EXPECT_NE(leader(), full);
+}
+
 } // namespace
 } // namespace basilgap::control
--- a/Source/UnitTests/Control/ReplicaDiskTest.cpp
+++ b/Source/UnitTests/Control/ReplicaDiskTest.cpp
@@ -29,15 +29,29 @@
         startReplica();
     }
 
-    // Proposes the next configuration and waits until it is accepted.
+    // Proposes the next configuration until it is accepted. A replica that shortens its log on a
+    // full disk may refuse it meanwhile, as a leader that is deposed does.
     void configure()
     {
-        schema::Command command;
-        command.mutable_put_work_config()->set_version(++version_);
-        command.mutable_put_work_config()->set_document(std::string(DocumentBytes, 'x'));
-        propose(std::move(command));
-        ASSERT_TRUE(runUntil([this] { return accepted_ == static_cast<int>(version_); }))
-            << "configuration " << version_ << ": " << replica_->diskError();
+        std::optional<schema::OutcomeCode> outcome = schema::UNAVAILABLE;
+        version_++;
+        EXPECT_TRUE(runUntil([&] {
+            if (outcome == schema::UNAVAILABLE && replica_->isLeading()) {
+                outcome.reset();
+                schema::Command command;
+                command.mutable_put_work_config()->set_version(version_);
+                command.mutable_put_work_config()->set_document(std::string(DocumentBytes, 'x'));
+                replica_->propose(std::move(command),
+                    [&outcome](const schema::CommandOutcome &reply) { outcome = reply.code(); });
+            }
+            return outcome == schema::ACCEPTED;
+        })) << "configuration "
+            << version_ << ": " << replica_->diskError();
+        // The callback refers to this function's variables.
+        if (!outcome)
+            replica_.reset();
+        ASSERT_EQ(outcome, schema::ACCEPTED);
+        EXPECT_EQ(replica_->state().workConfig().version(), version_);
     }
 
     standins::QuotaDisk quota_{ folder_ };
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -526,8 +526,11 @@
     ASSERT_EQ(configure(101).status(), 200U);
     ASSERT_EQ(submitAs("00000000000000a1").status(), 200U);
     quota_.setFreeBytes(0);
-    propose();
-    ASSERT_TRUE(runUntil([this] { return !replica_->spaceError().empty(); }));
+    schema::Command command;
+    command.mutable_expire();
+    replica_->propose(std::move(command), [](const schema::CommandOutcome &) {});
+    ASSERT_TRUE(
+        runUntil([this] { return !replica_->spaceError().empty() && replica_->isLeading(); }));
     const schema::CallReply refused = submitAs("00000000000000a2");
     EXPECT_EQ(refused.status(), 503U);
     EXPECT_GT(refused.retry_after_s(), 0U);
