Let a reopened replica vote late, and restore a test's strength

And replicas that are all low on space elected a leader later than leases last.

Change: the folder is opened again after 500 ms of silence; reluctance is 700 ms, longer than the others' election timeout.

Test: ReplicaCell.slowDiskOfTheLeaderDoesNotKeepItsLogFromShrinking has its sync time of 30 ms again.

--- a/Source/Basilgap/Control/ReplicaWriting.cpp
+++ b/Source/Basilgap/Control/ReplicaWriting.cpp
@@ -11,8 +11,9 @@
 namespace {
 
 constexpr Millis WriteRetryInterval{ 1000 };
-// Those who are told that this replica has stopped leading let go of its state meanwhile.
-constexpr Millis ReopenDelay{ 20 };
+// Longer than a leader relies on its last confirmation by this replica, which may vote for another
+// one once it has opened its folder again.
+constexpr Millis ReopenDelay{ 500 };
 constexpr Millis SnapshotRetryInterval{ 1000 };
 constexpr Millis ReserveRetryInterval{ 5000 };
 
--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -33,7 +33,7 @@
     // How long a pre-candidate refuses its pre-vote to pre-candidates that it outranks.
     Millis preVotePriorityTime{ 1000 };
     // How much later a reluctant replica starts an election. The others elect a leader by then.
-    Millis reluctance{ 1500 };
+    Millis reluctance{ 700 };
     uint64_t seed = 1;
     size_t maxBatchBytes = 256 * 1024;
     size_t chunkBytes = 64 * 1024;
--- a/Source/UnitTests/Control/ReplicaCellTest.cpp
+++ b/Source/UnitTests/Control/ReplicaCellTest.cpp
@@ -378,7 +378,7 @@
     setSnapshotBytes(SmallSnapshotBytes);
     ASSERT_NO_FATAL_FAILURE(startCell(3, MembershipMode::Listed));
     const size_t slow = *leader();
-    node(slow).disk.syncTime = Millis(10);
+    node(slow).disk.syncTime = Millis(30);
     uint64_t largestLog = 0;
     ASSERT_NO_FATAL_FAILURE(configure([&] {
         largestLog =
@@ -403,7 +403,6 @@
 
 // Guards against a replica that stays silent for good on a disk that its own log has filled: it had
 // applied records that the others had written and it had not, and took no snapshot.
-
 TEST_F(ReplicaCell, followerThatHasAppliedMoreThanItHasWrittenFreesItsFullDisk)
 {
     setSnapshotBytes(SmallSnapshotBytes);
