--- a/Source/Basilgap/Control/Replica.cpp
+++ b/Source/Basilgap/Control/Replica.cpp
@@ -61,8 +61,9 @@
     if (storage_->tornBytes() > 0)
         LogEvent("log-tail-cut", LogLevel::Warning).with("bytes", storage_->tornBytes());
     replication::RaftPersistentState persistentState = storage_->takePersistentState();
-    const bool hasSnapshot = persistentState.snapshotMeta.index() > 0;
-    state_.restore(hasSnapshot ? *persistentState.snapshotState : std::string());
+    state_ = state::CellState();
+    if (persistentState.snapshotMeta.index() > 0)
+        state_.restore(*persistentState.snapshotState);
     appliedIndex_ = LogIndex(persistentState.snapshotMeta.index());
     core_ = std::make_unique<replication::RaftCore>(
         replication::RaftOptions{
