Log the times of the stages of a start, and what the leader does in a second

Of a late check the logs told when it was taken, ordered and ended, not how long advice, plan, record, order and acceptance took, nor whether the leader was late itself.

The leader logs, once a second, the count, median and 95th percentile of each stage by queue (stage-times), and adds to event=cell its processor time, the time of plans and of looking at the workers, by how much its tick was late, and the number of starts, ends, preemptions and advice calls. No decision changes.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -149,6 +149,9 @@
         if (work == nullptr)
             continue;
         const state::StepRef ref{ work->serial, end.occurrence(), end.step() };
+        const auto listedAt = endsListedAt_.extract({ ref, end.index() });
+        if (!listedAt.empty())
+            stageTimes_.add(work->queue, Stage::End, steadyNow() - listedAt.mapped());
         if (end.worker_loss() == schema::WORKER_LOST_AT_START
             || end.worker_loss() == schema::WORKER_LOST_BEFORE_ANSWER)
             logCrashSuspect({ ref, end.index() });
@@ -229,6 +232,8 @@
                         const StepTaskRef &task) { permits_.invalidateTicket(task.step, number); },
                 .onStartGivenUp = [this](const StepTaskRef &task,
                                       uint32_t run) { giveUpGang(task, run); },
+                .onStartAccepted = [this](const StepTaskRef &task,
+                                       Millis time) { recordStage(task, Stage::Start, time); },
                 .pollDelay = [this, number] { return pollDelay(number); },
             },
             .wallClock = [this] { return stateNow(); },
@@ -248,6 +253,8 @@
         .with("run", ended.run)
         .with("worker", session == sessions_.end() ? "" : session->second->endpoint().id)
         .with("outcome", schema::RunOutcome_Name(ended.outcome));
+    activity_.ends++;
+    endsListedAt_[task] = steadyNow();
     recordOutcome(worker, task, ended.outcome);
     planWorkers_.markChanged(worker);
     schema::RunEnd &end = pendingEnds_.emplace_back();
@@ -265,6 +272,9 @@
 void WorkDispatcher::tick()
 {
     const Millis now = steadyNow();
+    if (lastTickAt_ > Millis())
+        activity_.maxTickDelay = std::max(activity_.maxTickDelay, now - lastTickAt_ - TickInterval);
+    lastTickAt_ = now;
     advicePool_.tick(now);
     // A leader without confirmation by a quorum must not renew leases, because its successor treats
     // them as expired. After a freeze it would also judge runs by outdated reports.
@@ -292,8 +302,10 @@
 
 void WorkDispatcher::maintainWorkers(Millis now)
 {
+    const auto startedAt = std::chrono::steady_clock::now();
     for (const auto &[number, session] : sessions_)
         session->tick(now);
+    activity_.tickTime += std::chrono::steady_clock::now() - startedAt;
     if (now < nextStragglerCheck_)
         return;
     stopStragglers();
@@ -362,12 +374,12 @@
     isBatchPending_ = true;
     const schema::RunBatch sent = *batch;
     options_.replica.propose(
-        std::move(command), guarded([this, sent, ends](const schema::CommandOutcome &outcome) {
+        std::move(command), guarded([this, sent, ends, now](const schema::CommandOutcome &outcome) {
             isBatchPending_ = false;
             if (outcome.code() != schema::ACCEPTED)
                 return restoreBatch(sent, ends, outcome);
             ackEnds(ends);
-            sendStarts(sent);
+            sendStarts(sent, now);
             scheduleBatch();
         }));
 }
@@ -412,7 +424,7 @@
     }
 }
 
-void WorkDispatcher::sendStarts(const schema::RunBatch &batch)
+void WorkDispatcher::sendStarts(const schema::RunBatch &batch, Millis plannedAt)
 {
     const Millis now = steadyNow();
     for (const auto &start : batch.starts()) {
@@ -434,6 +446,9 @@
             .with("task", task.index)
             .with("run", start.run())
             .with("worker", session->second->endpoint().id);
+        activity_.starts++;
+        if (start.run() == 1)
+            recordFirstStart(*work, task, plannedAt);
         startSentAt_[task] = now;
         if (state->isCrashSuspect())
             crashProbations_[worker] = now + options_.times.startLossWindow;
@@ -442,6 +457,22 @@
     }
 }
 
+void WorkDispatcher::recordFirstStart(
+    const state::Work &work, const StepTaskRef &task, Millis plannedAt)
+{
+    const Millis now = steadyNow();
+    const Millis readySince(static_cast<int64_t>(readySinceMs(work, task.step)));
+    stageTimes_.add(work.queue, Stage::Plan, stateNow() - (now - plannedAt) - readySince);
+    stageTimes_.add(work.queue, Stage::Commit, now - plannedAt);
+}
+
+void WorkDispatcher::recordStage(const StepTaskRef &task, Stage stage, Millis time)
+{
+    const state::Work *work = state_.works().find(task.step.work);
+    if (work != nullptr)
+        stageTimes_.add(work->queue, stage, time);
+}
+
 void WorkDispatcher::proposeExpiry()
 {
     nextExpiry_ = steadyNow() + ExpiryInterval;
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -11,6 +11,7 @@
 #include "Basilgap/Control/Replica.h"
 #include "Basilgap/Dispatch/AdvicePool.h"
 #include "Basilgap/Dispatch/PlanWorkers.h"
+#include "Basilgap/Dispatch/StageTimes.h"
 #include "Basilgap/Dispatch/WorkerSession.h"
 #include "Basilgap/Scheduling/BackfillThrottle.h"
 #include "Basilgap/Scheduling/DurationEstimator.h"
@@ -21,6 +22,10 @@
 #include "Basilgap/Scheduling/StragglerDetection.h"
 #include "Basilgap/Scheduling/WorkerHealth.h"
 
+namespace basilgap {
+class LogEvent;
+}
+
 namespace basilgap::dispatch {
 
 // The leader's part in running jobs with steps: answers calls, plans, logs starts and ends of runs,
@@ -68,6 +73,9 @@
         Millis ticketsExpireAt;
     };
 
+    // Processor time that this process has used.
+    static std::chrono::nanoseconds processorTime();
+
     template<typename Callback>
     auto guarded(Callback callback)
     {
@@ -113,7 +121,7 @@
     std::optional<scheduling::PreemptibleRun> toPreemptibleRun(
         const WorkerSession &session, const StepTaskRef &task, Millis now) const;
     void preempt(const StepTaskRef &task, Millis now);
-    bool requestAdvice(const AdviceTarget &target, const schema::AdvicePolicy &policy,
+    bool requestAdvice(const AdviceTarget &target, const schema::QueueConfig &queue,
         const scheduling::AdviceSelection &selection,
         std::function<void(const AdviceResult &)> done);
     void requestAdvice(const scheduling::AdviceRequest &request);
@@ -121,7 +129,9 @@
     void prefetchAdvice(
         const std::string &id, const schema::QueueConfig &queue, const schema::WorkSpec &spec);
     void usePrefetchedAdvice(const std::string &id);
-    void sendStarts(const schema::RunBatch &batch);
+    void sendStarts(const schema::RunBatch &batch, Millis plannedAt);
+    void recordFirstStart(const state::Work &work, const StepTaskRef &task, Millis plannedAt);
+    void recordStage(const StepTaskRef &task, Stage stage, Millis time);
     std::map<state::WorkerNumber, uint64_t> takeListedEnds();
     void ackEnds(const std::map<state::WorkerNumber, uint64_t> &ends);
     void handleAppliedRuns(const schema::RunBatch &batch);
@@ -136,6 +146,7 @@
     // Logs what is known about the task's part in crashes of its workers.
     void logCrashSuspect(const StepTaskRef &task) const;
     void logCellStatus();
+    void logActivity(LogEvent *line);
     void proposeExpiry();
 
     // WorkDispatcherCalls.cpp
@@ -187,9 +198,26 @@
     Millis nextDrop_;
     // Incarnations whose removal is not committed yet.
     std::set<state::WorkerNumber> workersBeingDropped_;
+    StageTimes stageTimes_;
+    // When the leader learned of ends that are not applied yet.
+    std::map<StepTaskRef, Millis> endsListedAt_;
     // Since the last status line.
-    uint32_t planCount_ = 0;
-    std::chrono::nanoseconds planTime_{};
+    struct Activity
+    {
+        uint32_t plans = 0;
+        uint32_t starts = 0;
+        uint32_t ends = 0;
+        uint32_t preemptions = 0;
+        uint32_t adviceCalls = 0;
+        std::chrono::nanoseconds planTime{};
+        std::chrono::nanoseconds tickTime{};
+        // By which the latest tick was late.
+        Millis maxTickDelay;
+    };
+    Activity activity_;
+    // Processor time of the process at the last status line.
+    std::chrono::nanoseconds processorTime_ = processorTime();
+    Millis lastTickAt_;
     // Workers that have become slow, and their slowdown factor.
     std::map<state::WorkerNumber, double> slowWorkers_;
     scheduling::StallHistory stalls_;
--- a/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
@@ -190,7 +190,12 @@
     log("work-taken", "");
     prefetchAdvice(id, queue, call.spec());
     propose(request, std::move(command), reply,
-        [](const schema::CommandOutcome &) { return makeReply(Ok); });
+        [this, alive = std::weak_ptr<bool>(alive_), queueName = state::QueueName(queue.name()),
+            takenAt = steadyNow()](const schema::CommandOutcome &) {
+            if (!alive.expired())
+                stageTimes_.add(queueName, Stage::Log, steadyNow() - takenAt);
+            return makeReply(Ok);
+        });
 }
 
 void WorkDispatcher::cancel(
--- a/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
@@ -1,5 +1,7 @@
 // Monitors runs: health and speed of workers, stragglers, and throttling of backfill tasks.
 
+#include <ctime>
+
 #include "Basilgap/Common/EventLog.h"
 #include "Basilgap/Dispatch/WorkDispatcher.h"
 
@@ -184,6 +186,31 @@
     }
 }
 
+std::chrono::nanoseconds WorkDispatcher::processorTime()
+{
+    timespec used{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+}
+
+// Logs what the leader has done since the last status line, and the processor time it took.
+void WorkDispatcher::logActivity(LogEvent *line)
+{
+    constexpr int64_t NanosecondsInMs = 1000000;
+    const std::chrono::nanoseconds used = processorTime();
+    line->with("cpuMs", (used - processorTime_).count() / NanosecondsInMs)
+        .with("planMs", activity_.planTime.count() / NanosecondsInMs)
+        .with("tickMs", activity_.tickTime.count() / NanosecondsInMs)
+        .with("lateMs", activity_.maxTickDelay)
+        .with("plans", activity_.plans)
+        .with("starts", activity_.starts)
+        .with("ends", activity_.ends)
+        .with("preemptions", activity_.preemptions)
+        .with("adviceCalls", activity_.adviceCalls);
+    processorTime_ = used;
+    activity_ = {};
+}
+
 // Logs capacity and usage of the cell once a second.
 void WorkDispatcher::logCellStatus()
 {
@@ -210,13 +237,11 @@
         .with("memoryMb", capacity.memoryMb)
         .with("reservedMb", reserved.memoryMb)
         .with("running", state_.works().runningTasks())
-        .with("idleAdvisers", advicePool_.availableCallSlots(steadyNow()))
-        .with("plans", planCount_)
-        .with("planMs", planTime_.count() / 1000000);
-    planCount_ = 0;
-    planTime_ = {};
+        .with("idleAdvisers", advicePool_.availableCallSlots(steadyNow()));
+    logActivity(&line);
     for (const auto &[priority, tasks] : waiting)
         line.with("waiting" + std::to_string(priority), tasks);
+    stageTimes_.log();
 }
 
 } // namespace basilgap::dispatch
--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -154,8 +154,8 @@
         requestAdvice(request);
     for (const StepTaskRef &task : plan.preemptions)
         preempt(task, now);
-    planCount_++;
-    planTime_ += std::chrono::steady_clock::now() - planStart;
+    activity_.plans++;
+    activity_.planTime += std::chrono::steady_clock::now() - planStart;
 }
 
 std::vector<scheduling::PreemptibleRun> WorkDispatcher::preemptibleRunsOn(
@@ -264,6 +264,7 @@
     const auto session = state == nullptr ? sessions_.end() : sessions_.find(state->worker);
     if (session == sessions_.end() || work == nullptr)
         return;
+    activity_.preemptions++;
     LogEvent("run-preempted")
         .with("work", work->id)
         .with("step", task.step.step)
@@ -273,9 +274,10 @@
     session->second->stop(task, now);
 }
 
-bool WorkDispatcher::requestAdvice(const AdviceTarget &target, const schema::AdvicePolicy &policy,
+bool WorkDispatcher::requestAdvice(const AdviceTarget &target, const schema::QueueConfig &queue,
     const scheduling::AdviceSelection &selection, std::function<void(const AdviceResult &)> done)
 {
+    const schema::AdvicePolicy &policy = queue.advice();
     const std::vector<state::WorkerNumber> &workers = selection.workers;
     std::vector<std::string> ids;
     std::map<std::string, state::WorkerNumber> numbers;
@@ -293,8 +295,11 @@
     const bool isRequested = advicePool_.requestAdvice(
         options_.advice.stepName(target.work, target.occurrence, target.step), ids, timeout,
         guarded([this, target, workers, claims = selection.claims, numbers, askedAt,
-                    defaultValidity, done](const AdviceAnswer &answer) {
+                    defaultValidity, done,
+                    queueName = state::QueueName(queue.name())](const AdviceAnswer &answer) {
             const Millis now = steadyNow();
+            activity_.adviceCalls++;
+            stageTimes_.add(queueName, Stage::Advice, now - askedAt);
             adviceClaims_.remove(claims);
             LogEvent("advice")
                 .with("work", target.work)
@@ -336,7 +341,7 @@
     if (queue == nullptr)
         return;
     const bool asked = requestAdvice({ work->id, request.step.occurrence, request.step.step },
-        queue->advice(), { request.workers, request.claims },
+        *queue, { request.workers, request.claims },
         [this, step = request.step](const AdviceResult &result) { recordAdvice(step, result); });
     if (asked)
         permits_.markRequested(request.step);
@@ -359,7 +364,7 @@
         if (asked.workers.empty())
             continue;
         const bool isAsked = requestAdvice(
-            { id, 0, step }, queue.advice(), asked, [this, id, step](const AdviceResult &result) {
+            { id, 0, step }, queue, asked, [this, id, step](const AdviceResult &result) {
                 const state::Work *work = state_.works().find(id);
                 if (work != nullptr)
                     recordAdvice({ work->serial, 0, step }, result);
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -310,6 +310,7 @@
         if (known.knownState == KnownRunState::Sent) {
             known.knownState = KnownRunState::Confirmed;
             known.knownStateSince = now;
+            options_.events.onStartAccepted(task, now - known.startedAt);
             // Without a checkpoint the run starts from 0 percent.
             if (known.checkpoint.empty()) {
                 known.firstPercent = 0;
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -113,6 +113,9 @@
     // The start of a run has been given up, and the run is being stopped before its end is known.
     std::function<void(const StepTaskRef &, uint32_t run)> onStartGivenUp = [](const StepTaskRef &,
                                                                                 uint32_t) {};
+    // The worker has accepted a start, this long after it was ordered.
+    std::function<void(const StepTaskRef &, Millis)> onStartAccepted = [](const StepTaskRef &,
+                                                                           Millis) {};
     // Delay of the next poll after an answer.
     std::function<Millis()> pollDelay = [] { return Millis(0); };
 };
