Show that a late event loop takes prompt servers for silent

The time runs from the call; the request is written one turn later, in the turn in which the time is over.

--- a/Source/UnitTests/Network/NetworkTest.cpp
+++ b/Source/UnitTests/Network/NetworkTest.cpp
@@ -392,6 +392,88 @@
     EXPECT_TRUE(result->bytesSent);
 }
 
+namespace {
+
+// Answers each request on one connection at once, from a thread of its own.
+class PromptServer
+{
+public:
+    PromptServer()
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        bind(listener_, reinterpret_cast<sockaddr *>(&address), length);
+        listen(listener_, 1);
+        getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &length);
+        address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+        thread_ = std::thread([this] { serve(); });
+    }
+    ~PromptServer()
+    {
+        shutdown(listener_, SHUT_RDWR);
+        thread_.join();
+        close(listener_);
+    }
+    PromptServer(const PromptServer &) = delete;
+    PromptServer &operator=(const PromptServer &) = delete;
+
+    const std::string &address() const { return address_; }
+
+private:
+    void serve() const
+    {
+        const int connection = accept(listener_, nullptr, nullptr);
+        std::array<char, 4096> received{};
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        // A request is small enough to arrive in one piece.
+        while (connection >= 0 && recv(connection, received.data(), received.size(), 0) > 0)
+            send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+        close(connection);
+    }
+
+    int listener_ = socket(AF_INET, SOCK_STREAM, 0);
+    std::string address_;
+    std::thread thread_;
+};
+
+} // namespace
+
+// A process whose event loop is late took servers that answer at once for silent: the time was over
+// before the request was written, or before the answer was read.
+TEST(HttpConnection, lateLoopDoesNotTakeAPromptServerForSilent)
+{
+    constexpr Millis Timeout{ 30 };
+    constexpr std::chrono::milliseconds TurnOfLateLoop{ 60 };
+    // The first one opens the connection, the second uses it again.
+    constexpr size_t Requests = 2;
+    PromptServer server;
+    EventLoop loop;
+    HttpConnection connection(loop, { .address = server.address() });
+    std::vector<ExchangeEnd> ends;
+    const auto exchange = [&] {
+        connection.exchange({ "POST", "/", {}, "x", "" }, Timeout,
+            [&](const ExchangeResult &result) { ends.push_back(result.end); });
+    };
+    size_t requests = 0;
+    // Runs in each turn of the loop, and makes the loop late after it has called.
+    std::unique_ptr<Timer> work;
+    work = std::make_unique<Timer>(loop, [&] {
+        if (ends.size() == Requests)
+            return loop.stop();
+        if (requests == ends.size()) {
+            requests++;
+            exchange();
+        }
+        std::this_thread::sleep_for(TurnOfLateLoop);
+        work->startOnce(Millis(0));
+    });
+    work->startOnce(Millis(0));
+    loop.run();
+    EXPECT_EQ(ends, std::vector<ExchangeEnd>(Requests, ExchangeEnd::Complete));
+}
+
 TEST(BackgroundThread, runsItemsInOrderAndCallsBackFromTheEventLoop)
 {
     EventLoop loop;
