Give a server its whole time from when the request was written

Callers saw checks that came late or never once the leader of the large fleet had no processor time to spare: half of all that was asked failed. Workers that answer at once were taken for silent, their runs stopped and started anew, which kept the leader late.

Cause: the time-out of an exchange (150 ms for a start) ran from the call. An order is written one turn of the event loop later; if a turn takes longer, the time is over in the turn that writes it, and the answer is never looked at.

Change: the time runs from when the request is written, and the exchange ends only after the loop has looked at the socket again.

--- a/Source/Basilgap/Network/HttpConnection.cpp
+++ b/Source/Basilgap/Network/HttpConnection.cpp
@@ -16,6 +16,10 @@
 
 constexpr size_t MaxHeaderBytes = 64 * 1024;
 
+// A loop that is late notices in separate turns that the connection is open, that the request can
+// be written, and that the answer has arrived.
+constexpr int TurnsToAnswer = 3;
+
 // Longest time that a connection may be idle between two exchanges.
 constexpr int64_t IdleSeconds = 60;
 
@@ -36,12 +40,6 @@
     return EVHTTP_REQ_POST;
 }
 
-void setSentFlag(evbuffer *, const evbuffer_cb_info *info, void *flag)
-{
-    if (info->n_deleted > 0)
-        *static_cast<bool *>(flag) = true;
-}
-
 HttpResponse readResponse(evhttp_request *request)
 {
     HttpResponse response;
@@ -61,7 +59,7 @@
 HttpConnection::HttpConnection(EventLoop &loop, Options options)
     : loop_(loop)
     , options_(std::move(options))
-    , timeoutTimer_(loop, [this] { finish({ .end = ExchangeEnd::Timeout, .response = {} }); })
+    , timeoutTimer_(loop, [this] { handleTimeout(); })
     , reportTimer_(loop, [this] {
         auto done = std::move(done_);
         done_ = nullptr;
@@ -94,7 +92,7 @@
     evhttp_connection_set_max_body_size(
         connection_, static_cast<ev_ssize_t>(options_.maxBodyBytes));
     evhttp_connection_set_max_headers_size(connection_, MaxHeaderBytes);
-    evbuffer_add_cb(bufferevent_get_output(buffer), setSentFlag, &bytesSent_);
+    evbuffer_add_cb(bufferevent_get_output(buffer), onWritten, this);
     evhttp_connection_set_closecb(connection_, onClosed, this);
 }
 
@@ -103,6 +101,8 @@
 {
     done_ = std::move(done);
     bytesSent_ = false;
+    timeout_ = timeout;
+    turnsWaited_ = 0;
     failure_ = ExchangeEnd::Broken;
     isHead_ = request.method == "HEAD";
     if (connection_ == nullptr)
@@ -132,6 +132,27 @@
         finish({ .end = ExchangeEnd::ConnectFailed, .response = {} });
 }
 
+void HttpConnection::onWritten(evbuffer *, const evbuffer_cb_info *info, void *self)
+{
+    auto *connection = static_cast<HttpConnection *>(self);
+    if (info->n_deleted == 0 || connection->bytesSent_)
+        return;
+    connection->bytesSent_ = true;
+    connection->sentAt_ = steadyNow();
+}
+
+// The server has the whole time from when the request was written. An answer that has arrived in
+// time counts, also if this loop is late in reading it.
+void HttpConnection::handleTimeout()
+{
+    const Millis now = steadyNow();
+    if (bytesSent_ && now < sentAt_ + timeout_)
+        return timeoutTimer_.startOnce(sentAt_ + timeout_ - now);
+    if (turnsWaited_++ < TurnsToAnswer)
+        return timeoutTimer_.startOnce(Millis(0));
+    finish({ .end = ExchangeEnd::Timeout, .response = {} });
+}
+
 bool HttpConnection::isComplete(evhttp_request *request) const
 {
     const char *length =
