Blame no start that was never sent for the loss of its worker

While the leader isn't confirmed, starts wait in the session; if the lease of the worker ended meanwhile, each of them counted as lost before its answer, and so as a possible crash of the worker. It can't be: nothing was sent.

The test failed before (the loss was WORKER_LOST_BEFORE_ANSWER) and passes now.

--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -527,6 +527,8 @@
 // What the loss of the worker, at some time since it was last heard, says of a run.
 schema::WorkerLoss WorkerSession::lossOf(const SessionRun &run) const
 {
+    if (run.isStartPending && run.sendCount == 0)
+        return schema::WORKER_NOT_LOST;
     // A worker that this leader has never heard was lost at some time since the last lease that an
     // earlier leader can have granted.
     const Millis earliestStart = lastHeardAt_ ? *lastHeardAt_ - options_.times.startLossWindow
--- a/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
@@ -608,5 +608,21 @@
     EXPECT_EQ(port.polls.size(), 3U);
 }
 
+// Guards against jobs that fail for crashes they have no part in: while the leader is not confirmed
+// its starts wait, and their worker may be lost meanwhile.
+TEST_F(WorkerSessionTest, aStartThatWasNeverSentIsNoCauseOfTheLossOfItsWorker)
+{
+    openSession();
+    completeFirstPoll();
+    isLeaderConfirmed = false;
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    ASSERT_TRUE(port.starts.empty());
+    for (int i = 0; i < 200 && ends.empty(); i++)
+        advanceAndTick(50);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].workerLoss, schema::WORKER_NOT_LOST);
+}
+
 } // namespace
 } // namespace basilgap::dispatch
