Spread the starts of a burst over several records

Callers saw the checks of a burst late, and those after it as well. With the start of hundreds of tasks in one record the leader sent as many orders in one turn of its event loop: 150 to 300 ms in which no answer was read and no heartbeat sent.

A round plans at most 100 starts, the most urgent steps first; no step or gang is split, and the next round follows at once. Tests: a burst is spread over rounds and placed whole; a gang larger than a round starts as a whole.

--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -19,6 +19,9 @@
 constexpr Millis AdviceLead{ 300 };
 // Added to twice the time that a call for advice should take.
 constexpr Millis AdviceTimeoutMargin{ 600 };
+// The orders of one record are sent in one turn of the event loop. While it lasts, no answer is
+// read and no heartbeat is sent, and time-outs and the leader's confirmation run on.
+constexpr size_t MaxStartsPerRecord = 100;
 // A ticket is no longer used this long before it expires, because orders take time to arrive.
 constexpr Millis TicketMargin{ 150 };
 
@@ -135,6 +138,7 @@
                     return session != sessions_.end() && session->second->hasFreshRun(now);
                 },
             .pendingEnds = scheduling::collectPendingRunEnds(state_.works(), *batch),
+            .maxStarts = MaxStartsPerRecord,
         })
                                     .run();
     for (const scheduling::PlannedRun &planned : plan.starts) {
@@ -150,6 +154,7 @@
         planWorkers_.markChanged(planned.worker);
     }
     capacityDemand_ = plan.capacityDemand;
+    isPlanDue_ = isPlanDue_ || plan.isCutShort;
     for (const scheduling::AdviceRequest &request : plan.adviceRequests)
         requestAdvice(request);
     for (const StepTaskRef &task : plan.preemptions)
--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -46,6 +46,9 @@
     loadCapacity();
     collectCandidates();
     for (const Candidate &candidate : candidates_) {
+        plan_.isCutShort = plan_.starts.size() >= input_.maxStarts;
+        if (plan_.isCutShort)
+            break;
         if (candidate.isPrefetch)
             requestAdvice(candidate, waitingOf(candidate));
         else if (candidate.work->specOf(candidate.ref).gang())
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -68,6 +68,9 @@
     std::function<bool(WorkerNumber)> hasFreshRun = [](WorkerNumber) { return false; };
     // Run ends that go into the same log record as the plan.
     PendingRunEnds pendingEnds;
+    // A round that has planned that many starts looks at no further step. The most urgent steps
+    // come first, and a step is never split by this bound.
+    size_t maxStarts = SIZE_MAX;
 };
 
 // Lowest priority number of deferrable work; lower numbers are more urgent.
@@ -119,6 +122,8 @@
 struct StepPlan
 {
     std::vector<PlannedRun> starts;
+    // Further steps are left to the next round, because this one has planned enough starts.
+    bool isCutShort = false;
     std::vector<AdviceRequest> adviceRequests;
     // Runs to stop for urgent work.
     std::vector<StepTaskRef> preemptions;
--- a/Source/UnitTests/Scheduling/StepPlannerFixture.h
+++ b/Source/UnitTests/Scheduling/StepPlannerFixture.h
@@ -102,6 +102,7 @@
                 .hasFreshRun = [this](
                                    WorkerNumber worker) { return freshWorkers.contains(worker); },
                 .pendingEnds = collectPendingRunEnds(table, ends),
+                .maxStarts = maxStarts,
             })
             .run();
     }
@@ -147,6 +148,7 @@
         return count;
     }
 
+    size_t maxStarts = SIZE_MAX;
     // Workers on which a task has just started.
     std::set<WorkerNumber> freshWorkers;
     schema::PutWorkConfig configCommand;
--- a/Source/UnitTests/Scheduling/StepPlannerTest.cpp
+++ b/Source/UnitTests/Scheduling/StepPlannerTest.cpp
@@ -151,5 +151,38 @@
     EXPECT_EQ(planned.starts[0].worker, WorkerNumber(3));
 }
 
+// Guards against a leader that can't keep up: the orders of a burst, all in one record, kept its
+// event loop for so long that its other duties, and its own confirmation, ran out of time.
+TEST_F(StepPlannerTest, burstIsSpreadOverSeveralRounds)
+{
+    addWorkers(20, 8000);
+    maxStarts = 5;
+    std::vector<StepRef> steps;
+    for (int i = 0; i < 10; i++)
+        steps.push_back(submit("urgent", 3, 1000));
+    size_t rounds = 0;
+    bool isCutShort = true;
+    while (isCutShort) {
+        ASSERT_LT(++rounds, 20U);
+        const StepPlan planned = plan();
+        isCutShort = planned.isCutShort;
+        // A step is not split, so a round plans fewer starts than the bound and one more step.
+        EXPECT_LT(planned.starts.size(), maxStarts + 3);
+        apply(planned);
+    }
+    EXPECT_GT(rounds, 1U);
+    EXPECT_EQ(table.runningTasks(), 30U);
+}
+
+// A gang has to start as a whole, however large it is.
+TEST_F(StepPlannerTest, gangThatIsLargerThanARoundStartsAsAWhole)
+{
+    addWorkers(20, 8000);
+    maxStarts = 5;
+    const StepRef gang =
+        submit("urgent", 12, 1000, [](schema::StepSpec *step) { step->set_gang(true); });
+    EXPECT_EQ(startsOf(plan(), gang), 12U);
+}
+
 } // namespace
 } // namespace basilgap::scheduling
