--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -85,6 +85,7 @@
 {
     nextPrune_ = now + PruneInterval;
     permits_.dropInactive(state_.works());
+    permits_.dropExpired(now);
     speeds_.dropInactive(state_.works());
     health_.retainJobs([this](JobId job) {
         const state::Work *work = state_.works().find(state::WorkSerial(job.value()));
--- a/Source/Basilgap/Scheduling/PermitCache.cpp
+++ b/Source/Basilgap/Scheduling/PermitCache.cpp
@@ -24,6 +24,7 @@
     known.refused_.insert(requested.begin(), requested.end());
     for (const GrantedTicket &grant : granted) {
         known.refused_.erase(grant.worker);
+        known.granted_.insert(grant.worker);
         known.tickets_[grant.worker] = { grant.ticket, expiresAt };
     }
 }
@@ -50,6 +51,14 @@
     return found == steps_.end() ? none : found->second;
 }
 
+void PermitCache::dropExpired(Millis now)
+{
+    for (auto &[step, permits] : steps_) {
+        std::erase_if(
+            permits.tickets_, [now](const auto &ticket) { return ticket.second.expiresAt <= now; });
+    }
+}
+
 void PermitCache::dropInactive(const state::WorkTable &table)
 {
     std::erase_if(steps_, [&table](const auto &entry) {
--- a/Source/Basilgap/Scheduling/PermitCache.h
+++ b/Source/Basilgap/Scheduling/PermitCache.h
@@ -23,9 +23,11 @@
     bool isRequestPending() const { return requestPending_; }
     bool isRefused(state::WorkerNumber worker) const { return refused_.contains(worker); }
     // Whether advice has granted the worker before; its ticket may have expired.
-    bool wasGranted(state::WorkerNumber worker) const { return tickets_.contains(worker); }
+    bool wasGranted(state::WorkerNumber worker) const { return granted_.contains(worker); }
+    const std::set<state::WorkerNumber> &granted() const { return granted_; }
     // Returns an unexpired ticket, or null.
     const std::string *validTicket(state::WorkerNumber worker, Millis now) const;
+    // Some of them may have expired.
     const std::map<state::WorkerNumber, Ticket> &tickets() const { return tickets_; }
 
 private:
@@ -33,6 +35,7 @@
 
     bool requestPending_ = false;
     std::map<state::WorkerNumber, Ticket> tickets_;
+    std::set<state::WorkerNumber> granted_;
     std::set<state::WorkerNumber> refused_;
 };
 
@@ -59,6 +62,10 @@
     // Returns empty permits for a step without advice.
     const StepPermits &permitsFor(const state::StepRef &step) const;
 
+    // Removes the tickets that have expired. A step that waits for long collects them, and each
+    // round of the planner reads all tickets of the waiting steps.
+    void dropExpired(Millis now);
+
     // Removes steps that are done or whose work is no longer active.
     void dropInactive(const state::WorkTable &table);
 
--- a/Source/Basilgap/Scheduling/StepPreemption.cpp
+++ b/Source/Basilgap/Scheduling/StepPreemption.cpp
@@ -89,7 +89,7 @@
         return;
     const Resources reservation = state::reservationOf(candidate.work->specOf(candidate.ref));
     if (candidate.queue->has_advice()) {
-        for (const auto &[number, ticket] : input_.permits.permitsFor(candidate.ref).tickets()) {
+        for (const WorkerNumber number : input_.permits.permitsFor(candidate.ref).granted()) {
             StepWorker *worker = findWorker(number);
             if (worker != nullptr && missing > 0
                 && preemptOnWorker(candidate, reservation, *worker))
--- a/Source/UnitTests/Scheduling/StepAdviceTest.cpp
+++ b/Source/UnitTests/Scheduling/StepAdviceTest.cpp
@@ -205,5 +205,23 @@
     EXPECT_EQ(urgentPlan.adviceRequests[0].step, urgentStep);
 }
 
+// Guards against rounds that take longer the longer steps wait: each reads all tickets of all
+// waiting steps, and those that had expired were kept.
+TEST(PermitCache, expiredTicketsAreDroppedAndTheirWorkersRemembered)
+{
+    const StepRef step{ state::WorkSerial(1), 0, 0 };
+    PermitCache permits;
+    permits.recordReply(
+        step, { WorkerNumber(1), WorkerNumber(2) }, { { WorkerNumber(1), "t1" } }, Now);
+    permits.recordReply(step, { WorkerNumber(3) }, { { WorkerNumber(3), "t3" } }, Now + Millis(2));
+    permits.dropExpired(Now + Millis(1));
+    const StepPermits &known = permits.permitsFor(step);
+    EXPECT_EQ(known.tickets().size(), 1U);
+    EXPECT_NE(known.validTicket(WorkerNumber(3), Now + Millis(1)), nullptr);
+    EXPECT_TRUE(known.wasGranted(WorkerNumber(1)));
+    EXPECT_FALSE(known.isRefused(WorkerNumber(1)));
+    EXPECT_TRUE(known.isRefused(WorkerNumber(2)));
+}
+
 } // namespace
 } // namespace basilgap::scheduling
