--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -420,10 +420,19 @@
         active_.insert(work.serial);
     else
         active_.erase(work.serial);
-    if (work.isActive() && work.waitingTasks > 0)
+    const bool isWaiting = work.isActive() && work.waitingTasks > 0;
+    if (isWaiting)
         waiting_.insert(work.serial);
     else
         waiting_.erase(work.serial);
+    if (isWaiting && !work.started) {
+        unstarted_[work.queue].insert(work.serial);
+        return;
+    }
+    const auto unstarted = unstarted_.find(work.queue);
+    if (unstarted != unstarted_.end() && unstarted->second.erase(work.serial) > 0
+        && unstarted->second.empty())
+        unstarted_.erase(unstarted);
 }
 
 void WorkTable::expire(uint64_t nowMs, uint64_t retentionMs)
@@ -477,13 +486,8 @@
 
 uint64_t WorkTable::unstartedCount(const QueueName &queue) const
 {
-    uint64_t count = 0;
-    for (const WorkSerial serial : waiting_) {
-        const Work &work = works_.at(serial);
-        if (work.queue == queue && !work.started)
-            count++;
-    }
-    return count;
+    const auto found = unstarted_.find(queue);
+    return found == unstarted_.end() ? 0 : found->second.size();
 }
 
 const schema::WorkerLife *WorkTable::findIncarnation(WorkerNumber number) const
--- a/Source/Basilgap/State/WorkTable.h
+++ b/Source/Basilgap/State/WorkTable.h
@@ -195,6 +195,8 @@
     uint64_t nextSerial_ = 1;
     std::set<WorkSerial> waiting_;
     std::set<WorkSerial> active_;
+    // Those of waiting_ of which no task has ever been started.
+    std::map<QueueName, std::set<WorkSerial>> unstarted_;
     std::map<WorkerNumber, schema::WorkerLife> workers_;
     std::unordered_map<std::string, WorkerNumber> newestIncarnations_;
     // All of workers_ by address.
--- a/Source/UnitTests/State/WorkTableTest.cpp
+++ b/Source/UnitTests/State/WorkTableTest.cpp
@@ -467,5 +467,28 @@
     EXPECT_EQ(state.route("other", "/a/x"), nullptr);
 }
 
+// Callers ask for this number all the time, so it is kept and not counted.
+TEST(WorkTable, unstartedCountFollowsStartsCancellationsAndSnapshots)
+{
+    const QueueName queue("queue");
+    WorkTable table;
+    for (const char *id : { "a", "b", "c" })
+        table.submit(submitWorkCommand(id, { 2 }), 1);
+    EXPECT_EQ(table.unstartedCount(queue), 3U);
+    EXPECT_EQ(table.unstartedCount(QueueName("other")), 0U);
+    // The first start counts, not the last end.
+    table.apply(runStartBatch(1, 0, 0, 1), 2);
+    EXPECT_EQ(table.unstartedCount(queue), 2U);
+    table.apply(runEndBatch(1, 0, 0, 1, schema::RUN_LOST), 3);
+    EXPECT_EQ(table.unstartedCount(queue), 2U);
+    schema::CancelWork cancel;
+    cancel.set_id("b");
+    table.cancel(cancel, 4);
+    EXPECT_EQ(table.unstartedCount(queue), 1U);
+    WorkTable restored;
+    restored.restore(table.save());
+    EXPECT_EQ(restored.unstartedCount(queue), 1U);
+}
+
 } // namespace
 } // namespace basilgap::state
