--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -54,7 +54,7 @@
         rebuildWorkers();
     workersChanged_ = false;
     // Quarantines end with time.
-    for (const state::WorkerNumber number : health_.workersWithFailures())
+    for (const state::WorkerNumber number : health_.workersOnProbation())
         planWorkers_.markChanged(number);
     for (const auto &[number, end] : crashProbations_)
         planWorkers_.markChanged(number);
--- a/Source/Basilgap/Scheduling/WorkerHealth.cpp
+++ b/Source/Basilgap/Scheduling/WorkerHealth.cpp
@@ -46,11 +46,13 @@
     return found != records_.end() && now < found->second.quarantinedUntil;
 }
 
-std::vector<state::WorkerNumber> WorkerHealth::workersWithFailures() const
+std::vector<state::WorkerNumber> WorkerHealth::workersOnProbation() const
 {
     std::vector<state::WorkerNumber> workers;
-    for (const auto &[worker, record] : records_)
-        workers.push_back(worker);
+    for (const auto &[worker, record] : records_) {
+        if (record.onProbation)
+            workers.push_back(worker);
+    }
     return workers;
 }
 
--- a/Source/Basilgap/Scheduling/WorkerHealth.h
+++ b/Source/Basilgap/Scheduling/WorkerHealth.h
@@ -46,9 +46,10 @@
     bool isQuarantined(state::WorkerNumber worker, Millis now) const;
     // No task has failed there since the last success.
     bool hasNoFailures(state::WorkerNumber worker) const { return !records_.contains(worker); }
-    std::vector<state::WorkerNumber> workersWithFailures() const;
     // Quarantined before, without a success since.
     bool isOnProbation(state::WorkerNumber worker) const;
+    // Only what mayStart() says of these changes with time.
+    std::vector<state::WorkerNumber> workersOnProbation() const;
 
     // For each job, the workers on which it failed.
     const std::map<JobId, std::set<state::WorkerNumber>> &failedOn() const { return failedOn_; }
