Prolong exchanges by the lateness of the loop only

The mend of the time-outs counted a server's time from when the request is written. That also prolonged exchanges whose connection is slow to open on a loop that is not late: a caller of an entry could wait past the deadline. The loop's own lateness, which is the fault, is now what is added, at most the time of the exchange itself (after a freeze).

--- a/Source/Basilgap/Network/HttpConnection.cpp
+++ b/Source/Basilgap/Network/HttpConnection.cpp
@@ -1,5 +1,6 @@
 #include "Basilgap/Network/HttpConnection.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <event2/buffer.h>
@@ -40,6 +41,12 @@
     return EVHTTP_REQ_POST;
 }
 
+void setSentFlag(evbuffer *, const evbuffer_cb_info *info, void *flag)
+{
+    if (info->n_deleted > 0)
+        *static_cast<bool *>(flag) = true;
+}
+
 HttpResponse readResponse(evhttp_request *request)
 {
     HttpResponse response;
@@ -92,7 +99,7 @@
     evhttp_connection_set_max_body_size(
         connection_, static_cast<ev_ssize_t>(options_.maxBodyBytes));
     evhttp_connection_set_max_headers_size(connection_, MaxHeaderBytes);
-    evbuffer_add_cb(bufferevent_get_output(buffer), onWritten, this);
+    evbuffer_add_cb(bufferevent_get_output(buffer), setSentFlag, &bytesSent_);
     evhttp_connection_set_closecb(connection_, onClosed, this);
 }
 
@@ -102,6 +109,7 @@
     done_ = std::move(done);
     bytesSent_ = false;
     timeout_ = timeout;
+    deadline_ = steadyNow() + timeout;
     turnsWaited_ = 0;
     failure_ = ExchangeEnd::Broken;
     isHead_ = request.method == "HEAD";
@@ -132,25 +140,16 @@
         finish({ .end = ExchangeEnd::ConnectFailed, .response = {} });
 }
 
-void HttpConnection::onWritten(evbuffer *, const evbuffer_cb_info *info, void *self)
-{
-    auto *connection = static_cast<HttpConnection *>(self);
-    if (info->n_deleted == 0 || connection->bytesSent_)
-        return;
-    connection->bytesSent_ = true;
-    connection->sentAt_ = steadyNow();
-}
-
-// The server has the whole time from when the request was written. An answer that has arrived in
-// time counts, also if this loop is late in reading it.
+// While the loop is late it neither writes requests nor reads answers. The exchange gets that time
+// on top, at most its own time again, and ends only after the loop has looked at its socket again.
 void HttpConnection::handleTimeout()
 {
     const Millis now = steadyNow();
-    if (bytesSent_ && now < sentAt_ + timeout_)
-        return timeoutTimer_.startOnce(sentAt_ + timeout_ - now);
-    if (turnsWaited_++ < TurnsToAnswer)
-        return timeoutTimer_.startOnce(Millis(0));
-    finish({ .end = ExchangeEnd::Timeout, .response = {} });
+    const Millis late = std::clamp(now - deadline_, Millis(0), timeout_);
+    if (turnsWaited_++ >= TurnsToAnswer)
+        return finish({ .end = ExchangeEnd::Timeout, .response = {} });
+    deadline_ = now + late;
+    timeoutTimer_.startOnce(late);
 }
 
 bool HttpConnection::isComplete(evhttp_request *request) const
--- a/Source/Basilgap/Network/HttpConnection.h
+++ b/Source/Basilgap/Network/HttpConnection.h
@@ -4,7 +4,6 @@
 #include <memory>
 #include <string>
 
-#include <event2/buffer.h>
 #include <event2/http.h>
 
 #include "Basilgap/Network/ClientConnection.h"
@@ -35,7 +34,6 @@
     static void onAnswer(evhttp_request *request, void *self);
     static void onFailure(evhttp_request_error error, void *self);
     static void onClosed(evhttp_connection *, void *self);
-    static void onWritten(evbuffer *, const evbuffer_cb_info *info, void *self);
     void connect();
     void handleTimeout();
     void finish(ExchangeResult result);
@@ -51,9 +49,9 @@
     // While evhttp takes the request.
     bool isRequesting_ = false;
     bool bytesSent_ = false;
-    // When the first bytes of the request were written.
-    Millis sentAt_;
     Millis timeout_;
+    // When the exchange ends, unless the loop is late.
+    Millis deadline_;
     // Turns of the event loop for which the end of the exchange has been put off.
     int turnsWaited_ = 0;
     ExchangeEnd failure_ = ExchangeEnd::ConnectFailed;
