Keep the waiting steps in order between planning rounds

Cause: each planning round read every waiting job again, sorted all its steps and looked for a place for each.

Change: WaitingSteps keeps the ready steps in their order and reads only the jobs that have changed (WorkChanges) or whose lateness has; so does UrgentDemand. A step that fits nowhere by the largest free worker, can't preempt and can't ask for advice is passed over without a look at its tasks. Workers considered for preemption by steps with advice are bounded a round. The limits of an account are looked up once a round.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -178,6 +178,7 @@
     scheduling::BackfillThrottle backfillThrottle_;
     // Of the workers in planWorkers_.
     scheduling::EmptyCapacity emptyCapacity_;
+    scheduling::WaitingSteps waitingSteps_;
     scheduling::UrgentDemand urgentDemand_{ scheduling::DeferrablePriority };
     std::map<state::WorkerNumber, std::unique_ptr<WorkerSession>> sessions_;
     std::map<uint64_t, network::PeerStream *> streams_;
--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -45,6 +45,7 @@
         worker.capacity = state::capacityOf(*incarnation);
     }
     emptyCapacity_ = scheduling::EmptyCapacity(workers);
+    urgentDemand_.reset();
     planWorkers_.assign(std::move(workers));
 }
 
@@ -112,10 +113,12 @@
     std::vector<scheduling::StepWorker> &workers = refreshWorkers(now);
     const auto wallMs = static_cast<uint64_t>(wallNow().count());
     urgentDemand_.update(state_.works(), state_.workConfig(), emptyCapacity_, now, wallMs);
+    waitingSteps_.refresh(state_.works(), state_.workConfig(), wallMs);
     scheduling::StepPlan plan = scheduling::StepPlanner(
         {
             .table = state_.works(),
             .config = state_.workConfig(),
+            .waiting = waitingSteps_,
             .permits = permits_,
             .health = health_,
             .durations = speeds_,
--- a/Source/Basilgap/Scheduling/Lateness.cpp
+++ b/Source/Basilgap/Scheduling/Lateness.cpp
@@ -20,7 +20,7 @@
 
 CriticalPath criticalPathOf(const state::Work &work, uint32_t occurrence)
 {
-    // Read for each waiting job in each round, so the memory is kept.
+    // Read whenever a waiting job changes, so the memory is kept.
     thread_local std::vector<CriticalPath> ends;
     ends.assign(static_cast<size_t>(work.spec.steps_size()), {});
     CriticalPath longest;
@@ -42,18 +42,24 @@
 
 } // namespace
 
-Lateness latenessOf(
-    const state::Work &work, const schema::QueueConfig &queue, uint32_t occurrence, uint64_t wallMs)
+int LatencyBounds::bandAt(uint64_t wallMs) const
+{
+    const auto now = static_cast<int64_t>(wallMs);
+    if (now <= latestStartMs)
+        return 0;
+    return now < expiryMs ? 1 : 2;
+}
+
+LatencyBounds latencyBoundsOf(
+    const state::Work &work, const schema::QueueConfig &queue, uint32_t occurrence)
 {
     const CriticalPath path = criticalPathOf(work, occurrence);
-    const uint64_t due = std::max(work.dueMs(occurrence), work.submittedMs);
+    const auto due = static_cast<int64_t>(std::max(work.dueMs(occurrence), work.submittedMs));
     const auto objective =
         static_cast<int64_t>(queue.slack_factor() * static_cast<double>(path.allMs)
             + static_cast<double>(queue.target_latency_ms()));
-    const auto age = static_cast<int64_t>(wallMs) - static_cast<int64_t>(due);
-    const int64_t slack = objective - age - static_cast<int64_t>(path.remainingMs);
-    const int lateBand = age < ExpiredLatenessFactor * objective ? 1 : 2;
-    return { slack >= 0 ? 0 : lateBand, slack };
+    return { due + objective - static_cast<int64_t>(path.remainingMs),
+        due + ExpiredLatenessFactor * objective };
 }
 
 } // namespace basilgap::scheduling
--- a/Source/Basilgap/Scheduling/Lateness.h
+++ b/Source/Basilgap/Scheduling/Lateness.h
@@ -6,19 +6,20 @@
 
 namespace basilgap::scheduling {
 
-// How an occurrence of a job stands against its latency objective.
-struct Lateness
+// Times of an occurrence of a job against its latency objective, in Unix milliseconds. They change
+// only when the state of its steps does.
+struct LatencyBounds
 {
-    // 0: can meet the objective; 1: late; 2: so late that it earns nothing more.
-    int band = 0;
-    // Time left for the objective beyond the remaining critical path, in milliseconds.
-    int64_t slackMs = 0;
+    // The latest start of the remaining critical path that meets the objective.
+    int64_t latestStartMs = 0;
+    // From then on the occurrence earns nothing more.
+    int64_t expiryMs = 0;
 
-    bool isExpired() const { return band > 1; }
+    // 0: can meet the objective; 1: late; 2: so late that it earns nothing more.
+    int bandAt(uint64_t wallMs) const;
 };
 
-// Takes the present time in Unix milliseconds.
-Lateness latenessOf(const state::Work &work, const schema::QueueConfig &queue, uint32_t occurrence,
-    uint64_t wallMs);
+LatencyBounds latencyBoundsOf(
+    const state::Work &work, const schema::QueueConfig &queue, uint32_t occurrence);
 
 } // namespace basilgap::scheduling
--- a/Source/Basilgap/Scheduling/PermitCache.h
+++ b/Source/Basilgap/Scheduling/PermitCache.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "Basilgap/Common/Millis.h"
@@ -70,7 +71,7 @@
     void dropInactive(const state::WorkTable &table);
 
 private:
-    std::map<state::StepRef, StepPermits> steps_;
+    std::unordered_map<state::StepRef, StepPermits> steps_;
 };
 
 } // namespace basilgap::scheduling
--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <tuple>
 
+#include "Basilgap/Scheduling/Lateness.h"
+
 namespace basilgap::scheduling {
 
 namespace {
@@ -31,12 +33,6 @@
 
 } // namespace
 
-bool StepPlanner::Candidate::operator<(const Candidate &other) const
-{
-    return std::tie(latenessBand, priority, slackMs, ref)
-        < std::tie(other.latenessBand, other.priority, other.slackMs, other.ref);
-}
-
 StepPlanner::StepPlanner(StepPlanInput input)
     : input_(std::move(input))
 {}
@@ -44,21 +40,76 @@
 StepPlan StepPlanner::run()
 {
     loadCapacity();
-    collectCandidates();
-    for (const Candidate &candidate : candidates_) {
-        plan_.isCutShort = plan_.starts.size() >= input_.maxStarts;
-        if (plan_.isCutShort)
-            break;
-        if (candidate.isPrefetch)
-            requestAdvice(candidate, waitingOf(candidate));
-        else if (candidate.work->specOf(candidate.ref).gang())
-            placeGang(candidate);
-        else
-            placeStep(candidate);
+    collectChangedSteps();
+    auto changed = changedSteps_.begin();
+    for (const WaitingStep &step : input_.waiting.ordered()) {
+        for (; changed != changedSteps_.end() && *changed < step && mayPlanMore(); ++changed)
+            place(*changed);
+        if (!mayPlanMore())
+            return std::move(plan_);
+        if (!isChanged(step))
+            place({ step });
     }
+    for (; changed != changedSteps_.end() && mayPlanMore(); ++changed)
+        place(*changed);
     return std::move(plan_);
 }
 
+bool StepPlanner::mayPlanMore()
+{
+    plan_.isCutShort = plan_.starts.size() >= input_.maxStarts;
+    return !plan_.isCutShort;
+}
+
+void StepPlanner::place(const Candidate &candidate)
+{
+    if (candidate.isPrefetch)
+        return requestAdvice(candidate, waitingOf(candidate));
+    if (isHopeless(candidate)) {
+        // A step that waits for an advice reply is not counted as waiting for capacity.
+        if (plan_.capacityDemand < demandOf(candidate)
+            && !input_.permits.permitsFor(candidate.ref).isRequestPending())
+            recordCapacityDemand(candidate);
+        return;
+    }
+    if (candidate.work->specOf(candidate.ref).gang())
+        placeGang(candidate);
+    else
+        placeStep(candidate);
+}
+
+// Most steps that wait in a full cell end here, so this reads as little as possible.
+bool StepPlanner::isHopeless(const Candidate &candidate)
+{
+    const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
+    const Resources reservation = state::reservationOf(spec);
+    if (!mayFit(candidate.queue->pool(), reservation)) {
+        return !spec.gang() && fitsAccountCap(candidate) && !mayPreempt(candidate, reservation);
+    }
+    return !leavesHeadroom(candidate, reservation)
+        && !(candidate.queue->has_advice() && mayRequestAdvice(candidate));
+}
+
+bool StepPlanner::mayFit(const std::string &pool, const Resources &reservation)
+{
+    const auto found = pools_.find(pool);
+    if (found == pools_.end())
+        return false;
+    std::optional<Resources> &largest = found->second.largestFree;
+    if (!largest) {
+        largest.emplace();
+        for (const StepWorker *worker : workersWithRoom_) {
+            if (worker->pool != pool)
+                continue;
+            const Resources free = worker->freeCapacity();
+            largest->millicores = std::max(largest->millicores, free.millicores);
+            largest->memoryMb = std::max(largest->memoryMb, free.memoryMb);
+            largest->accelerators = std::max(largest->accelerators, free.accelerators);
+        }
+    }
+    return reservation.fitsIn(*largest);
+}
+
 void StepPlanner::loadCapacity()
 {
     for (StepWorker &worker : input_.workers) {
@@ -101,54 +152,87 @@
     return true;
 }
 
-void StepPlanner::collectCandidates()
+void StepPlanner::collectChangedSteps()
 {
-    std::set<state::WorkSerial> serials = input_.table.waiting();
+    std::set<std::pair<state::WorkSerial, uint32_t>> occurrences;
+    for (const StepRef &step : input_.pendingEnds.doneSteps)
+        occurrences.emplace(step.work, step.occurrence);
     for (const auto &[step, tasks] : input_.pendingEnds.requeuedTasks)
-        serials.insert(step.work);
-    for (const state::WorkSerial serial : serials)
-        addCandidates(*input_.table.find(serial));
-    std::sort(candidates_.begin(), candidates_.end());
+        occurrences.emplace(step.work, step.occurrence);
+    for (const auto &[serial, occurrence] : occurrences) {
+        changedWorks_.insert(serial);
+        addChangedSteps(*input_.table.find(serial), occurrence);
+    }
+    addPrefetchSteps();
+    std::sort(changedSteps_.begin(), changedSteps_.end());
+}
+
+bool StepPlanner::isChanged(const WaitingStep &step) const
+{
+    if (!changedWorks_.contains(step.ref.work))
+        return false;
+    return std::any_of(changedSteps_.begin(), changedSteps_.end(),
+        [&step](const Candidate &changed) { return changed.ref == step.ref; });
 }
 
-void StepPlanner::addCandidates(const state::Work &work)
+void StepPlanner::addChangedSteps(const state::Work &work, uint32_t occurrence)
 {
     const schema::QueueConfig *queue = input_.config.findQueue(work.queue);
     if (queue == nullptr)
         return;
-    for (uint32_t occurrence = 0; occurrence < work.occurrences.size(); occurrence++) {
-        if (work.dueMs(occurrence) > input_.wallMs)
+    const LatencyBounds bounds = latencyBoundsOf(work, *queue, occurrence);
+    for (uint32_t step = 0; step < work.occurrences[occurrence].size(); step++) {
+        const StepRef ref{ work.serial, occurrence, step };
+        if (input_.pendingEnds.waitingTasks(work, ref) == 0)
             continue;
-        const Lateness lateness = latenessOf(work, *queue, occurrence, input_.wallMs);
-        for (uint32_t step = 0; step < work.occurrences[occurrence].size(); step++) {
-            const StepRef ref{ work.serial, occurrence, step };
-            if (input_.pendingEnds.waitingTasks(work, ref) == 0)
-                continue;
-            Candidate candidate{
-                .ref = ref,
-                .work = &work,
-                .queue = queue,
-                .priority = queue->priority(),
-                .latenessBand = work.specOf(ref).service() ? 0 : lateness.band,
-                .slackMs = lateness.slackMs,
-                .isPrefetch = !input_.pendingEnds.isReady(work, ref),
-            };
-            if (!candidate.isPrefetch || mayPrefetchAdvice(candidate))
-                candidates_.push_back(candidate);
-        }
+        Candidate candidate;
+        candidate.ref = ref;
+        candidate.work = &work;
+        candidate.queue = queue;
+        candidate.priority = queue->priority();
+        candidate.latenessBand = work.specOf(ref).service() ? 0 : bounds.bandAt(input_.wallMs);
+        candidate.latestStartMs = bounds.latestStartMs;
+        candidate.isPrefetch = !input_.pendingEnds.isReady(work, ref);
+        if (!candidate.isPrefetch || mayPrefetchAdvice(candidate))
+            changedSteps_.push_back(candidate);
+    }
+}
+
+// Steps whose last predecessors are about to end.
+void StepPlanner::addPrefetchSteps()
+{
+    std::set<std::pair<state::WorkSerial, uint32_t>> occurrences;
+    for (const StepRef &step : input_.endingSteps) {
+        if (!changedWorks_.contains(step.work))
+            occurrences.emplace(step.work, step.occurrence);
+    }
+    for (const auto &[serial, occurrence] : occurrences) {
+        const state::Work *work = input_.table.find(serial);
+        if (work == nullptr || !work->isActive())
+            continue;
+        const size_t before = changedSteps_.size();
+        addChangedSteps(*work, occurrence);
+        // Those that are ready are among the waiting steps already.
+        changedSteps_.erase(
+            std::remove_if(changedSteps_.begin() + static_cast<std::ptrdiff_t>(before),
+                changedSteps_.end(), [](const Candidate &step) { return !step.isPrefetch; }),
+            changedSteps_.end());
     }
 }
 
 bool StepPlanner::mayRun(const StepWorker &worker, const Candidate &candidate) const
 {
     const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
-    if (!worker.schedulable || worker.remainingStarts == 0
-        || worker.pool != candidate.queue->pool())
-        return false;
-    if (!hasRequiredLabel(worker, spec))
-        return false;
-    return spec.max_per_worker() == 0
-        || tasksOn(candidate.ref, worker.number) < spec.max_per_worker();
+    return worker.schedulable && worker.pool == candidate.queue->pool()
+        && hasRequiredLabel(worker, spec) && mayRunAnother(worker, candidate);
+}
+
+bool StepPlanner::mayRunAnother(const StepWorker &worker, const Candidate &candidate) const
+{
+    const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
+    return worker.remainingStarts > 0
+        && (spec.max_per_worker() == 0
+            || tasksOn(candidate.ref, worker.number) < spec.max_per_worker());
 }
 
 uint32_t StepPlanner::tasksOn(const StepRef &step, WorkerNumber worker) const
@@ -161,29 +245,34 @@
     return count;
 }
 
-bool StepPlanner::fitsAccountCap(const Candidate &candidate) const
+StepPlanner::AccountRoom &StepPlanner::roomOf(const state::AccountName &account)
 {
-    const state::Work &work = *candidate.work;
-    const schema::StepSpec &spec = work.specOf(candidate.ref);
-    const schema::AccountConfig *account = input_.config.findAccount(work.account);
-    if (account == nullptr)
+    const auto [found, isNew] = accounts_.try_emplace(account);
+    if (isNew)
+        found->second = { input_.config.findAccount(account), input_.table.usageOf(account),
+            input_.urgent.headroomFor(account) };
+    return found->second;
+}
+
+bool StepPlanner::fitsAccountCap(const Candidate &candidate)
+{
+    const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
+    const AccountRoom &room = roomOf(candidate.work->account);
+    if (room.config == nullptr)
         return true;
-    Resources used = input_.table.usageOf(work.account);
-    const auto added = plannedUsage_.find(work.account);
-    if (added != plannedUsage_.end())
-        used += added->second;
-    Resources reserve;
-    if (candidate.priority >= DeferrablePriority)
-        reserve = input_.urgent.headroomFor(work.account);
+    const Resources reserve =
+        candidate.priority >= DeferrablePriority ? room.headroom : Resources();
     const auto fits = [](int64_t inUse, uint64_t more, uint64_t cap, int64_t left) {
         const auto maxHeadroom = static_cast<int64_t>(static_cast<double>(cap) * MaxHeadroomShare);
         return cap == 0
             || inUse + static_cast<int64_t>(more) + std::min(left, maxHeadroom)
             <= static_cast<int64_t>(cap);
     };
-    return fits(used.millicores, spec.millicores(), account->millicores_cap(), reserve.millicores)
-        && fits(used.memoryMb, spec.memory_mb(), account->memory_mb_cap(), reserve.memoryMb)
-        && fits(used.accelerators, spec.accelerators(), account->accelerators_cap(), 0);
+    return fits(room.used.millicores, spec.millicores(), room.config->millicores_cap(),
+               reserve.millicores)
+        && fits(
+            room.used.memoryMb, spec.memory_mb(), room.config->memory_mb_cap(), reserve.memoryMb)
+        && fits(room.used.accelerators, spec.accelerators(), room.config->accelerators_cap(), 0);
 }
 
 StepWorker *StepPlanner::findWorker(WorkerNumber number)
@@ -218,8 +307,6 @@
     const std::vector<StepWorker *> &options)
 {
     const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
-    const auto expectedDuration = static_cast<double>(
-        input_.durations.expectedDuration(*candidate.work, candidate.ref).count());
     const std::set<WorkerNumber> *failed = failedWorkers(candidate);
     StepWorker *best = nullptr;
     std::tuple<bool, double, int64_t> bestScore;
@@ -227,7 +314,7 @@
         return nullptr;
     for (StepWorker *option : options) {
         StepWorker &worker = *option;
-        if (!reservation.fitsIn(worker.freeCapacity()) || !mayRun(worker, candidate))
+        if (!reservation.fitsIn(worker.freeCapacity()) || !mayRunAnother(worker, candidate))
             continue;
         // Attempts are limited, so workers with a recent failure are tried last.
         const bool hasFailed = hasFailures(worker, failed);
@@ -240,8 +327,7 @@
         // which avoids fragmentation of the others. A backfill task goes to the worker with the
         // most unclaimed processor time.
         const int64_t left = worker.freeCapacity().millicores - worker.backfillMillicores;
-        const std::tuple score{ hasFailed,
-            spec.backfill() ? 0 : std::floor(factor * 10) * expectedDuration,
+        const std::tuple score{ hasFailed, spec.backfill() ? 0 : std::floor(factor * 10),
             spec.backfill() ? -left : worker.freeCapacity().millicores };
         if (best == nullptr || score < bestScore) {
             best = &worker;
@@ -281,7 +367,7 @@
     StepWorker *best = nullptr;
     std::tuple<bool, bool, bool, int64_t> bestScore;
     for (StepWorker *worker : options) {
-        if (!reservation.fitsIn(worker->freeCapacity()) || !mayRun(*worker, candidate))
+        if (!reservation.fitsIn(worker->freeCapacity()) || !mayRunAnother(*worker, candidate))
             continue;
         const bool hasFreshRun = input_.hasFreshRun(worker->number)
             || std::any_of(plan_.starts.begin(), plan_.starts.end(),
@@ -301,11 +387,13 @@
 {
     const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
     worker->reserved += state::reservationOf(spec);
-    pools_[candidate.queue->pool()].free -= state::reservationOf(spec);
+    PoolCapacity &pool = pools_[candidate.queue->pool()];
+    pool.free -= state::reservationOf(spec);
+    pool.largestFree.reset();
     worker->backfillMillicores += spec.backfill() ? static_cast<int64_t>(spec.millicores()) : 0;
     if (worker->remainingStarts != UINT32_MAX)
         worker->remainingStarts--;
-    plannedUsage_[candidate.work->account] += Resources{ static_cast<int64_t>(spec.millicores()),
+    roomOf(candidate.work->account).used += Resources{ static_cast<int64_t>(spec.millicores()),
         static_cast<int64_t>(spec.memory_mb()), static_cast<int64_t>(spec.accelerators()) };
     plannedTasks_[{ candidate.ref, worker->number }]++;
     const std::string *ticket =
@@ -328,19 +416,22 @@
     const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
     const state::WorkStep &step = candidate.work->stepAt(candidate.ref);
     const Resources reservation = state::reservationOf(spec);
-    const bool needsTicket = candidate.queue->has_advice();
+    if (!fitsAccountCap(candidate)) {
+        const uint32_t missing = waitingOf(candidate) - heldBackTasks(candidate);
+        if (missing == 0)
+            return;
+        recordCapacityDemand(candidate);
+        return preemptWithinAccount(candidate, missing);
+    }
     const std::vector<StepWorker *> options = candidateWorkers(candidate, reservation);
     uint32_t missing = waitingOf(candidate);
-    for (uint32_t i = 0; i < step.tasks.size() && missing > 0; i++) {
-        if (!input_.pendingEnds.isWaiting(*candidate.work, { candidate.ref, i }))
-            continue;
-        if (isHeldBack(step.tasks[i])) {
-            missing--;
+    for (uint32_t i = 0; i < step.tasks.size() && missing > 0 && !options.empty(); i++) {
+        if (!input_.pendingEnds.isWaiting(*candidate.work, { candidate.ref, i })
+            || isHeldBack(step.tasks[i]))
             continue;
-        }
         if (!fitsAccountCap(candidate)) {
             recordCapacityDemand(candidate);
-            return preemptWithinAccount(candidate, missing);
+            return preemptWithinAccount(candidate, missing - heldBackTasks(candidate));
         }
         const bool isSuspect = step.tasks[i].isCrashSuspect();
         StepWorker *worker = isSuspect ? chooseWorkerForSuspect(candidate, reservation, options)
@@ -352,10 +443,11 @@
             worker->remainingStarts = 0;
         missing--;
     }
+    missing -= std::min(missing, heldBackTasks(candidate));
     if (missing == 0)
         return;
     const size_t adviceRequests = plan_.adviceRequests.size();
-    if (needsTicket)
+    if (candidate.queue->has_advice())
         requestAdvice(candidate, missing);
     // A step that waits for an advice reply is not counted as waiting for capacity.
     if (adviceRequests == plan_.adviceRequests.size()
@@ -364,16 +456,35 @@
     preemptForCapacity(candidate, missing);
 }
 
+// Tasks of the step that wait to learn whether their last workers have crashed.
+uint32_t StepPlanner::heldBackTasks(const Candidate &candidate) const
+{
+    if (input_.table.lostWorkers().empty())
+        return 0;
+    const auto &tasks = candidate.work->stepAt(candidate.ref).tasks;
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < tasks.size(); i++) {
+        if (input_.pendingEnds.isWaiting(*candidate.work, { candidate.ref, i })
+            && isHeldBack(tasks[i]))
+            count++;
+    }
+    return count;
+}
+
 uint32_t StepPlanner::waitingOf(const Candidate &candidate) const
 {
     return input_.pendingEnds.waitingTasks(*candidate.work, candidate.ref);
 }
 
-void StepPlanner::recordCapacityDemand(const Candidate &candidate)
+CapacityDemand StepPlanner::demandOf(const Candidate &candidate)
 {
     const bool isUrgent = candidate.priority < DeferrablePriority && candidate.latenessBand < 2;
-    plan_.capacityDemand = std::max(
-        plan_.capacityDemand, isUrgent ? CapacityDemand::Urgent : CapacityDemand::Deferrable);
+    return isUrgent ? CapacityDemand::Urgent : CapacityDemand::Deferrable;
+}
+
+void StepPlanner::recordCapacityDemand(const Candidate &candidate)
+{
+    plan_.capacityDemand = std::max(plan_.capacityDemand, demandOf(candidate));
 }
 
 void StepPlanner::placeGang(const Candidate &candidate)
@@ -392,7 +503,7 @@
     for (const state::WorkTask &task : step.tasks)
         run = std::max(run, task.run);
     const auto poolsBefore = pools_;
-    const auto addedBefore = plannedUsage_;
+    const auto accountsBefore = accounts_;
     const auto placedBefore = plannedTasks_;
     const size_t startsBefore = plan_.starts.size();
     uint32_t missing = step.waiting;
@@ -411,7 +522,7 @@
     for (size_t i = startsBefore; i < plan_.starts.size(); i++)
         undoStart(candidate, findWorker(plan_.starts[i].worker));
     pools_ = poolsBefore;
-    plannedUsage_ = addedBefore;
+    accounts_ = accountsBefore;
     plannedTasks_ = placedBefore;
     plan_.starts.resize(startsBefore);
     if (needsTicket)
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -5,18 +5,19 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "Basilgap/Common/Ids.h"
 #include "Basilgap/Common/Millis.h"
 #include "Basilgap/Scheduling/AdviceClaims.h"
 #include "Basilgap/Scheduling/DurationEstimator.h"
-#include "Basilgap/Scheduling/Lateness.h"
 #include "Basilgap/Scheduling/PendingRunEnds.h"
 #include "Basilgap/Scheduling/PermitCache.h"
 #include "Basilgap/Scheduling/PollPacing.h"
 #include "Basilgap/Scheduling/StepWorker.h"
 #include "Basilgap/Scheduling/UrgentDemand.h"
+#include "Basilgap/Scheduling/WaitingSteps.h"
 #include "Basilgap/Scheduling/WorkerHealth.h"
 #include "Basilgap/State/WorkConfigState.h"
 #include "Basilgap/State/WorkTable.h"
@@ -43,6 +44,8 @@
 {
     const state::WorkTable &table;
     const state::WorkConfigState &config;
+    // Of the same state, without the effect of pendingEnds.
+    const WaitingSteps &waiting;
     const PermitCache &permits;
     const WorkerHealth &health;
     const DurationEstimator &durations;
@@ -142,20 +145,20 @@
     StepPlan run();
 
 private:
-    // A step to be scheduled, with its position in the order.
-    struct Candidate
+    struct Candidate : WaitingStep
     {
-        StepRef ref;
-        const state::Work *work = nullptr;
-        const schema::QueueConfig *queue = nullptr;
-        uint32_t priority = 0;
-        // 0: can meet its latency objective; 1: late; 2: so late that it earns nothing more.
-        int latenessBand = 0;
-        int64_t slackMs = 0;
         // Its predecessors still run: advice is only prefetched.
         bool isPrefetch = false;
+    };
 
-        bool operator<(const Candidate &other) const;
+    // What an account has running in this round, and may have.
+    struct AccountRoom
+    {
+        // Null for calls without an account.
+        const schema::AccountConfig *config = nullptr;
+        Resources used;
+        // What its deferrable work leaves to its urgent work.
+        Resources headroom;
     };
 
     // Runs that may be preempted, those that lose the least progress first.
@@ -166,9 +169,20 @@
         Resources stopping;
     };
 
-    void collectCandidates();
-    void addCandidates(const state::Work &work);
     void loadCapacity();
+    // Steps whose place among the candidates depends on runs that end in this round.
+    void collectChangedSteps();
+    void addChangedSteps(const state::Work &work, uint32_t occurrence);
+    void addPrefetchSteps();
+    // Whether a step is among those that collectChangedSteps() adds.
+    bool isChanged(const WaitingStep &step) const;
+    bool mayPlanMore();
+    void place(const Candidate &candidate);
+    // Whether nothing can be done for the step in this round.
+    bool isHopeless(const Candidate &candidate);
+    bool mayPreempt(const Candidate &candidate, const Resources &reservation) const;
+    // Whether a task might fit on some worker of the pool.
+    bool mayFit(const std::string &pool, const Resources &reservation);
     bool leavesHeadroom(const Candidate &candidate, const Resources &reservation) const;
     bool mayPrefetchAdvice(const Candidate &candidate) const;
     uint32_t waitingOf(const Candidate &candidate) const;
@@ -189,7 +203,11 @@
     std::vector<StepWorker *> candidateWorkers(
         const Candidate &candidate, const Resources &reservation);
     bool mayRun(const StepWorker &worker, const Candidate &candidate) const;
-    bool fitsAccountCap(const Candidate &candidate) const;
+    // The part of mayRun() that the starts of this round change.
+    bool mayRunAnother(const StepWorker &worker, const Candidate &candidate) const;
+    uint32_t heldBackTasks(const Candidate &candidate) const;
+    AccountRoom &roomOf(const state::AccountName &account);
+    bool fitsAccountCap(const Candidate &candidate);
     bool couldAnyWorkerHold(const Candidate &candidate) const;
     void preemptWithinAccount(const Candidate &candidate, uint32_t missing);
     void preemptForCapacity(const Candidate &candidate, uint32_t missing);
@@ -210,6 +228,7 @@
     void loadUnclaimedRoom();
     void addClaims(const std::vector<AdviceClaim> &claims);
     void recordCapacityDemand(const Candidate &candidate);
+    static CapacityDemand demandOf(const Candidate &candidate);
     uint32_t tasksOn(const StepRef &step, WorkerNumber worker) const;
 
     StepPlanInput input_;
@@ -219,6 +238,8 @@
     {
         Resources total;
         Resources free;
+        // Upper bounds of what a worker has free, each resource by itself; absent after a start.
+        std::optional<Resources> largestFree;
     };
     std::map<std::string, PoolCapacity> pools_;
     // Workers with free capacity at the start of the round, by number.
@@ -237,8 +258,12 @@
     std::set<StepTaskRef> preempted_;
     // Reservation of a step for which preemption found no worker in this round.
     std::optional<Resources> unattainable_;
-    std::vector<Candidate> candidates_;
-    std::map<state::AccountName, Resources> plannedUsage_;
+    std::vector<Candidate> changedSteps_;
+    // Jobs with pending ends.
+    std::set<state::WorkSerial> changedWorks_;
+    // Workers on which preemption was considered in this round.
+    size_t preemptionProbes_ = 0;
+    std::unordered_map<state::AccountName, AccountRoom> accounts_;
     std::map<std::pair<StepRef, WorkerNumber>, uint32_t> plannedTasks_;
 };
 
--- a/Source/Basilgap/Scheduling/StepPreemption.cpp
+++ b/Source/Basilgap/Scheduling/StepPreemption.cpp
@@ -7,6 +7,14 @@
 
 namespace basilgap::scheduling {
 
+namespace {
+
+// Workers on which a round considers preemption for steps with advice, the most urgent first. In a
+// full cell with a long queue, each step would look at the same few workers again.
+constexpr size_t MaxPreemptionProbes = 256;
+
+} // namespace
+
 bool StepPlanner::isStopping(const PreemptibleRun &run) const
 {
     return run.isStopping || preempted_.contains(run.task);
@@ -81,24 +89,32 @@
     own.stopping -= wanted;
 }
 
+bool StepPlanner::mayPreempt(const Candidate &candidate, const Resources &reservation) const
+{
+    if (candidate.priority >= DeferrablePriority || candidate.latenessBand > 1)
+        return false;
+    if (candidate.queue->has_advice())
+        return preemptionProbes_ < MaxPreemptionProbes;
+    return !unattainable_ || !unattainable_->fitsIn(reservation);
+}
+
 // No eligible worker has free capacity: deferrable runs are preempted on workers where that frees
 // enough for a task.
 void StepPlanner::preemptForCapacity(const Candidate &candidate, uint32_t missing)
 {
-    if (candidate.priority >= DeferrablePriority || candidate.latenessBand > 1)
-        return;
     const Resources reservation = state::reservationOf(candidate.work->specOf(candidate.ref));
+    if (!mayPreempt(candidate, reservation))
+        return;
     if (candidate.queue->has_advice()) {
         for (const WorkerNumber number : input_.permits.permitsFor(candidate.ref).granted()) {
+            if (missing == 0 || preemptionProbes_++ >= MaxPreemptionProbes)
+                return;
             StepWorker *worker = findWorker(number);
-            if (worker != nullptr && missing > 0
-                && preemptOnWorker(candidate, reservation, *worker))
+            if (worker != nullptr && preemptOnWorker(candidate, reservation, *worker))
                 missing--;
         }
         return;
     }
-    if (unattainable_ && unattainable_->fitsIn(reservation))
-        return;
     for (const StepWorker &worker : input_.workers) {
         if (missing > 0 && preemptOnWorker(candidate, reservation, worker))
             missing--;
--- a/Source/Basilgap/Scheduling/UrgentDemand.cpp
+++ b/Source/Basilgap/Scheduling/UrgentDemand.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <optional>
 
 #include "Basilgap/Scheduling/Lateness.h"
 
@@ -49,16 +48,9 @@
 void UrgentDemand::update(const state::WorkTable &table, const state::WorkConfigState &config,
     const EmptyCapacity &capacity, Millis now, uint64_t wallMs)
 {
-    for (auto &[account, demand] : accounts_)
-        demand.running = demand.waitingDemand = {};
-    for (auto &[pool, demand] : pools_)
-        demand.running = demand.waitingDemand = {};
-    for (const state::WorkSerial serial : table.active()) {
-        const state::Work &work = *table.find(serial);
-        const schema::QueueConfig *queue = config.findQueue(work.queue);
-        if (queue != nullptr && queue->priority() < deferrablePriority_)
-            addWork(work, *queue, config.findAccount(work.account), capacity, wallMs);
-    }
+    reader_.readChanges(
+        table, config, wallMs, [this] { clearWorks(); },
+        [&](state::WorkSerial work) { readAgain(table, config, work, capacity, wallMs); });
     const double factor = std::exp(-static_cast<double>((now - observedAt_).count()) / DecayTimeMs);
     observedAt_ = now;
     for (auto &[pool, demand] : pools_)
@@ -67,13 +59,51 @@
         demand.decay(factor);
 }
 
-void UrgentDemand::addWork(const state::Work &work, const schema::QueueConfig &queue,
-    const schema::AccountConfig *account, const EmptyCapacity &capacity, uint64_t wallMs)
+void UrgentDemand::clearWorks()
 {
-    Demand &ofAccount = accounts_[work.account];
-    Demand &ofPool = pools_[queue.pool()];
+    for (auto &[account, demand] : accounts_)
+        demand.running = demand.waitingDemand = {};
+    for (auto &[pool, demand] : pools_)
+        demand.running = demand.waitingDemand = {};
+    works_.clear();
+}
+
+void UrgentDemand::readAgain(const state::WorkTable &table, const state::WorkConfigState &config,
+    state::WorkSerial serial, const EmptyCapacity &capacity, uint64_t wallMs)
+{
+    const auto known = works_.find(serial);
+    if (known != works_.end()) {
+        for (Demand *demand : { &accounts_[known->second.account], &pools_[known->second.pool] }) {
+            demand->running -= known->second.running;
+            demand->waitingDemand -= known->second.waitingDemand;
+        }
+        works_.erase(known);
+    }
+    const state::Work *work = table.find(serial);
+    const schema::QueueConfig *queue =
+        work == nullptr || !work->isActive() ? nullptr : config.findQueue(work->queue);
+    if (queue == nullptr || queue->priority() >= deferrablePriority_)
+        return;
+    WorkDemand ofWork =
+        demandOf(*work, *queue, config.findAccount(work->account), capacity, wallMs);
+    for (Demand *demand : { &accounts_[ofWork.account], &pools_[ofWork.pool] }) {
+        demand->running += ofWork.running;
+        demand->waitingDemand += ofWork.waitingDemand;
+    }
+    works_[serial] = std::move(ofWork);
+}
+
+UrgentDemand::WorkDemand UrgentDemand::demandOf(const state::Work &work,
+    const schema::QueueConfig &queue, const schema::AccountConfig *account,
+    const EmptyCapacity &capacity, uint64_t wallMs)
+{
+    WorkDemand demand{ .account = work.account, .pool = queue.pool() };
     for (uint32_t occurrence = 0; occurrence < work.occurrences.size(); occurrence++) {
-        std::optional<Lateness> lateness;
+        const LatencyBounds bounds = latencyBoundsOf(work, queue, occurrence);
+        const bool isDue = work.dueMs(occurrence) <= wallMs;
+        const bool isExpired = bounds.bandAt(wallMs) > 1;
+        if (!isDue)
+            reader_.readAgainAt(work.dueMs(occurrence), work.serial);
         for (uint32_t step = 0; step < work.occurrences[occurrence].size(); step++) {
             const state::StepRef ref{ work.serial, occurrence, step };
             const state::WorkStep &state = work.stepAt(ref);
@@ -82,21 +112,16 @@
             if (state.isDone() || spec.service())
                 continue;
             const state::Resources reservation = state::reservationOf(spec);
-            ofAccount.running += reservation * state.running;
-            ofPool.running += reservation * state.running;
-            if (state.waiting == 0 || work.dueMs(occurrence) > wallMs || !work.isReady(ref))
-                continue;
-            if (!lateness)
-                lateness = latenessOf(work, queue, occurrence, wallMs);
-            if (lateness->isExpired())
+            demand.running += reservation * state.running;
+            if (state.waiting == 0 || !isDue || isExpired || !work.isReady(ref))
                 continue;
+            reader_.readAgainAt(
+                static_cast<uint64_t>(std::max<int64_t>(0, bounds.expiryMs)), work.serial);
             const int64_t placeable = placeableTasks(spec, queue.pool(), account, capacity);
-            const state::Resources waiting =
-                reservation * std::min<int64_t>(state.waiting, placeable);
-            ofAccount.waitingDemand += waiting;
-            ofPool.waitingDemand += waiting;
+            demand.waitingDemand += reservation * std::min<int64_t>(state.waiting, placeable);
         }
     }
+    return demand;
 }
 
 state::Resources UrgentDemand::headroomFor(const state::AccountName &account) const
--- a/Source/Basilgap/Scheduling/UrgentDemand.h
+++ b/Source/Basilgap/Scheduling/UrgentDemand.h
@@ -2,9 +2,11 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
 
 #include "Basilgap/Common/Millis.h"
 #include "Basilgap/Scheduling/EmptyCapacity.h"
+#include "Basilgap/Scheduling/WaitingSteps.h"
 #include "Basilgap/State/WorkConfigState.h"
 #include "Basilgap/State/WorkTable.h"
 
@@ -22,7 +24,11 @@
         : deferrablePriority_(deferrablePriority)
     {}
 
-    // Takes the present time on the steady clock and in Unix milliseconds.
+    // The capacity of the workers has changed, so that all jobs are read again in the next update.
+    void reset() { reader_.reset(); }
+
+    // Reads the jobs that have changed. Takes the present time on the steady clock and in Unix
+    // milliseconds.
     void update(const state::WorkTable &table, const state::WorkConfigState &config,
         const EmptyCapacity &capacity, Millis now, uint64_t wallMs);
 
@@ -43,13 +49,26 @@
         state::Resources headroom() const;
     };
 
-    // Adds what the job's steps use and wait for.
-    void addWork(const state::Work &work, const schema::QueueConfig &queue,
+    // What the steps of one job use and wait for.
+    struct WorkDemand
+    {
+        state::AccountName account;
+        std::string pool;
+        state::Resources running;
+        state::Resources waitingDemand;
+    };
+
+    void clearWorks();
+    void readAgain(const state::WorkTable &table, const state::WorkConfigState &config,
+        state::WorkSerial serial, const EmptyCapacity &capacity, uint64_t wallMs);
+    WorkDemand demandOf(const state::Work &work, const schema::QueueConfig &queue,
         const schema::AccountConfig *account, const EmptyCapacity &capacity, uint64_t wallMs);
 
     uint32_t deferrablePriority_;
     std::map<state::AccountName, Demand> accounts_;
     std::map<std::string, Demand> pools_;
+    std::unordered_map<state::WorkSerial, WorkDemand> works_;
+    WorkReader reader_;
     Millis observedAt_;
 };
 
--- /dev/null
+++ b/Source/Basilgap/Scheduling/WaitingSteps.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "Basilgap/State/WorkConfigState.h"
+#include "Basilgap/State/WorkTable.h"
+
+namespace basilgap::scheduling {
+
+// A step with tasks to be placed, and its position in the order.
+struct WaitingStep
+{
+    state::StepRef ref;
+    const state::Work *work = nullptr;
+    const schema::QueueConfig *queue = nullptr;
+    uint32_t priority = 0;
+    // See LatencyBounds; a service counts as on time.
+    int latenessBand = 0;
+    // The latest start that meets the objective, in Unix milliseconds.
+    int64_t latestStartMs = 0;
+
+    bool operator<(const WaitingStep &other) const;
+};
+
+// Jobs whose state depends on the time: each is read again at the time that it asked for.
+class TimedChanges
+{
+public:
+    // Has no effect if the job is read again before then anyway.
+    void add(uint64_t wallMs, state::WorkSerial work);
+    void clear();
+    // Removes the jobs that are due, and calls back with each.
+    void takeDue(uint64_t wallMs, const std::function<void(state::WorkSerial)> &callback);
+
+private:
+    using Entry = std::pair<uint64_t, state::WorkSerial>;
+    std::priority_queue<Entry, std::vector<Entry>, std::greater<>> due_;
+    // The earliest time of each job in due_.
+    std::unordered_map<state::WorkSerial, uint64_t> earliest_;
+};
+
+// Tells a reader of the table which jobs it has to read again.
+class WorkReader
+{
+public:
+    // All jobs are read again the next time.
+    void reset() { position_ = 0; }
+    // Calls back with each job whose state or time has come, or first `onReset` and then with each
+    // active job if the reader has to begin anew.
+    void readChanges(const state::WorkTable &table, const state::WorkConfigState &config,
+        uint64_t wallMs, const std::function<void()> &onReset,
+        const std::function<void(state::WorkSerial)> &callback);
+    // Has the job read again at that time.
+    void readAgainAt(uint64_t wallMs, state::WorkSerial work) { timed_.add(wallMs, work); }
+
+private:
+    // Position in the changes of the table; 0 before the first look.
+    uint64_t position_ = 0;
+    TimedChanges timed_;
+    std::vector<state::WorkSerial> changed_;
+    uint64_t configVersion_ = 0;
+    uint64_t readAtMs_ = 0;
+};
+
+// The steps with waiting tasks whose predecessors are done, in the order in which they are placed:
+// those that can meet their objective first, then by priority and by the latest start that meets
+// it. Kept between planning rounds; only jobs that have changed are read again. Load pattern: a
+// full cell with thousands of waiting tasks, of which each round can place a few.
+class WaitingSteps
+{
+public:
+    // Reads the jobs that have changed, or whose place has changed with time. Takes the present
+    // time in Unix milliseconds.
+    void refresh(
+        const state::WorkTable &table, const state::WorkConfigState &config, uint64_t wallMs);
+
+    const std::set<WaitingStep> &ordered() const { return ordered_; }
+
+private:
+    using Entries = std::vector<std::set<WaitingStep>::iterator>;
+
+    void readAgain(const state::WorkTable &table, const state::WorkConfigState &config,
+        state::WorkSerial serial, uint64_t wallMs);
+    void add(const state::Work &work, const schema::QueueConfig &queue, uint64_t wallMs);
+
+    std::set<WaitingStep> ordered_;
+    std::unordered_map<state::WorkSerial, Entries> entries_;
+    WorkReader reader_;
+};
+
+} // namespace basilgap::scheduling
--- a/Source/Basilgap/State/LostWorkers.h
+++ b/Source/Basilgap/State/LostWorkers.h
@@ -73,6 +73,7 @@
     // Forgets the runs of the task.
     void dismiss(const StepTaskRef &task);
 
+    bool empty() const { return workers_.empty(); }
     bool contains(WorkerNumber worker) const { return workers_.contains(worker); }
 
     void save(schema::WorkSnapshot *snapshot) const;
--- a/Source/Basilgap/State/WorkRefs.h
+++ b/Source/Basilgap/State/WorkRefs.h
@@ -38,3 +38,13 @@
 };
 
 } // namespace basilgap::state
+
+template<>
+struct std::hash<basilgap::state::StepRef>
+{
+    size_t operator()(const basilgap::state::StepRef &step) const
+    {
+        return std::hash<uint64_t>()(
+            (step.work.value() * 1000003 + step.occurrence) * 1000003 + step.step);
+    }
+};
--- a/Source/Basilgap/State/WorkSnapshot.cpp
+++ b/Source/Basilgap/State/WorkSnapshot.cpp
@@ -51,7 +51,10 @@
 
 void WorkTable::restore(const schema::WorkSnapshot &snapshot)
 {
+    WorkChanges changes = std::move(changes_);
     *this = WorkTable();
+    changes_ = std::move(changes);
+    changes_.invalidate();
     nextSerial_ = std::max<uint64_t>(1, snapshot.next_serial());
     for (const auto &incarnation : snapshot.workers()) {
         const WorkerNumber number(incarnation.number());
--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -416,6 +416,7 @@
 
 void WorkTable::updateIndexes(const Work &work)
 {
+    changes_.record(work.serial);
     if (work.isActive())
         active_.insert(work.serial);
     else
--- a/Source/Basilgap/State/WorkTable.h
+++ b/Source/Basilgap/State/WorkTable.h
@@ -12,6 +12,7 @@
 #include "Basilgap/State/JobTable.h"
 #include "Basilgap/State/LostWorkers.h"
 #include "Basilgap/State/Resources.h"
+#include "Basilgap/State/WorkChanges.h"
 #include "Basilgap/State/WorkRefs.h"
 #include "State.pb.h"
 
@@ -135,6 +136,7 @@
     const std::set<WorkSerial> &waiting() const { return waiting_; }
     // Jobs that are not finished.
     const std::set<WorkSerial> &active() const { return active_; }
+    const WorkChanges &changes() const { return changes_; }
     // Number of active jobs of the queue of which no task has ever been started.
     uint64_t unstartedCount(const QueueName &queue) const;
 
@@ -195,6 +197,7 @@
     uint64_t nextSerial_ = 1;
     std::set<WorkSerial> waiting_;
     std::set<WorkSerial> active_;
+    WorkChanges changes_;
     // Those of waiting_ of which no task has ever been started.
     std::map<QueueName, std::set<WorkSerial>> unstarted_;
     std::map<WorkerNumber, schema::WorkerLife> workers_;
--- a/Source/Benchmarks/StepPlanBench.cpp
+++ b/Source/Benchmarks/StepPlanBench.cpp
@@ -19,6 +19,9 @@
 constexpr uint32_t JobsPerRound = 2;
 constexpr uint32_t WaitingJobs = 200;
 constexpr int Rounds = 2000;
+// Rounds of a cell with a long queue.
+constexpr int QueueRounds = 300;
+constexpr uint32_t QueueWorkers = 350;
 constexpr Millis Now{ 50000 };
 constexpr uint64_t WallMs = 1000000;
 constexpr state::Resources Capacity{ 64000, 262144, 0 };
@@ -28,7 +31,7 @@
 class StepCell
 {
 public:
-    StepCell(uint32_t workers, bool needsAdvice)
+    StepCell(uint32_t workers, bool needsAdvice, uint32_t waitingJobs)
     {
         schema::PutWorkConfig config;
         config.set_version(1);
@@ -50,7 +53,7 @@
         }
         capacity_ = scheduling::EmptyCapacity(list);
         workers_.assign(std::move(list));
-        for (uint32_t job = 0; job < workers * 5 / TasksPerJob + WaitingJobs; job++)
+        for (uint32_t job = 0; job < workers * 5 / TasksPerJob + waitingJobs; job++)
             submit();
     }
 
@@ -76,10 +79,12 @@
     scheduling::StepPlan plan()
     {
         urgent_.update(table_, config_, capacity_, Now, WallMs);
+        waiting_.refresh(table_, config_, WallMs);
         return scheduling::StepPlanner(
             {
                 .table = table_,
                 .config = config_,
+                .waiting = waiting_,
                 .permits = permits_,
                 .health = health_,
                 .durations = durations_,
@@ -146,42 +151,48 @@
     scheduling::WorkerHealth health_;
     scheduling::DurationEstimator durations_;
     scheduling::EmptyCapacity capacity_;
+    scheduling::WaitingSteps waiting_;
     scheduling::UrgentDemand urgent_{ scheduling::DeferrablePriority };
     dispatch::PlanWorkers workers_;
     std::deque<std::pair<StepTaskRef, uint32_t>> running_;
     uint64_t submitted_ = 0;
 };
 
-void benchRounds(uint32_t workers, bool needsAdvice)
+void benchRounds(
+    const std::string &name, uint32_t workers, bool needsAdvice, uint32_t waitingJobs, int rounds)
 {
-    StepCell cell(workers, needsAdvice);
+    StepCell cell(workers, needsAdvice, waitingJobs);
     for (scheduling::StepPlan plan = cell.plan();
          !plan.starts.empty() || !plan.adviceRequests.empty(); plan = cell.plan())
         cell.apply(plan);
-    LatencyHistogram rounds;
-    for (int i = 0; i < Rounds; i++) {
+    LatencyHistogram times;
+    for (int i = 0; i < rounds; i++) {
         cell.change();
         const auto start = std::chrono::steady_clock::now();
         const scheduling::StepPlan plan = cell.plan();
-        rounds.add(
+        times.add(
             std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - start)
                 .count());
         cell.apply(plan);
     }
-    const std::string name =
-        (needsAdvice ? "advised_" : "plain_") + std::to_string(workers) + "_workers";
-    report(name + "_rounds_per_s", 1000.0 * static_cast<double>(rounds.count()) / rounds.sum());
-    report(name + "_p99_ms", rounds.percentile(0.99));
+    report(name + "_rounds_per_s", 1000.0 * static_cast<double>(times.count()) / times.sum());
+    report(name + "_p99_ms", times.percentile(0.99));
 }
 
 } // namespace
 
-// Planning rounds in a full cell with a fixed number of changes a round, by the size of the fleet.
+// Planning rounds in a full cell with a fixed number of changes a round, by the size of the fleet
+// and by the number of waiting tasks.
 void benchStepPlan()
 {
     for (const bool needsAdvice : { false, true }) {
+        const std::string kind = needsAdvice ? "advised_" : "plain_";
         for (const uint32_t workers : { 100U, 350U, 1100U, 3000U })
-            benchRounds(workers, needsAdvice);
+            benchRounds(kind + std::to_string(workers) + "_workers", workers, needsAdvice,
+                WaitingJobs, Rounds);
+        for (const uint32_t tasks : { 100U, 1000U, 10000U, 30000U })
+            benchRounds(kind + std::to_string(tasks) + "_waiting", QueueWorkers, needsAdvice,
+                tasks / TasksPerJob, QueueRounds);
     }
 }
 
--- a/Source/UnitTests/Scheduling/StepPlannerFixture.h
+++ b/Source/UnitTests/Scheduling/StepPlannerFixture.h
@@ -72,11 +72,14 @@
         std::vector<StepWorker> current = workers;
         for (StepWorker &worker : current)
             worker.reserved += table.reservedOn(worker.number);
+        urgent.reset();
         urgent.update(table, config, EmptyCapacity(workers), Now, Wall);
+        waiting.refresh(table, config, Wall);
         return StepPlanner(
             {
                 .table = table,
                 .config = config,
+                .waiting = waiting,
                 .permits = permits,
                 .health = health,
                 .durations = durations,
@@ -160,6 +163,7 @@
     size_t freeAdvisors = 4;
     WorkerHealth health;
     DurationEstimator durations;
+    WaitingSteps waiting;
     UrgentDemand urgent{ DeferrablePriority };
     std::vector<StepWorker> workers;
     std::set<StepRef> endingSteps;
