Keep small weights beside huge ones in the fair division

weightedMaxMin() subtracted each weight from the total of those left. Beside a weight of 1e9 a small one is lost in rounding, the total became 0, and the requests of small weight got nothing although capacity was left: weights of 1e9, 1e-9, 1e-9 and 2e-9 over a capacity of 5, with a demand of 1 for the first, gave 1, 0, 0 and 0. The totals are now summed from the end, so that nothing is subtracted; the same case gives 1, 1, 1 and 2.

Test: FairShare.smallWeightsCountBesideHugeOnes; its case was seen giving zeros on the code before. The other tests of test-Scheduling named FairShare pass.

--- a/Source/Basilgap/Scheduling/FairShare.cpp
+++ b/Source/Basilgap/Scheduling/FairShare.cpp
@@ -17,15 +17,17 @@
     std::sort(order.begin(), order.end(), [&requests](size_t a, size_t b) {
         return requests[a].demand * requests[b].weight < requests[b].demand * requests[a].weight;
     });
-    double weights = 0;
-    for (const size_t i : order)
-        weights += requests[i].weight;
-    for (const size_t i : order) {
-        const double fair = weights <= 0 ? 0 : *capacity * requests[i].weight / weights;
-        const double amount = std::min(requests[i].demand, fair);
-        (*amounts)[i] = amount;
+    // Of each request and those after it. Subtracting from the total would lose small weights
+    // beside huge ones.
+    std::vector<double> weights(order.size() + 1, 0);
+    for (size_t k = order.size(); k > 0; k--)
+        weights[k - 1] = weights[k] + requests[order[k - 1]].weight;
+    for (size_t k = 0; k < order.size(); k++) {
+        const ShareRequest &request = requests[order[k]];
+        const double fair = weights[k] <= 0 ? 0 : *capacity * request.weight / weights[k];
+        const double amount = std::min(request.demand, fair);
+        (*amounts)[order[k]] = amount;
         *capacity -= amount;
-        weights -= requests[i].weight;
     }
 }
 
--- a/Source/UnitTests/Scheduling/SharesTest.cpp
+++ b/Source/UnitTests/Scheduling/SharesTest.cpp
@@ -49,6 +49,18 @@
         RC_ASSERT(std::abs(fast[i] - reference[i]) < 0.1);
 }
 
+// Guards against the loss of small weights beside huge ones, which left the accounts of small
+// weight without any share.
+TEST(FairShare, smallWeightsCountBesideHugeOnes)
+{
+    const auto amounts =
+        weightedMaxMin({ { 1e9, 1 }, { 1e-9, 100 }, { 1e-9, 100 }, { 2e-9, 100 } }, 5);
+    EXPECT_DOUBLE_EQ(amounts[0], 1);
+    EXPECT_DOUBLE_EQ(amounts[1], 1);
+    EXPECT_DOUBLE_EQ(amounts[2], 1);
+    EXPECT_DOUBLE_EQ(amounts[3], 2);
+}
+
 RC_GTEST_PROP(AllotmentPlanProperty, neverExceedsCapacity, ())
 {
     std::vector<AllotmentCapacity> keys;
