Refuse jobs whose account has too long a backlog

While the cell is full, jobs of an account that asks for more than its share were accepted although their results could not be of use any more. The leader now answers such a submission with 503, Retry-After and "not run", by AdmissionForecast; nothing is written to the log. The shares of all accounts are updated in each round, for this and for the planner, and accounts over their share are logged once a second (account-share).

A job that is known, or whose submission is being logged, is never refused, and a refusal needs a quorum's confirmation, because another leader may have accepted the job. A new leader takes the backlog from the table. Workers out of reach count as capacity for this decision, since after a change of the leader all are out of reach for seconds.

Tests: WorkDispatcherAdmissionTest, three tests. aJobThatIsBeingLoggedIsNot- Refused was seen failing without the check of pending submissions. onlyTheAccountWithTheBacklogIsRefused failed once in 20 runs so far, while other builds loaded the machine (load 14 on 7 processors): two calls had no answer within 10 s; the cause is not known. In that run the worker was dropped as silent, and a job was refused without any capacity; since then no capacity means that the job is accepted.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -39,6 +39,7 @@
     , health_({ .minFailedJobs = FailedJobsToQuarantine,
           .initialQuarantine = FirstQuarantine,
           .maxQuarantine = MaxQuarantine })
+    , admission_(std::max(wallNow(), Millis(static_cast<int64_t>(state_.clockMs()))))
     , leaderSince_(steadyNow())
     , wallAtStart_(wallNow())
     , stateMsAtStart_(state_.clockMs())
@@ -46,6 +47,7 @@
     , batchTimer_(loop, [this] { proposeBatch(); })
 {
     reconcileSessions();
+    rebuildAdmission();
     tickTimer_.startRepeating(TickInterval);
 }
 
@@ -85,18 +87,25 @@
 void WorkDispatcher::handleApplied(const schema::Command &command, const schema::CommandOutcome &)
 {
     isPlanDue_ = true;
-    if (command.has_submit_work())
+    if (command.has_submit_work()) {
         usePrefetchedAdvice(command.submit_work().id());
+        const state::Work *work = state_.works().find(command.submit_work().id());
+        if (work != nullptr)
+            refreshAdmission(work->serial);
+    }
     if (command.has_cancel_work()) {
         const state::Work *work = state_.works().find(command.cancel_work().id());
-        if (work != nullptr)
+        if (work != nullptr) {
             checkStopsOf(work->serial);
+            refreshAdmission(work->serial);
+        }
     }
     workersChanged_ = workersChanged_ || command.has_evacuate_zone();
     if (command.has_runs()) {
         if (command.runs().workers_size() > 0)
             reconcileSessions();
         handleAppliedRuns(command.runs());
+        refreshAdmission(command.runs());
     }
     scheduleBatch();
 }
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -13,6 +13,8 @@
 #include "Basilgap/Dispatch/PlanWorkers.h"
 #include "Basilgap/Dispatch/StageTimes.h"
 #include "Basilgap/Dispatch/WorkerSession.h"
+#include "Basilgap/Scheduling/AccountShares.h"
+#include "Basilgap/Scheduling/AdmissionForecast.h"
 #include "Basilgap/Scheduling/BackfillThrottle.h"
 #include "Basilgap/Scheduling/DurationEstimator.h"
 #include "Basilgap/Scheduling/PermitCache.h"
@@ -149,10 +151,27 @@
     void logActivity(LogEvent *line);
     void proposeExpiry();
 
+    // WorkDispatcherAdmission.cpp
+    // Takes over the waiting work of all active jobs.
+    void rebuildAdmission();
+    void refreshAdmission(state::WorkSerial serial);
+    void refreshAdmission(const schema::RunBatch &batch);
+    // Checks some of the known jobs against the table.
+    void auditAdmission();
+    void updateAccountShares(const std::vector<scheduling::StepWorker> &workers);
+    // Empty: the job is accepted.
+    std::optional<scheduling::AdmissionRefusal> decideAdmission(const std::string &id,
+        const schema::QueueConfig &queue, const std::string &account,
+        const schema::WorkSpec &spec) const;
+    void logAccountShares() const;
+
     // WorkDispatcherCalls.cpp
     void answerQueueCall(const schema::RpcRequest &request, const ReplyCallback &reply);
     void submit(const schema::RpcRequest &request, const schema::QueueConfig &queue,
         const std::string &id, const std::string &account, const ReplyCallback &reply);
+    void refuseForBacklog(const schema::RpcRequest &request, const std::string &id,
+        const std::string &queue, const std::string &account,
+        const scheduling::AdmissionRefusal &refusal, const ReplyCallback &reply);
     void cancel(
         const schema::RpcRequest &request, const std::string &id, const ReplyCallback &reply);
     void answerState(
@@ -179,6 +198,12 @@
     // Of the workers in planWorkers_.
     scheduling::EmptyCapacity emptyCapacity_;
     scheduling::UrgentDemand urgentDemand_{ scheduling::DeferrablePriority };
+    scheduling::AccountShares accountShares_;
+    // Of all workers in the last round, also of those out of reach.
+    state::Resources registeredCapacity_;
+    scheduling::AdmissionForecast admission_;
+    // Submitted jobs whose log record is not applied yet, with the number of calls for each.
+    std::map<std::string, uint32_t> pendingSubmissions_;
     std::map<state::WorkerNumber, std::unique_ptr<WorkerSession>> sessions_;
     std::map<uint64_t, network::PeerStream *> streams_;
     std::vector<schema::RunEnd> pendingEnds_;
--- a/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
@@ -1,5 +1,7 @@
 // Requests of callers, workers and operators.
 
+#include <cmath>
+
 #include "Basilgap/Common/EventLog.h"
 #include "Basilgap/Dispatch/Announcements.h"
 #include "Basilgap/Dispatch/WorkDispatcher.h"
@@ -17,6 +19,8 @@
 // A full disk is not freed within moments.
 constexpr uint32_t LowSpaceRetryAfterSeconds = 5;
 
+constexpr double MillicoresPerCore = 1000;
+
 constexpr uint32_t Ok = 200;
 constexpr uint32_t BadRequest = 400;
 constexpr uint32_t Unauthorized = 401;
@@ -24,6 +28,7 @@
 constexpr uint32_t Gone = 410;
 constexpr uint32_t TooLarge = 413;
 constexpr uint32_t Unavailable = 503;
+constexpr uint32_t OutcomeUnknown = 504;
 
 bool isWorkId(const std::string &id)
 {
@@ -180,6 +185,11 @@
         refusal.set_retry_after_s(LowSpaceRetryAfterSeconds);
         return reply(makeRpcReply(request, refusal));
     }
+    // A job that is being logged may be accepted, so that its refusal would not be true.
+    if (!pendingSubmissions_.contains(id)) {
+        if (const auto refusal = decideAdmission(id, queue, account, call.spec()))
+            return refuseForBacklog(request, id, queue.name(), account, *refusal, reply);
+    }
     schema::Command command;
     schema::SubmitWork *submit = command.mutable_submit_work();
     submit->set_id(id);
@@ -189,7 +199,14 @@
     submit->set_max_attempts(queue.max_attempts());
     log("work-taken", "");
     prefetchAdvice(id, queue, call.spec());
-    propose(request, std::move(command), reply,
+    pendingSubmissions_[id]++;
+    const auto replyOnce = [this, alive = std::weak_ptr<bool>(alive_), id, reply](
+                               schema::RpcReply answer) {
+        if (!alive.expired() && --pendingSubmissions_[id] == 0)
+            pendingSubmissions_.erase(id);
+        reply(std::move(answer));
+    };
+    propose(request, std::move(command), replyOnce,
         [this, alive = std::weak_ptr<bool>(alive_), queueName = state::QueueName(queue.name()),
             takenAt = steadyNow()](const schema::CommandOutcome &) {
             if (!alive.expired())
@@ -198,6 +215,34 @@
         });
 }
 
+// Another leader may have accepted the job, so the refusal needs a quorum's confirmation. While that
+// is awaited, a resent call may have submitted the job.
+void WorkDispatcher::refuseForBacklog(const schema::RpcRequest &request, const std::string &id,
+    const std::string &queue, const std::string &account,
+    const scheduling::AdmissionRefusal &refusal, const ReplyCallback &reply)
+{
+    answerWhenConfirmed(request, reply, [this, id, queue, account, refusal] {
+        if (state_.works().find(id) != nullptr)
+            return makeReply(Ok);
+        if (pendingSubmissions_.contains(id))
+            return makeReply(OutcomeUnknown, "outcome unknown");
+        LogEvent("work-refused")
+            .with("work", id)
+            .with("queue", queue)
+            .with("account", account)
+            .with("reason", "backlog")
+            .with("backlogCoreMs", std::llround(refusal.backlogCoreMs))
+            .with("drainMillicores", std::llround(refusal.drainCores * MillicoresPerCore))
+            .with("waitMs", refusal.wait)
+            .with("objectiveMs", refusal.objective)
+            .with("retryAfterS", refusal.retryAfterSeconds);
+        schema::CallReply answer = makeReply(
+            Unavailable, "not run: the account's backlog is too long for the job's objective");
+        answer.set_retry_after_s(refusal.retryAfterSeconds);
+        return answer;
+    });
+}
+
 void WorkDispatcher::cancel(
     const schema::RpcRequest &request, const std::string &id, const ReplyCallback &reply)
 {
--- a/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
@@ -242,6 +242,7 @@
     for (const auto &[priority, tasks] : waiting)
         line.with("waiting" + std::to_string(priority), tasks);
     stageTimes_.log();
+    logAccountShares();
 }
 
 } // namespace basilgap::dispatch
--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -84,6 +84,7 @@
 void WorkDispatcher::pruneFinishedWorks(Millis now)
 {
     nextPrune_ = now + PruneInterval;
+    auditAdmission();
     permits_.dropInactive(state_.works());
     permits_.dropExpired(now);
     speeds_.dropInactive(state_.works());
@@ -110,6 +111,7 @@
     if (now >= nextPrune_)
         pruneFinishedWorks(now);
     std::vector<scheduling::StepWorker> &workers = refreshWorkers(now);
+    updateAccountShares(workers);
     const auto wallMs = static_cast<uint64_t>(wallNow().count());
     urgentDemand_.update(state_.works(), state_.workConfig(), emptyCapacity_, now, wallMs);
     scheduling::StepPlan plan = scheduling::StepPlanner(
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -315,6 +315,15 @@
         }
     }
 
+    schema::CallReply call(const schema::RpcRequest &request)
+    {
+        std::optional<schema::CallReply> answer;
+        dispatcher_->handleRequest(
+            request, [&answer](const schema::RpcReply &reply) { answer = reply.call(); });
+        EXPECT_TRUE(runUntil([&answer] { return answer.has_value(); }));
+        return answer.value_or(schema::CallReply());
+    }
+
     const state::Work &work() const { return *replica_->state().works().find(WorkId); }
 
     FakeWorkerPort port_;
@@ -483,15 +492,6 @@
 protected:
     replication::DiskCalls &disk() override { return quota_; }
 
-    schema::CallReply call(const schema::RpcRequest &request)
-    {
-        std::optional<schema::CallReply> answer;
-        dispatcher_->handleRequest(
-            request, [&answer](const schema::RpcReply &reply) { answer = reply.call(); });
-        EXPECT_TRUE(runUntil([&answer] { return answer.has_value(); }));
-        return answer.value_or(schema::CallReply());
-    }
-
     schema::CallReply submitAs(const std::string &id)
     {
         schema::RpcRequest request;
@@ -543,5 +543,136 @@
     EXPECT_EQ(configure(102).status(), 200U);
 }
 
+// Two accounts and one queue, on a worker of eight cores.
+class WorkDispatcherAdmissionTest : public WorkDispatcherTest
+{
+protected:
+    // Longer than the time in which a new leader refuses nothing.
+    static constexpr Millis SettlingTime{ 2300 };
+
+    void SetUp() override
+    {
+        WorkDispatcherTest::SetUp();
+        schema::RpcRequest request;
+        schema::PutWorkConfig *put = request.mutable_operator_call()->mutable_put_config();
+        put->set_version(101);
+        schema::WorkConfig *config = put->mutable_config();
+        config->add_pools()->set_name("pool");
+        schema::QueueConfig *queue = config->add_queues();
+        queue->set_name("queue");
+        queue->set_pool("pool");
+        queue->set_host("host");
+        queue->set_prefix("/queue/");
+        queue->set_slack_factor(2);
+        // Jobs of the backlog are not too late before the end of a test.
+        queue->set_target_latency_ms(10000);
+        for (const char *name : { "team", "other" }) {
+            schema::AccountConfig *account = config->add_accounts();
+            account->set_name(name);
+            account->add_keys(name);
+            account->set_weight(1);
+        }
+        ASSERT_EQ(call(request).status(), 200U);
+    }
+
+    static schema::RpcRequest makeRequest(
+        const std::string &account, const std::string &id, uint32_t tasks)
+    {
+        schema::RpcRequest request;
+        schema::QueueCall *submit = request.mutable_queue_call();
+        submit->set_kind(schema::QueueCall::SUBMIT);
+        submit->set_host("host");
+        submit->set_path("/queue/" + id);
+        submit->set_key(account);
+        schema::StepSpec *step = submit->mutable_spec()->add_steps();
+        step->set_count(tasks);
+        step->set_millicores(1000);
+        step->set_memory_mb(10);
+        step->set_estimate_ms(1000);
+        return request;
+    }
+
+    schema::CallReply submitAs(const std::string &account, const std::string &id, uint32_t tasks)
+    {
+        return call(makeRequest(account, id, tasks));
+    }
+
+    bool isKnown(const std::string &id) const
+    {
+        return replica_->state().works().find(id) != nullptr;
+    }
+};
+
+// Guards against accepting jobs that can't be of use any more, against refusing those of another
+// account, and against a refusal of a job that was accepted.
+TEST_F(WorkDispatcherAdmissionTest, onlyTheAccountWithTheBacklogIsRefused)
+{
+    EXPECT_EQ(submitAs("team", "00000000000000a1", 2000).status(), 200U);
+    EXPECT_EQ(submitAs("team", "00000000000000a2", 10).status(), 200U) << "the leader is new";
+    runWorkerFor(SettlingTime);
+    const schema::CallReply refused = submitAs("team", "00000000000000a3", 10);
+    EXPECT_EQ(refused.status(), 503U);
+    EXPECT_GE(refused.retry_after_s(), 1U);
+    EXPECT_LE(refused.retry_after_s(), 30U);
+    EXPECT_EQ(refused.error().find("not run"), 0U) << refused.error();
+    runWorkerFor(Millis(100));
+    EXPECT_FALSE(isKnown("00000000000000a3"));
+    EXPECT_EQ(submitAs("team", "00000000000000a2", 10).status(), 200U) << "it was accepted before";
+    EXPECT_EQ(submitAs("other", "00000000000000b1", 10).status(), 200U);
+    schema::RpcRequest service = makeRequest("team", "00000000000000a4", 1);
+    service.mutable_queue_call()->mutable_spec()->mutable_steps(0)->set_service(true);
+    EXPECT_EQ(call(service).status(), 200U);
+    schema::RpcRequest scheduled = makeRequest("team", "00000000000000a5", 1);
+    scheduled.mutable_queue_call()->mutable_spec()->set_occurrences(1);
+    EXPECT_EQ(call(scheduled).status(), 200U);
+    schema::RpcRequest cancelation;
+    cancelation.mutable_queue_call()->set_kind(schema::QueueCall::CANCEL);
+    cancelation.mutable_queue_call()->set_host("host");
+    cancelation.mutable_queue_call()->set_path("/queue/00000000000000a1");
+    cancelation.mutable_queue_call()->set_key("team");
+    EXPECT_EQ(call(cancelation).status(), 200U);
+    EXPECT_EQ(submitAs("team", "00000000000000a3", 10).status(), 200U) << "the backlog is gone";
+}
+
+// Guards against a refusal that says "not run" while an earlier call for the same job is being
+// logged.
+TEST_F(WorkDispatcherAdmissionTest, aJobThatIsBeingLoggedIsNotRefused)
+{
+    ASSERT_EQ(submitAs("team", "00000000000000a1", 2000).status(), 200U);
+    std::vector<uint32_t> statuses;
+    const auto send = [&](const std::string &id) {
+        dispatcher_->handleRequest(
+            makeRequest("team", id, 1), [&statuses](const schema::RpcReply &reply) {
+                statuses.push_back(reply.call().status());
+            });
+    };
+    disk_.setBlocked(true);
+    send("00000000000000a2");
+    runWorkerFor(SettlingTime);
+    EXPECT_TRUE(statuses.empty());
+    send("00000000000000a2");
+    send("00000000000000a3");
+    ASSERT_TRUE(runUntil([&] { return statuses.size() == 1; }));
+    EXPECT_EQ(statuses, std::vector<uint32_t>{ 503 }) << "only the third call is refused";
+    disk_.setBlocked(false);
+    ASSERT_TRUE(runUntil([&] { return statuses.size() == 3; }));
+    EXPECT_EQ(statuses, (std::vector<uint32_t>{ 503, 200, 200 }));
+    EXPECT_FALSE(isKnown("00000000000000a3"));
+}
+
+// Guards against a new leader that forgets the backlog of its predecessor, or that refuses jobs by
+// figures that it doesn't have yet.
+TEST_F(WorkDispatcherAdmissionTest, aNewLeaderKeepsTheBacklogAndWaitsForFigures)
+{
+    EXPECT_EQ(submitAs("team", "00000000000000a1", 2000).status(), 200U);
+    runWorkerFor(SettlingTime);
+    EXPECT_EQ(submitAs("team", "00000000000000a2", 1).status(), 503U);
+    lead();
+    EXPECT_EQ(submitAs("team", "00000000000000a3", 1).status(), 200U);
+    runWorkerFor(SettlingTime);
+    EXPECT_EQ(submitAs("team", "00000000000000a4", 1).status(), 503U);
+    EXPECT_EQ(submitAs("team", "00000000000000a3", 1).status(), 200U) << "it was accepted before";
+}
+
 } // namespace
 } // namespace basilgap::dispatch
