--- a/Source/Benchmarks/Bench.h
+++ b/Source/Benchmarks/Bench.h
@@ -56,6 +56,7 @@
 void benchFailover();
 void benchPlacement();
 void benchStepPlan();
+void benchAccountShares();
 void benchFairness();
 void benchEntry();
 void benchOverload();
--- a/Source/Benchmarks/Main.cpp
+++ b/Source/Benchmarks/Main.cpp
@@ -13,6 +13,7 @@
         { "failover", benchFailover },
         { "placement", benchPlacement },
         { "step-plan", benchStepPlan },
+        { "account-shares", benchAccountShares },
         { "fairness", benchFairness },
         { "entry", benchEntry },
         { "overload", benchOverload },
