Place the steps of accounts over their share with those that are one band later

Cause: the weight of an account decided nothing, so a flood of new jobs of one account, all able to meet their objective, went before the jobs of the others that it had made late.

Change: the planner asks AccountShares, and ranks steps of an account over its share one lateness band later. Capacity that nobody else wants still goes to it.

--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -125,6 +125,7 @@
             .health = health_,
             .durations = speeds_,
             .urgent = urgentDemand_,
+            .shares = accountShares_,
             .workers = workers,
             .now = now,
             .wallMs = wallMs,
--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -41,20 +41,49 @@
 {
     loadCapacity();
     collectChangedSteps();
-    auto changed = changedSteps_.begin();
     for (const WaitingStep &step : input_.waiting.ordered()) {
-        for (; changed != changedSteps_.end() && *changed < step && mayPlanMore(); ++changed)
-            place(*changed);
-        if (!mayPlanMore())
+        if (!placeInserted(&step))
             return std::move(plan_);
-        if (!isChanged(step))
+        if (isChanged(step))
+            continue;
+        if (step.latenessBand < 2 && isOverShare(step.work->account))
+            insert({ step });
+        else
             place({ step });
     }
-    for (; changed != changedSteps_.end() && mayPlanMore(); ++changed)
-        place(*changed);
+    placeInserted(nullptr);
     return std::move(plan_);
 }
 
+// Places the inserted steps that come before the given one, or all of them. Returns false once the
+// round has planned enough.
+bool StepPlanner::placeInserted(const WaitingStep *before)
+{
+    while (mayPlanMore()) {
+        const auto first = insertedSteps_.begin();
+        if (first == insertedSteps_.end() || (before != nullptr && !(*first < *before)))
+            return true;
+        const Candidate candidate = *first;
+        insertedSteps_.erase(first);
+        place(candidate);
+    }
+    return false;
+}
+
+// Steps of an account over its share rank with those that are one band later. Otherwise a flood of
+// new jobs would go before the jobs of others that it has made late.
+void StepPlanner::insert(Candidate candidate)
+{
+    if (candidate.latenessBand < 2 && isOverShare(candidate.work->account))
+        candidate.latenessBand++;
+    insertedSteps_.insert(candidate);
+}
+
+bool StepPlanner::isOverShare(const state::AccountName &account)
+{
+    return roomOf(account).isOverShare;
+}
+
 bool StepPlanner::mayPlanMore()
 {
     plan_.isCutShort = plan_.starts.size() >= input_.maxStarts;
@@ -164,15 +193,11 @@
         addChangedSteps(*input_.table.find(serial), occurrence);
     }
     addPrefetchSteps();
-    std::sort(changedSteps_.begin(), changedSteps_.end());
 }
 
 bool StepPlanner::isChanged(const WaitingStep &step) const
 {
-    if (!changedWorks_.contains(step.ref.work))
-        return false;
-    return std::any_of(changedSteps_.begin(), changedSteps_.end(),
-        [&step](const Candidate &changed) { return changed.ref == step.ref; });
+    return changedWorks_.contains(step.ref.work) && changedSteps_.contains(step.ref);
 }
 
 void StepPlanner::addChangedSteps(const state::Work &work, uint32_t occurrence)
@@ -193,8 +218,13 @@
         candidate.latenessBand = work.specOf(ref).service() ? 0 : bounds.bandAt(input_.wallMs);
         candidate.latestStartMs = bounds.latestStartMs;
         candidate.isPrefetch = !input_.pendingEnds.isReady(work, ref);
-        if (!candidate.isPrefetch || mayPrefetchAdvice(candidate))
-            changedSteps_.push_back(candidate);
+        // Unchanged steps that are ready are among the waiting steps.
+        if (!candidate.isPrefetch && !changedWorks_.contains(work.serial))
+            continue;
+        if (candidate.isPrefetch && !mayPrefetchAdvice(candidate))
+            continue;
+        changedSteps_.insert(ref);
+        insert(candidate);
     }
 }
 
@@ -210,13 +240,7 @@
         const state::Work *work = input_.table.find(serial);
         if (work == nullptr || !work->isActive())
             continue;
-        const size_t before = changedSteps_.size();
         addChangedSteps(*work, occurrence);
-        // Those that are ready are among the waiting steps already.
-        changedSteps_.erase(
-            std::remove_if(changedSteps_.begin() + static_cast<std::ptrdiff_t>(before),
-                changedSteps_.end(), [](const Candidate &step) { return !step.isPrefetch; }),
-            changedSteps_.end());
     }
 }
 
@@ -250,7 +274,7 @@
     const auto [found, isNew] = accounts_.try_emplace(account);
     if (isNew)
         found->second = { input_.config.findAccount(account), input_.table.usageOf(account),
-            input_.urgent.headroomFor(account) };
+            input_.urgent.headroomFor(account), input_.shares.isOverShare(account) };
     return found->second;
 }
 
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -10,6 +10,7 @@
 
 #include "Basilgap/Common/Ids.h"
 #include "Basilgap/Common/Millis.h"
+#include "Basilgap/Scheduling/AccountShares.h"
 #include "Basilgap/Scheduling/AdviceClaims.h"
 #include "Basilgap/Scheduling/DurationEstimator.h"
 #include "Basilgap/Scheduling/PendingRunEnds.h"
@@ -50,6 +51,7 @@
     const WorkerHealth &health;
     const DurationEstimator &durations;
     const UrgentDemand &urgent;
+    const AccountShares &shares;
     // Sorted by number; planned starts are reserved in place.
     std::vector<StepWorker> &workers;
     Millis now;
@@ -159,6 +161,7 @@
         Resources used;
         // What its deferrable work leaves to its urgent work.
         Resources headroom;
+        bool isOverShare = false;
     };
 
     // Runs that may be preempted, those that lose the least progress first.
@@ -173,10 +176,13 @@
     // Steps whose place among the candidates depends on runs that end in this round.
     void collectChangedSteps();
     void addChangedSteps(const state::Work &work, uint32_t occurrence);
+    void insert(Candidate candidate);
+    bool isOverShare(const state::AccountName &account);
     void addPrefetchSteps();
     // Whether a step is among those that collectChangedSteps() adds.
     bool isChanged(const WaitingStep &step) const;
     bool mayPlanMore();
+    bool placeInserted(const WaitingStep *before);
     void place(const Candidate &candidate);
     // Whether nothing can be done for the step in this round.
     bool isHopeless(const Candidate &candidate);
@@ -258,7 +264,9 @@
     std::set<StepTaskRef> preempted_;
     // Reservation of a step for which preemption found no worker in this round.
     std::optional<Resources> unattainable_;
-    std::vector<Candidate> changedSteps_;
+    // Steps whose place differs from that among the waiting steps, and those that are not there.
+    std::set<Candidate> insertedSteps_;
+    std::set<StepRef> changedSteps_;
     // Jobs with pending ends.
     std::set<state::WorkSerial> changedWorks_;
     // Workers on which preemption was considered in this round.
--- a/Source/Benchmarks/StepPlanBench.cpp
+++ b/Source/Benchmarks/StepPlanBench.cpp
@@ -89,6 +89,7 @@
                 .health = health_,
                 .durations = durations_,
                 .urgent = urgent_,
+                .shares = shares_,
                 .workers = workers_.refresh([this](StepWorker &worker) {
                     worker.reserved = table_.reservedOn(worker.number);
                 }),
@@ -152,6 +153,7 @@
     scheduling::DurationEstimator durations_;
     scheduling::EmptyCapacity capacity_;
     scheduling::WaitingSteps waiting_;
+    scheduling::AccountShares shares_;
     scheduling::UrgentDemand urgent_{ scheduling::DeferrablePriority };
     dispatch::PlanWorkers workers_;
     std::deque<std::pair<StepTaskRef, uint32_t>> running_;
--- a/Source/UnitTests/Scheduling/StepPlannerFixture.h
+++ b/Source/UnitTests/Scheduling/StepPlannerFixture.h
@@ -84,6 +84,7 @@
                 .health = health,
                 .durations = durations,
                 .urgent = urgent,
+                .shares = shares,
                 .workers = current,
                 .now = Now,
                 .wallMs = Wall,
@@ -164,6 +165,7 @@
     WorkerHealth health;
     DurationEstimator durations;
     WaitingSteps waiting;
+    AccountShares shares;
     UrgentDemand urgent{ DeferrablePriority };
     std::vector<StepWorker> workers;
     std::set<StepRef> endingSteps;
