--- a/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
@@ -215,8 +215,8 @@
         });
 }
 
-// Another leader may have accepted the job, so the refusal needs a quorum's confirmation. While that
-// is awaited, a resent call may have submitted the job.
+// Another leader may have accepted the job, so the refusal needs a quorum's confirmation. While
+// that is awaited, a resent call may have submitted the job.
 void WorkDispatcher::refuseForBacklog(const schema::RpcRequest &request, const std::string &id,
     const std::string &queue, const std::string &account,
     const scheduling::AdmissionRefusal &refusal, const ReplyCallback &reply)
