Learn the durations of tasks in the replicated state

Cause: DurationEstimator learns in the memory of one process and by one mean per queue, so that a new leader knows only what it has seen itself, and estimates that are wrong by different factors are all corrected by the same one.

Change: WorkTable feeds a DurationModel when the record of an end is applied.

--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -27,6 +27,11 @@
     return specOf(ref).gang() && step.waiting > 0 && step.running > 0;
 }
 
+DurationSubject durationSubjectOf(const Work &work, const StepRef &step)
+{
+    return { work.queue.value(), work.account.value(), work.specOf(step) };
+}
+
 Resources reservationOf(const schema::StepSpec &step)
 {
     Resources need;
@@ -264,6 +269,7 @@
     WorkTask &task = work.occurrences[end.occurrence()][end.step()].tasks[end.index()];
     if (task.phase != RunPhase::Running || task.run != end.run())
         return;
+    recordDuration(work, ref, end, stampMs);
     const bool isGang = work.specOf(ref.step).gang();
     if (isGang && end.outcome() == schema::RUN_DONE)
         return completeGang(&work, ref.step, end.run(), stampMs);
@@ -277,6 +283,37 @@
     updateIndexes(work);
 }
 
+// Counts a run that has just ended in the forecast of durations. A run that resumed from a
+// checkpoint did only part of its task, and a backfill task runs at whatever speed is left.
+void WorkTable::recordDuration(
+    const Work &work, const StepTaskRef &ref, const schema::RunEnd &end, uint64_t stampMs)
+{
+    const schema::StepSpec &spec = work.specOf(ref.step);
+    const WorkTask &task = work.stepAt(ref.step).tasks[ref.index];
+    if (spec.service() || spec.backfill() || !task.checkpoint.empty())
+        return;
+    const bool isDone = end.outcome() == schema::RUN_DONE;
+    const bool isCensored = end.outcome() == schema::RUN_STOPPED
+        || end.outcome() == schema::RUN_LAPSED || end.outcome() == schema::RUN_LOST;
+    // The members of a gang are stopped together, which is one observation at most.
+    if (!isDone && (!isCensored || spec.gang()))
+        return;
+    uint64_t duration = end.duration_ms();
+    // Records of earlier versions. Nothing is known there of a run that was ended before it was
+    // done: its worker may have been gone for long.
+    if (!end.has_duration_ms() && isDone && stampMs > task.phaseSinceMs)
+        duration = stampMs - task.phaseSinceMs;
+    if (duration == 0)
+        return;
+    const schema::WorkerLife *worker = findIncarnation(task.worker);
+    const bool hasKind = worker != nullptr && worker->labels_size() > 0;
+    durations_.record({ .subject = durationSubjectOf(work, ref.step),
+        .workerKind = hasKind ? std::string_view(worker->labels(0)) : std::string_view(),
+        .work = work.serial.value(),
+        .duration = duration,
+        .isCensored = isCensored });
+}
+
 // The members of a gang complete together: one RUN_DONE marks the tasks of all members as done.
 void WorkTable::completeGang(Work *work, const StepRef &ref, uint32_t run, uint64_t stampMs)
 {
--- a/Source/Basilgap/State/WorkTable.h
+++ b/Source/Basilgap/State/WorkTable.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Basilgap/Common/Ids.h"
+#include "Basilgap/State/DurationModel.h"
 #include "Basilgap/State/JobTable.h"
 #include "Basilgap/State/LostWorkers.h"
 #include "Basilgap/State/Resources.h"
@@ -107,6 +108,9 @@
     bool hasBrokenGang(const StepRef &ref) const;
 };
 
+// What the duration of a task of the step may depend on. Refers to the job.
+DurationSubject durationSubjectOf(const Work &work, const StepRef &step);
+
 // Resources that a task of the step reserves on its worker. A backfill task reserves no processor.
 Resources reservationOf(const schema::StepSpec &step);
 
@@ -158,6 +162,8 @@
     Resources usageOf(const AccountName &account) const;
     size_t runningTasks() const { return running_; }
     uint64_t oldestFinishMs() const;
+    // What ended runs have shown about the durations of tasks.
+    const DurationModel &durations() const { return durations_; }
 
     schema::WorkSnapshot save() const;
     void restore(const schema::WorkSnapshot &snapshot);
@@ -178,6 +184,8 @@
     void startRun(const schema::RunStart &start, uint64_t stampMs);
     void endRun(const schema::RunEnd &end, uint64_t stampMs);
     void completeGang(Work *work, const StepRef &ref, uint32_t run, uint64_t stampMs);
+    void recordDuration(
+        const Work &work, const StepTaskRef &ref, const schema::RunEnd &end, uint64_t stampMs);
     void releaseRun(Work *work, const StepTaskRef &ref, WorkTask *task);
     void applyRunOutcome(Work *work, const StepRef &ref, WorkTask *task, const schema::RunEnd &end);
     void finish(Work *work, WorkPhase phase, uint64_t stampMs);
@@ -202,6 +210,7 @@
     // All of workers_ by address.
     std::unordered_multimap<std::string, WorkerNumber> byAddress_;
     LostWorkers lostWorkers_;
+    DurationModel durations_;
     uint32_t nextWorker_ = 1;
     std::map<WorkerNumber, std::map<StepTaskRef, uint32_t>> runs_;
     std::map<WorkerNumber, Resources> reserved_;
--- a/Source/Benchmarks/Bench.h
+++ b/Source/Benchmarks/Bench.h
@@ -62,5 +62,6 @@
 void benchZone();
 void benchWaiting();
 void benchControlCost();
+void benchForecast();
 
 } // namespace basilgap::benchmarks
--- a/Source/Benchmarks/Main.cpp
+++ b/Source/Benchmarks/Main.cpp
@@ -19,6 +19,7 @@
         { "zone", benchZone },
         { "waiting", benchWaiting },
         { "control-cost", benchControlCost },
+        { "forecast", benchForecast },
     };
     const std::string name = argc > 1 ? argv[1] : "list";
     if (name == "list") {
