Measure the durations of runs at the leader's sessions

Cause: the times of the table include the time that a record needs, and after a change of leader the time without one.

Change: WorkerSession reports with each end how long the run took since its start was ordered. For a run that was ended early it is the time until its last progress, since nothing is known of the time after that. A run of an earlier leader counts only if this leader has seen it running.

--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -510,7 +510,8 @@
         .run = found->second.run,
         .outcome = outcome,
         .checkpoint = found->second.checkpoint,
-        .workerLoss = workerLoss };
+        .workerLoss = workerLoss,
+        .duration = durationOf(found->second, outcome) };
     runs_.erase(found);
     unappliedEnds_.insert({ task, ended.run });
     options_.events.onRunEnd(ended);
@@ -524,6 +525,17 @@
     endRun(task, outcome, lossOf(found->second));
 }
 
+// A run of an earlier leader that this leader has not seen running may have ended at any time since
+// its start was logged.
+Millis WorkerSession::durationOf(const SessionRun &run, schema::RunOutcome outcome) const
+{
+    if (run.sendCount == 0 && !run.isListed)
+        return Millis();
+    if (outcome == schema::RUN_DONE)
+        return std::max(Millis(1), options_.clock() - run.startedAt);
+    return std::max(Millis(), run.lastProgressAt - run.startedAt);
+}
+
 // What the loss of the worker, at some time since it was last heard, says of a run.
 schema::WorkerLoss WorkerSession::lossOf(const SessionRun &run) const
 {
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -92,6 +92,9 @@
     schema::RunOutcome outcome = schema::RUN_DONE;
     std::string checkpoint;
     schema::WorkerLoss workerLoss = schema::WORKER_NOT_LOST;
+    // From the order to start until the end was reported; of a run that was ended early, until it
+    // last made progress. 0: unknown.
+    Millis duration;
 };
 
 // Callbacks of a session to the leader.
@@ -308,6 +311,7 @@
     // Ends a run because nothing is heard of the worker any more.
     void endLostRun(const StepTaskRef &task, schema::RunOutcome outcome);
     schema::WorkerLoss lossOf(const SessionRun &run) const;
+    Millis durationOf(const SessionRun &run, schema::RunOutcome outcome) const;
     void adoptRuns(Millis now);
     bool hasLeaseExpired(Millis now) const;
     std::optional<Millis> nextLeaseEnd(Millis now) const;
--- a/Source/UnitTests/Dispatch/WorkerSessionReportsTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionReportsTest.cpp
@@ -80,6 +80,66 @@
     EXPECT_TRUE(session->isUsable());
 }
 
+TEST_F(WorkerSessionReportsTest, theDurationOfARunIsMeasured)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({ OrderResult::Accepted, now });
+    advanceAndTick(700);
+    PollAnswer answer = pollAnswer({});
+    answer.ended = { endOf(0, 1) };
+    port.polls.back().done(answer);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].duration, Millis(700));
+}
+
+// Guards against bounds that include the time since the worker was lost.
+TEST_F(WorkerSessionReportsTest, aRunThatIsLostHasRunUntilItsLastProgress)
+{
+    openSession();
+    completeFirstPoll();
+    for (const uint32_t index : { 0, 1 }) {
+        logStart(index, 1);
+        session->start(taskOf(index), 1, "", now);
+        port.starts.back().done({ OrderResult::Accepted, now });
+    }
+    advanceAndTick(300);
+    port.polls.back().done(pollAnswer({ 0 }));
+    advanceAndTick(2000);
+    port.polls.back().done(pollAnswer({}));
+    ASSERT_EQ(ends.size(), 2U);
+    EXPECT_EQ(ends[0].task, taskOf(1));
+    EXPECT_EQ(ends[0].outcome, schema::RUN_LOST);
+    EXPECT_EQ(ends[0].duration, Millis(0)) << "it never made progress";
+    EXPECT_EQ(ends[1].task, taskOf(0));
+    EXPECT_EQ(ends[1].outcome, schema::RUN_LOST);
+    EXPECT_EQ(ends[1].duration, Millis(300));
+}
+
+// Guards against durations that include the time without a leader.
+TEST_F(WorkerSessionReportsTest, anAdoptedRunIsMeasuredOnlyIfItWasSeenRunning)
+{
+    now = Millis(10000);
+    logStart(0, 1, Millis(9000));
+    logStart(1, 1, Millis(9000));
+    openSession();
+    advanceAndTick(0);
+    PollAnswer first = pollAnswer({ 1 });
+    first.ended = { endOf(0, 1) };
+    port.polls.back().done(first);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].duration, Millis(0));
+    session->ackEnds(1);
+    advanceAndTick(500);
+    PollAnswer second = pollAnswer({});
+    second.ended = { endOf(1, 2) };
+    port.polls.back().done(second);
+    ASSERT_EQ(ends.size(), 2U);
+    EXPECT_EQ(ends[1].duration, Millis(1500));
+}
+
 TEST_F(WorkerSessionReportsTest, pollDelayShortensTheWait)
 {
     pollDelay = Millis(200);
