Offer the forecast of durations to planning, each use behind a flag

Cause: expected durations come from estimates that are wrong by up to ten times, so that the choice of workers, stragglers, prefetched advice and preemption go by wrong ends.

Change: DurationForecast reads the replicated model and keeps the answers until some of the runs are new. ForecastUses in the options of WorkDispatcher has one flag for each use, all off. DurationEstimator takes the forecast as a prior of two tasks.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -36,6 +36,7 @@
     : options_(options)
     , state_(options_.replica.state())
     , advicePool_(options_.advice)
+    , forecast_(state_.works())
     , health_({ .minFailedJobs = FailedJobsToQuarantine,
           .initialQuarantine = FirstQuarantine,
           .maxQuarantine = MaxQuarantine })
@@ -45,6 +46,8 @@
     , tickTimer_(loop, [this] { tick(); })
     , batchTimer_(loop, [this] { proposeBatch(); })
 {
+    if (options_.forecastUses.expectedDuration)
+        speeds_.useForecast(&forecast_);
     reconcileSessions();
     tickTimer_.startRepeating(TickInterval);
 }
@@ -256,6 +259,7 @@
     activity_.ends++;
     endsListedAt_[task] = steadyNow();
     recordOutcome(worker, task, ended.outcome);
+    compareWithForecast(ended);
     planWorkers_.markChanged(worker);
     schema::RunEnd &end = pendingEnds_.emplace_back();
     end.set_work(task.step.work.value());
@@ -266,9 +270,26 @@
     end.set_outcome(ended.outcome);
     end.set_checkpoint(ended.checkpoint);
     end.set_worker_loss(ended.workerLoss);
+    end.set_duration_ms(static_cast<uint64_t>(ended.duration.count()));
     scheduleBatch();
 }
 
+// Compares a run that is counted as a full duration with what was known before it.
+void WorkDispatcher::compareWithForecast(const EndedRun &ended)
+{
+    const state::Work *work = state_.works().find(ended.task.step.work);
+    const state::WorkTask *task = state_.works().find(ended.task);
+    if (ended.outcome != schema::RUN_DONE || ended.duration == Millis() || work == nullptr
+        || task == nullptr || !task->checkpoint.empty())
+        return;
+    const schema::StepSpec &spec = work->specOf(ended.task.step);
+    const auto forecast = forecast_.forecast(*work, ended.task.step);
+    if (forecast && !spec.service() && !spec.backfill())
+        forecastAccuracy_.add(work->queue, ended.duration,
+            Millis(static_cast<int64_t>(forecast->median)),
+            Millis(static_cast<int64_t>(spec.estimate_ms())));
+}
+
 void WorkDispatcher::tick()
 {
     const Millis now = steadyNow();
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -10,11 +10,13 @@
 
 #include "Basilgap/Control/Replica.h"
 #include "Basilgap/Dispatch/AdvicePool.h"
+#include "Basilgap/Dispatch/ForecastAccuracy.h"
 #include "Basilgap/Dispatch/PlanWorkers.h"
 #include "Basilgap/Dispatch/StageTimes.h"
 #include "Basilgap/Dispatch/WorkerSession.h"
 #include "Basilgap/Scheduling/BackfillThrottle.h"
 #include "Basilgap/Scheduling/DurationEstimator.h"
+#include "Basilgap/Scheduling/DurationForecast.h"
 #include "Basilgap/Scheduling/PermitCache.h"
 #include "Basilgap/Scheduling/PollPacing.h"
 #include "Basilgap/Scheduling/StallHistory.h"
@@ -41,6 +43,7 @@
         WorkerPort &workers;
         AdvicePort &advice;
         SessionTimes times;
+        scheduling::ForecastUses forecastUses = {};
     };
 
     WorkDispatcher(network::EventLoop &loop, Options options);
@@ -108,6 +111,10 @@
         state::WorkerNumber worker, const StepTaskRef &task, schema::RunOutcome outcome);
     const std::set<state::StepRef> &endingSteps(Millis now);
     bool endsBefore(const state::Work &work, const state::StepRef &step, Millis latestEnd) const;
+    // The end of the run by its progress, or else by the expected duration of its step.
+    Millis expectedRunEnd(const state::Work &work, const state::StepRef &step,
+        state::WorkerNumber worker, const SessionRun &run,
+        const scheduling::DurationForecast *forecast) const;
     Millis pollDelay(state::WorkerNumber worker);
     std::optional<Millis> expectedStepEnd(const state::Work &work, const state::StepRef &step);
     void stopStragglers();
@@ -143,6 +150,7 @@
     void reconcileSessions();
     void openSession(const schema::WorkerLife &incarnation, Millis now);
     void recordEnd(state::WorkerNumber worker, const EndedRun &ended);
+    void compareWithForecast(const EndedRun &ended);
     // Logs what is known about the task's part in crashes of its workers.
     void logCrashSuspect(const StepTaskRef &task) const;
     void logCellStatus();
@@ -173,6 +181,8 @@
     CallLossTracker callLoss_;
     scheduling::PermitCache permits_;
     scheduling::AdviceClaims adviceClaims_;
+    scheduling::DurationForecast forecast_;
+    ForecastAccuracy forecastAccuracy_;
     scheduling::DurationEstimator speeds_;
     scheduling::WorkerHealth health_;
     scheduling::BackfillThrottle backfillThrottle_;
--- a/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
@@ -76,6 +76,9 @@
             const schema::StepSpec &spec = work->specOf(task.step);
             if (spec.gang() || spec.service() || spec.backfill())
                 continue;
+            const auto forecast = options_.forecastUses.stragglers
+                ? forecast_.forecast(*work, task.step)
+                : std::nullopt;
             runs.push_back({
                 .task = task,
                 .worker = number,
@@ -85,6 +88,10 @@
                 .sinceProgress = now - run.lastProgressAt,
                 .measuredDuration = speeds_.measuredDuration(task.step),
                 .correctedEstimate = speeds_.correctedEstimate(*work, task.step),
+                .age = now - run.startedAt,
+                .forecastHigh = forecast
+                    ? std::optional(Millis(static_cast<int64_t>(forecast->high)))
+                    : std::nullopt,
                 .stalledReports = run.stalledReports,
                 .keepsProgress = spec.checkpointing(),
                 .wasStoppedAsSlow = movedTasks_.contains(task),
@@ -242,6 +249,7 @@
     for (const auto &[priority, tasks] : waiting)
         line.with("waiting" + std::to_string(priority), tasks);
     stageTimes_.log();
+    forecastAccuracy_.log();
 }
 
 } // namespace basilgap::dispatch
--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -69,7 +69,10 @@
     worker->reserved = state_.works().reservedOn(worker->number);
     worker->reserved += session.lingeringReservation();
     worker->backfillMillicores = session.backfillMillicores();
-    worker->slowdown = speeds_.slowdown(worker->number);
+    const auto measured = speeds_.measuredSlowdown(worker->number);
+    const bool usesKind = options_.forecastUses.workerKinds && !measured && !worker->labels.empty();
+    worker->slowdown =
+        usesKind ? forecast_.kindSlowdown(worker->labels.front()) : measured.value_or(1.0);
     const auto slow = slowWorkers_.find(worker->number);
     if (slow != slowWorkers_.end())
         worker->slowdown = std::max(worker->slowdown, slow->second);
@@ -210,6 +213,12 @@
         && !spec.backfill() && run.knownState == KnownRunState::Confirmed;
     if (!isStopping && (!keepsProgress || !session.isUsable()))
         return std::nullopt;
+    const bool endsAnyway = options_.forecastUses.preemption
+        && scheduling::isAboutToEnd(
+            expectedRunEnd(*work, task.step, session.number(), run, &forecast_), now,
+            options_.times.maxStopTime);
+    if (!isStopping && endsAnyway)
+        return std::nullopt;
     const Millis progressSavedAt = std::max(run.knownStateSince, run.checkpointAt);
     return scheduling::PreemptibleRun{ task, session.number(), work->account,
         state::reservationOf(spec), (now - progressSavedAt).count(), isStopping };
@@ -247,7 +256,7 @@
     const state::WorkStep &state = work.stepAt(step);
     if (state.running == 0 || state.waiting > 0)
         return false;
-    const auto expected = static_cast<double>(speeds_.expectedDuration(work, step).count());
+    const auto *forecast = options_.forecastUses.advicePrefetch ? &forecast_ : nullptr;
     for (uint32_t i = 0; i < state.tasks.size(); i++) {
         const auto session = sessions_.find(state.tasks[i].worker);
         if (state.tasks[i].phase != state::RunPhase::Running || session == sessions_.end())
@@ -255,14 +264,24 @@
         const auto run = session->second->runs().find({ step, i });
         if (run == session->second->runs().end())
             continue;
-        const Millis typicalEnd = run->second.knownStateSince
-            + Millis(static_cast<int64_t>(expected * speeds_.slowdown(state.tasks[i].worker)));
-        if (run->second.expectedEnd().value_or(typicalEnd) > latestEnd)
+        if (expectedRunEnd(work, step, state.tasks[i].worker, run->second, forecast) > latestEnd)
             return false;
     }
     return true;
 }
 
+Millis WorkDispatcher::expectedRunEnd(const state::Work &work, const state::StepRef &step,
+    state::WorkerNumber worker, const SessionRun &run,
+    const scheduling::DurationForecast *forecast) const
+{
+    if (const auto byProgress = run.expectedEnd())
+        return *byProgress;
+    const auto expected = static_cast<double>(forecast == nullptr
+            ? speeds_.expectedDuration(work, step).count()
+            : speeds_.expectedDuration(work, step, forecast).count());
+    return run.knownStateSince + Millis(static_cast<int64_t>(expected * speeds_.slowdown(worker)));
+}
+
 void WorkDispatcher::preempt(const StepTaskRef &task, Millis now)
 {
     const state::WorkTask *state = state_.works().find(task);
--- a/Source/Basilgap/Scheduling/DurationEstimator.cpp
+++ b/Source/Basilgap/Scheduling/DurationEstimator.cpp
@@ -15,6 +15,10 @@
 // Weight of the prior that a worker is as fast as the others.
 constexpr double PriorWeight = 4;
 
+// The forecast counts as this many finished tasks of the step. These resemble each other more than
+// the runs behind the forecast do.
+constexpr double ForecastWeight = 2;
+
 double logarithm(double milliseconds)
 {
     return std::log(std::max(1.0, milliseconds));
@@ -47,15 +51,36 @@
 }
 
 double DurationEstimator::slowdown(state::WorkerNumber worker) const
+{
+    return measuredSlowdown(worker).value_or(1.0);
+}
+
+std::optional<double> DurationEstimator::measuredSlowdown(state::WorkerNumber worker) const
 {
     const auto found = workers_.find(worker);
-    return found == workers_.end() ? 1.0 : std::exp(found->second.value);
+    if (found == workers_.end())
+        return std::nullopt;
+    return std::exp(found->second.value);
 }
 
 Millis DurationEstimator::expectedDuration(
     const state::Work &work, const state::StepRef &step) const
+{
+    return expectedDuration(work, step, forecast_);
+}
+
+Millis DurationEstimator::expectedDuration(
+    const state::Work &work, const state::StepRef &step, const DurationForecast *forecast) const
 {
     const auto done = steps_.find(step);
+    const auto quantiles = forecast == nullptr ? std::nullopt : forecast->forecast(work, step);
+    if (quantiles) {
+        const Mean finished = done == steps_.end() ? Mean() : done->second;
+        const double prior = logarithm(static_cast<double>(quantiles->median));
+        return Millis(
+            std::llround(std::exp((finished.value * finished.weight + prior * ForecastWeight)
+                / (finished.weight + ForecastWeight))));
+    }
     if (done != steps_.end() && done->second.weight >= 1)
         return Millis(static_cast<int64_t>(std::exp(done->second.value)));
     return correctedEstimate(work, step);
--- a/Source/Basilgap/Scheduling/StragglerDetection.cpp
+++ b/Source/Basilgap/Scheduling/StragglerDetection.cpp
@@ -168,6 +168,8 @@
     const auto steps = collectTimes(runs);
     findings.slowWorkers = findSlowWorkers(steps, runs);
     for (const RunObservation &run : runs) {
+        if (run.forecastHigh && run.age < *run.forecastHigh)
+            continue;
         if (isStalled(run))
             findings.stragglers.push_back({ run.task, run.worker, StragglerKind::Stalled });
         else if (findings.slowWorkers.contains(run.worker)
--- a/Source/Basilgap/Scheduling/StragglerDetection.h
+++ b/Source/Basilgap/Scheduling/StragglerDetection.h
@@ -25,6 +25,10 @@
     std::optional<Millis> measuredDuration;
     // Duration by the task's estimate, corrected by the measured error of its queue's estimates.
     std::optional<Millis> correctedEstimate;
+    // Time since the start of the run, and the 90th percentile of the forecast of its duration,
+    // below which it is no straggler. Absent: no such limit.
+    Millis age;
+    std::optional<Millis> forecastHigh;
     // Consecutive reports, some hundred milliseconds apart, without an increase of the percentage.
     int stalledReports = 0;
     // The task writes checkpoints, so a stop loses only part of its progress.
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -191,8 +191,11 @@
     {
         dispatcher_.reset();
         dispatcher_ = std::make_unique<WorkDispatcher>(loop_,
-            WorkDispatcher::Options{
-                .replica = *replica_, .workers = port_, .advice = advice_, .times = {} });
+            WorkDispatcher::Options{ .replica = *replica_,
+                .workers = port_,
+                .advice = advice_,
+                .times = {},
+                .forecastUses = forecastUses_ });
     }
 
     void putConfig()
@@ -317,12 +320,43 @@
 
     const state::Work &work() const { return *replica_->state().works().find(WorkId); }
 
+    scheduling::ForecastUses forecastUses_;
     FakeWorkerPort port_;
     NoAdvice advice_;
     AnsweringWorker worker_{ port_ };
     std::unique_ptr<WorkDispatcher> dispatcher_;
 };
 
+// A dispatcher that uses the forecast of durations wherever it can.
+class ForecastDispatcherTest : public WorkDispatcherTest
+{
+protected:
+    ForecastDispatcherTest()
+    {
+        forecastUses_ = { .expectedDuration = true,
+            .stragglers = true,
+            .advicePrefetch = true,
+            .preemption = true,
+            .workerKinds = true };
+    }
+};
+
+// Guards against a duration that is measured, but does not get into the replicated state.
+TEST_F(ForecastDispatcherTest, learnsFromTheEndsOfRuns)
+{
+    submit(4);
+    ASSERT_TRUE(runWorkerUntil([this] { return worker_.runningCount() == 4; }));
+    runWorkerFor(Millis(300));
+    worker_.endAllRuns();
+    ASSERT_TRUE(runWorkerUntil([this] { return phaseCount(state::RunPhase::Done) == 4; }));
+    const state::DurationModel &durations = replica_->state().works().durations();
+    EXPECT_EQ(durations.runs(), 4U);
+    const auto forecast =
+        durations.forecast(state::durationSubjectOf(work(), { state::WorkSerial(1), 0, 0 }));
+    ASSERT_TRUE(forecast);
+    EXPECT_GE(forecast->median, 250U);
+}
+
 // Guards against TWICE: ends were acknowledged, but not logged, while the log took no records, as
 // during a transfer of leadership; the next leader started the tasks again.
 TEST_F(WorkDispatcherTest, endsThatTheLogDoesNotTakeAreLoggedLaterAndNotAcknowledgedBefore)
