Order waiting steps by forecast durations, and share starts among accounts

And a flood of short urgent jobs doesn't show in what its account has running, as long as the tasks wait.

Change: lateness uses DurationEstimator::expectedDuration(), that is the forecast of finished runs. StartShares compares what was started lately of each priority with the weights; usage stays the measure for admission.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -40,6 +40,7 @@
     , health_({ .minFailedJobs = FailedJobsToQuarantine,
           .initialQuarantine = FirstQuarantine,
           .maxQuarantine = MaxQuarantine })
+    , waitingSteps_(options_.forecastUses.expectedDuration ? &speeds_ : nullptr)
     , admission_(std::max(wallNow(), Millis(static_cast<int64_t>(state_.clockMs()))))
     , leaderSince_(steadyNow())
     , wallAtStart_(wallNow())
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -45,7 +45,7 @@
         WorkerPort &workers;
         AdvicePort &advice;
         SessionTimes times;
-        scheduling::ForecastUses forecastUses = {};
+        scheduling::ForecastUses forecastUses = { .expectedDuration = true };
     };
 
     WorkDispatcher(network::EventLoop &loop, Options options);
@@ -104,6 +104,7 @@
     void restoreBatch(const schema::RunBatch &batch,
         const std::map<state::WorkerNumber, uint64_t> &ends, const schema::CommandOutcome &outcome);
     void plan(schema::RunBatch *batch);
+    void recordStartShare(const StepTaskRef &task);
     void rebuildWorkers();
     // The planner's view of all workers, with current usage.
     std::vector<scheduling::StepWorker> &refreshWorkers(Millis now);
@@ -208,6 +209,7 @@
     // Of the workers in planWorkers_.
     scheduling::EmptyCapacity emptyCapacity_;
     scheduling::WaitingSteps waitingSteps_;
+    scheduling::StartShares startShares_;
     scheduling::UrgentDemand urgentDemand_{ scheduling::DeferrablePriority };
     scheduling::AccountShares accountShares_;
     // Of all workers in the last round, also of those out of reach.
--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -119,6 +119,7 @@
     const auto wallMs = static_cast<uint64_t>(wallNow().count());
     urgentDemand_.update(state_.works(), state_.workConfig(), emptyCapacity_, now, wallMs);
     waitingSteps_.refresh(state_.works(), state_.workConfig(), wallMs);
+    startShares_.update(state_.workConfig(), waitingSteps_.waitingMillicores(), now);
     scheduling::StepPlan plan = scheduling::StepPlanner(
         {
             .table = state_.works(),
@@ -128,7 +129,7 @@
             .health = health_,
             .durations = speeds_,
             .urgent = urgentDemand_,
-            .shares = accountShares_,
+            .shares = startShares_,
             .workers = workers,
             .now = now,
             .wallMs = wallMs,
@@ -160,6 +161,7 @@
         start->set_run(planned.run);
         start->set_worker(planned.worker.value());
         pendingTickets_[planned.task] = planned.ticket;
+        recordStartShare(planned.task);
         // The planner has reserved the capacity in its list; the record may still fail.
         planWorkers_.markChanged(planned.worker);
     }
@@ -173,6 +175,16 @@
     activity_.planTime += std::chrono::steady_clock::now() - planStart;
 }
 
+void WorkDispatcher::recordStartShare(const StepTaskRef &task)
+{
+    const state::Work &work = *state_.works().find(task.step.work);
+    const schema::QueueConfig *queue = state_.workConfig().findQueue(work.queue);
+    const schema::StepSpec &spec = work.specOf(task.step);
+    if (queue != nullptr && !spec.service())
+        startShares_.recordStart(
+            queue->priority(), work.account, state::reservationOf(spec).millicores);
+}
+
 std::vector<scheduling::PreemptibleRun> WorkDispatcher::preemptibleRunsOn(
     state::WorkerNumber worker, Millis now) const
 {
--- a/Source/Basilgap/Scheduling/Lateness.cpp
+++ b/Source/Basilgap/Scheduling/Lateness.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <vector>
 
+#include "Basilgap/Scheduling/DurationEstimator.h"
+
 namespace basilgap::scheduling {
 
 namespace {
@@ -10,7 +12,7 @@
 // A work earns nothing after three times its latency objective.
 constexpr int64_t ExpiredLatenessFactor = 3;
 
-// Lengths of the critical path through a job's steps by their estimates.
+// Lengths of the critical path through a job's steps.
 struct CriticalPath
 {
     uint64_t allMs = 0;
@@ -18,7 +20,8 @@
     uint64_t remainingMs = 0;
 };
 
-CriticalPath criticalPathOf(const state::Work &work, uint32_t occurrence)
+CriticalPath criticalPathOf(
+    const state::Work &work, uint32_t occurrence, const DurationEstimator *durations)
 {
     // Read whenever a waiting job changes, so the memory is kept.
     thread_local std::vector<CriticalPath> ends;
@@ -32,8 +35,11 @@
             begin.remainingMs = std::max(begin.remainingMs, ends[before].remainingMs);
         }
         const bool isDone = work.occurrences[occurrence][i].isDone();
-        ends[i] = { begin.allMs + step.estimate_ms(),
-            begin.remainingMs + (isDone ? 0 : step.estimate_ms()) };
+        const state::StepRef ref{ work.serial, occurrence, static_cast<uint32_t>(i) };
+        const uint64_t expectedMs = durations == nullptr
+            ? step.estimate_ms()
+            : static_cast<uint64_t>(durations->expectedDuration(work, ref).count());
+        ends[i] = { begin.allMs + expectedMs, begin.remainingMs + (isDone ? 0 : expectedMs) };
         longest.allMs = std::max(longest.allMs, ends[i].allMs);
         longest.remainingMs = std::max(longest.remainingMs, ends[i].remainingMs);
     }
@@ -50,10 +56,10 @@
     return now < expiryMs ? 1 : 2;
 }
 
-LatencyBounds latencyBoundsOf(
-    const state::Work &work, const schema::QueueConfig &queue, uint32_t occurrence)
+LatencyBounds latencyBoundsOf(const state::Work &work, const schema::QueueConfig &queue,
+    uint32_t occurrence, const DurationEstimator *durations)
 {
-    const CriticalPath path = criticalPathOf(work, occurrence);
+    const CriticalPath path = criticalPathOf(work, occurrence, durations);
     const auto due = static_cast<int64_t>(std::max(work.dueMs(occurrence), work.submittedMs));
     const auto objective =
         static_cast<int64_t>(queue.slack_factor() * static_cast<double>(path.allMs)
--- a/Source/Basilgap/Scheduling/Lateness.h
+++ b/Source/Basilgap/Scheduling/Lateness.h
@@ -6,6 +6,8 @@
 
 namespace basilgap::scheduling {
 
+class DurationEstimator;
+
 // Times of an occurrence of a job against its latency objective, in Unix milliseconds. They change
 // only when the state of its steps does.
 struct LatencyBounds
@@ -19,7 +21,8 @@
     int bandAt(uint64_t wallMs) const;
 };
 
-LatencyBounds latencyBoundsOf(
-    const state::Work &work, const schema::QueueConfig &queue, uint32_t occurrence);
+// By the expected durations of the steps, or by the estimates in the job without an estimator.
+LatencyBounds latencyBoundsOf(const state::Work &work, const schema::QueueConfig &queue,
+    uint32_t occurrence, const DurationEstimator *durations);
 
 } // namespace basilgap::scheduling
--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -46,7 +46,7 @@
             return std::move(plan_);
         if (isChanged(step))
             continue;
-        if (step.latenessBand < 2 && isOverShare(step.work->account))
+        if (isOverShare(step))
             insert({ step });
         else
             place({ step });
@@ -74,14 +74,15 @@
 // new jobs would go before the jobs of others that it has made late.
 void StepPlanner::insert(Candidate candidate)
 {
-    if (candidate.latenessBand < 2 && isOverShare(candidate.work->account))
+    if (isOverShare(candidate))
         candidate.latenessBand++;
     insertedSteps_.insert(candidate);
 }
 
-bool StepPlanner::isOverShare(const state::AccountName &account)
+bool StepPlanner::isOverShare(const WaitingStep &step) const
 {
-    return roomOf(account).isOverShare;
+    return step.latenessBand < 2 && !step.work->specOf(step.ref).service()
+        && input_.shares.isOverShare(step.priority, step.work->account);
 }
 
 bool StepPlanner::mayPlanMore()
@@ -205,7 +206,8 @@
     const schema::QueueConfig *queue = input_.config.findQueue(work.queue);
     if (queue == nullptr)
         return;
-    const LatencyBounds bounds = latencyBoundsOf(work, *queue, occurrence);
+    const LatencyBounds bounds =
+        latencyBoundsOf(work, *queue, occurrence, input_.waiting.durations());
     for (uint32_t step = 0; step < work.occurrences[occurrence].size(); step++) {
         const StepRef ref{ work.serial, occurrence, step };
         if (input_.pendingEnds.waitingTasks(work, ref) == 0)
@@ -274,7 +276,7 @@
     const auto [found, isNew] = accounts_.try_emplace(account);
     if (isNew)
         found->second = { input_.config.findAccount(account), input_.table.usageOf(account),
-            input_.urgent.headroomFor(account), input_.shares.isOverShare(account) };
+            input_.urgent.headroomFor(account) };
     return found->second;
 }
 
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -10,12 +10,12 @@
 
 #include "Basilgap/Common/Ids.h"
 #include "Basilgap/Common/Millis.h"
-#include "Basilgap/Scheduling/AccountShares.h"
 #include "Basilgap/Scheduling/AdviceClaims.h"
 #include "Basilgap/Scheduling/DurationEstimator.h"
 #include "Basilgap/Scheduling/PendingRunEnds.h"
 #include "Basilgap/Scheduling/PermitCache.h"
 #include "Basilgap/Scheduling/PollPacing.h"
+#include "Basilgap/Scheduling/StartShares.h"
 #include "Basilgap/Scheduling/StepWorker.h"
 #include "Basilgap/Scheduling/UrgentDemand.h"
 #include "Basilgap/Scheduling/WaitingSteps.h"
@@ -51,7 +51,7 @@
     const WorkerHealth &health;
     const DurationEstimator &durations;
     const UrgentDemand &urgent;
-    const AccountShares &shares;
+    const StartShares &shares;
     // Sorted by number; planned starts are reserved in place.
     std::vector<StepWorker> &workers;
     Millis now;
@@ -161,7 +161,6 @@
         Resources used;
         // What its deferrable work leaves to its urgent work.
         Resources headroom;
-        bool isOverShare = false;
     };
 
     // Runs that may be preempted, those that lose the least progress first.
@@ -177,7 +176,8 @@
     void collectChangedSteps();
     void addChangedSteps(const state::Work &work, uint32_t occurrence);
     void insert(Candidate candidate);
-    bool isOverShare(const state::AccountName &account);
+    // Whether the step goes after those of accounts that have started less.
+    bool isOverShare(const WaitingStep &step) const;
     void addPrefetchSteps();
     // Whether a step is among those that collectChangedSteps() adds.
     bool isChanged(const WaitingStep &step) const;
--- a/Source/Basilgap/Scheduling/UrgentDemand.cpp
+++ b/Source/Basilgap/Scheduling/UrgentDemand.cpp
@@ -99,7 +99,7 @@
 {
     WorkDemand demand{ .account = work.account, .pool = queue.pool() };
     for (uint32_t occurrence = 0; occurrence < work.occurrences.size(); occurrence++) {
-        const LatencyBounds bounds = latencyBoundsOf(work, queue, occurrence);
+        const LatencyBounds bounds = latencyBoundsOf(work, queue, occurrence, nullptr);
         const bool isDue = work.dueMs(occurrence) <= wallMs;
         const bool isExpired = bounds.bandAt(wallMs) > 1;
         if (!isDue)
--- a/Source/Basilgap/Scheduling/WaitingSteps.cpp
+++ b/Source/Basilgap/Scheduling/WaitingSteps.cpp
@@ -74,6 +74,7 @@
     const auto clear = [this] {
         ordered_.clear();
         entries_.clear();
+        waitingMillicores_.clear();
     };
     reader_.readChanges(table, config, wallMs, clear,
         [&](state::WorkSerial work) { readAgain(table, config, work, wallMs); });
@@ -84,8 +85,9 @@
 {
     const auto known = entries_.find(serial);
     if (known != entries_.end()) {
-        for (const auto &entry : known->second)
+        for (const auto &entry : known->second.steps)
             ordered_.erase(entry);
+        addWaiting(known->second.key, -known->second.waitingMillicores);
         entries_.erase(known);
     }
     const state::Work *work = table.find(serial);
@@ -96,15 +98,23 @@
         add(*work, *queue, wallMs);
 }
 
+void WaitingSteps::addWaiting(const MillicoresByAccount::key_type &key, int64_t millicores)
+{
+    const auto waits = waitingMillicores_.try_emplace(key, 0).first;
+    waits->second += millicores;
+    if (waits->second == 0)
+        waitingMillicores_.erase(waits);
+}
+
 void WaitingSteps::add(const state::Work &work, const schema::QueueConfig &queue, uint64_t wallMs)
 {
-    Entries entries;
+    Entries entries{ .steps = {}, .key = { queue.priority(), work.account } };
     for (uint32_t occurrence = 0; occurrence < work.occurrences.size(); occurrence++) {
         if (work.dueMs(occurrence) > wallMs) {
             reader_.readAgainAt(work.dueMs(occurrence), work.serial);
             continue;
         }
-        const LatencyBounds bounds = latencyBoundsOf(work, queue, occurrence);
+        const LatencyBounds bounds = latencyBoundsOf(work, queue, occurrence, durations_);
         const int band = bounds.bandAt(wallMs);
         bool hasEntry = false;
         for (uint32_t step = 0; step < work.occurrences[occurrence].size(); step++) {
@@ -112,24 +122,30 @@
             if (work.stepAt(ref).waiting == 0 || !work.isReady(ref))
                 continue;
             hasEntry = true;
-            entries.push_back(ordered_
-                                  .insert({
-                                      .ref = ref,
-                                      .work = &work,
-                                      .queue = &queue,
-                                      .priority = queue.priority(),
-                                      .latenessBand = work.specOf(ref).service() ? 0 : band,
-                                      .latestStartMs = bounds.latestStartMs,
-                                  })
-                                  .first);
+            const schema::StepSpec &spec = work.specOf(ref);
+            if (!spec.service())
+                entries.waitingMillicores += state::reservationOf(spec).millicores
+                    * static_cast<int64_t>(work.stepAt(ref).waiting);
+            entries.steps.push_back(ordered_
+                                        .insert({
+                                            .ref = ref,
+                                            .work = &work,
+                                            .queue = &queue,
+                                            .priority = queue.priority(),
+                                            .latenessBand = spec.service() ? 0 : band,
+                                            .latestStartMs = bounds.latestStartMs,
+                                        })
+                                        .first);
         }
         if (hasEntry && band < 2)
             reader_.readAgainAt(static_cast<uint64_t>(std::max<int64_t>(
                                     0, band == 0 ? bounds.latestStartMs + 1 : bounds.expiryMs)),
                 work.serial);
     }
-    if (!entries.empty())
-        entries_[work.serial] = std::move(entries);
+    if (entries.steps.empty())
+        return;
+    addWaiting(entries.key, entries.waitingMillicores);
+    entries_[work.serial] = std::move(entries);
 }
 
 } // namespace basilgap::scheduling
--- a/Source/Basilgap/Scheduling/WaitingSteps.h
+++ b/Source/Basilgap/Scheduling/WaitingSteps.h
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "Basilgap/Scheduling/DurationEstimator.h"
+#include "Basilgap/Scheduling/StartShares.h"
 #include "Basilgap/State/WorkConfigState.h"
 #include "Basilgap/State/WorkTable.h"
 
@@ -75,22 +77,39 @@
 class WaitingSteps
 {
 public:
+    // Latest starts follow from the expected durations, or from the estimates in the jobs (null).
+    explicit WaitingSteps(const DurationEstimator *durations = nullptr)
+        : durations_(durations)
+    {}
+
     // Reads the jobs that have changed, or whose place has changed with time. Takes the present
     // time in Unix milliseconds.
     void refresh(
         const state::WorkTable &table, const state::WorkConfigState &config, uint64_t wallMs);
 
     const std::set<WaitingStep> &ordered() const { return ordered_; }
+    // What waits, without services.
+    const MillicoresByAccount &waitingMillicores() const { return waitingMillicores_; }
+    const DurationEstimator *durations() const { return durations_; }
 
 private:
-    using Entries = std::vector<std::set<WaitingStep>::iterator>;
+    // Of one job.
+    struct Entries
+    {
+        std::vector<std::set<WaitingStep>::iterator> steps;
+        MillicoresByAccount::key_type key;
+        int64_t waitingMillicores = 0;
+    };
 
     void readAgain(const state::WorkTable &table, const state::WorkConfigState &config,
         state::WorkSerial serial, uint64_t wallMs);
+    void addWaiting(const MillicoresByAccount::key_type &key, int64_t millicores);
     void add(const state::Work &work, const schema::QueueConfig &queue, uint64_t wallMs);
 
+    const DurationEstimator *durations_;
     std::set<WaitingStep> ordered_;
     std::unordered_map<state::WorkSerial, Entries> entries_;
+    MillicoresByAccount waitingMillicores_;
     WorkReader reader_;
 };
 
--- a/Source/Benchmarks/StepPlanBench.cpp
+++ b/Source/Benchmarks/StepPlanBench.cpp
@@ -153,7 +153,7 @@
     scheduling::DurationEstimator durations_;
     scheduling::EmptyCapacity capacity_;
     scheduling::WaitingSteps waiting_;
-    scheduling::AccountShares shares_;
+    scheduling::StartShares shares_;
     scheduling::UrgentDemand urgent_{ scheduling::DeferrablePriority };
     dispatch::PlanWorkers workers_;
     std::deque<std::pair<StepTaskRef, uint32_t>> running_;
--- a/Source/UnitTests/Scheduling/StepPlannerFixture.h
+++ b/Source/UnitTests/Scheduling/StepPlannerFixture.h
@@ -165,7 +165,7 @@
     WorkerHealth health;
     DurationEstimator durations;
     WaitingSteps waiting;
-    AccountShares shares;
+    StartShares shares;
     UrgentDemand urgent{ DeferrablePriority };
     std::vector<StepWorker> workers;
     std::set<StepRef> endingSteps;
--- a/Source/UnitTests/Scheduling/StepPlannerSharesTest.cpp
+++ b/Source/UnitTests/Scheduling/StepPlannerSharesTest.cpp
@@ -19,10 +19,17 @@
     {
         StepPlannerTest::SetUp();
         for (int i = 0; i < Accounts; i++)
-            configCommand.mutable_config()->add_accounts()->set_name(nameOf(i));
+            addAccount(nameOf(i));
         addWorkers(20, CellMillicores / 20);
     }
 
+    void addAccount(const std::string &name)
+    {
+        schema::AccountConfig *account = configCommand.mutable_config()->add_accounts();
+        account->set_name(name);
+        account->set_weight(1);
+    }
+
     StepRef submitFor(int account, const char *queue, uint64_t ageMs)
     {
         schema::SubmitWork command;
@@ -38,17 +45,16 @@
         return { state::WorkSerial(submitted_), 0, 0 };
     }
 
-    // Accounts have equal weights; the first one holds that many tasks and waits for more.
-    void holdByFirst(int64_t millicores)
+    // Accounts have equal weights. The first one has started that much lately, the others 4,000
+    // millicores each.
+    void startByFirst(int64_t millicores)
     {
-        SharesView view{ .capacity = { CellMillicores, 1000000, 0 }, .accounts = {}, .now = Now };
+        config.apply(configCommand);
+        waiting.refresh(table, config, Wall);
+        shares.update(config, waiting.waitingMillicores(), Now);
         for (int i = 0; i < Accounts; i++)
-            view.accounts.push_back({ .account = state::AccountName(nameOf(i)),
-                .weight = 1,
-                .cap = {},
-                .usage = { i == 0 ? millicores : 4000, 10, 0 },
-                .waiting = { CellMillicores, 10, 0 } });
-        shares.update(view);
+            shares.recordStart(0, state::AccountName(nameOf(i)), i == 0 ? millicores : 4000);
+        shares.update(config, waiting.waitingMillicores(), Now);
     }
 
     size_t placedOf(const StepPlan &plan, int account)
@@ -71,11 +77,11 @@
 {
     for (StepWorker &worker : workers)
         worker.reserved.millicores = worker.capacity.millicores - 4000;
-    holdByFirst(56000);
     for (int i = 0; i < 140; i++)
         submitFor(0, "urgent", 0);
     for (int i = 1; i < Accounts; i++)
         submitFor(i, "urgent", 2600);
+    startByFirst(56000);
     const StepPlan planned = plan();
     for (int i = 1; i < Accounts; i++)
         EXPECT_EQ(placedOf(planned, i), 4U) << "account " << i;
@@ -85,9 +91,9 @@
 // Guards against a cell that keeps capacity free from the only account that has work.
 TEST_F(StepPlannerSharesTest, capacityThatNobodyElseWantsGoesToTheAccountOverItsShare)
 {
-    holdByFirst(56000);
     for (int i = 0; i < 40; i++)
         submitFor(0, "urgent", 0);
+    startByFirst(56000);
     EXPECT_EQ(placedOf(plan(), 0), 160U);
 }
 
@@ -96,11 +102,11 @@
 {
     for (StepWorker &worker : workers)
         worker.reserved.millicores = worker.capacity.millicores - 1000;
-    holdByFirst(56000);
     for (int i = 0; i < 5; i++)
         submitFor(0, "urgent", 0);
     for (int i = 1; i < Accounts; i++)
         submitFor(i, "deferrable", 4000);
+    startByFirst(56000);
     EXPECT_EQ(placedOf(plan(), 0), 20U);
 }
 
--- a/Source/UnitTests/Scheduling/WaitingStepsTest.cpp
+++ b/Source/UnitTests/Scheduling/WaitingStepsTest.cpp
@@ -92,6 +92,10 @@
         nowMs += random() % 40;
         if (random() % 3 == 0)
             submit([&](schema::SubmitWork *command) {
+                // Guards against jobs that need no processor, which add nothing to what waits.
+                command->mutable_spec()->mutable_steps(0)->set_millicores(random() % 3 * 1000);
+                command->set_account("account" + std::to_string(random() % 2));
+                command->mutable_spec()->mutable_steps(0)->set_service(random() % 6 == 0);
                 if (random() % 5 == 0) {
                     command->mutable_spec()->set_occurrences(2);
                     command->mutable_spec()->set_first_due_ms(nowMs + random() % 300);
@@ -119,6 +123,7 @@
         WaitingSteps anew;
         anew.refresh(table, config, nowMs);
         ASSERT_EQ(listOf(waiting), listOf(anew)) << "round " << round;
+        ASSERT_EQ(waiting.waitingMillicores(), anew.waitingMillicores()) << "round " << round;
     }
     EXPECT_GT(submitted, 500U);
 }
