--- a/Source/Basilgap/Dispatch/Ports.h
+++ b/Source/Basilgap/Dispatch/Ports.h
@@ -29,6 +29,10 @@
 {
     std::string id;
     std::string address;
+    // Availability zone.
+    std::string zone;
+
+    bool operator==(const WorkerEndpoint &) const = default;
 };
 
 struct StartOrder
--- a/Source/UnitTests/Dispatch/FakeWorkerPort.h
+++ b/Source/UnitTests/Dispatch/FakeWorkerPort.h
@@ -14,27 +14,30 @@
     {
         StartOrder order;
         std::function<void(OrderAnswer)> done;
+        WorkerEndpoint worker;
     };
     struct Stop
     {
         StopOrder order;
         std::function<void(OrderAnswer)> done;
+        WorkerEndpoint worker;
     };
     struct Poll
     {
         PollRequest order;
         std::function<void(PollAnswer)> done;
+        WorkerEndpoint worker;
     };
 
-    void start(const WorkerEndpoint &, const StartOrder &order, Millis,
+    void start(const WorkerEndpoint &worker, const StartOrder &order, Millis,
         std::function<void(OrderAnswer)> done) override
     {
-        starts.push_back({ order, std::move(done) });
+        starts.push_back({ order, std::move(done), worker });
     }
-    void stop(const WorkerEndpoint &, const StopOrder &order, Millis,
+    void stop(const WorkerEndpoint &worker, const StopOrder &order, Millis,
         std::function<void(OrderAnswer)> done) override
     {
-        stops.push_back({ order, std::move(done) });
+        stops.push_back({ order, std::move(done), worker });
     }
     void throttle(const WorkerEndpoint &, const ThrottleOrder &order, Millis,
         std::function<void(OrderAnswer)> done) override
@@ -42,17 +45,21 @@
         throttles.push_back(order);
         done({ OrderResult::Accepted, std::nullopt });
     }
-    void poll(const WorkerEndpoint &, const PollRequest &order, Millis,
+    void poll(const WorkerEndpoint &worker, const PollRequest &order, Millis,
         std::function<void(PollAnswer)> done) override
     {
-        polls.push_back({ order, std::move(done) });
+        polls.push_back({ order, std::move(done), worker });
+    }
+    void closeIdleConnections(const WorkerEndpoint &worker) override
+    {
+        goneWorkers.push_back(worker);
     }
-    void closeIdleConnections(const WorkerEndpoint &) override {}
 
     std::vector<Start> starts;
     std::vector<Stop> stops;
     std::vector<ThrottleOrder> throttles;
     std::vector<Poll> polls;
+    std::vector<WorkerEndpoint> goneWorkers;
 };
 
 } // namespace basilgap::dispatch
