--- a/Source/Basilgap/Control/ControlProcess.cpp
+++ b/Source/Basilgap/Control/ControlProcess.cpp
@@ -68,7 +68,7 @@
                         leader_->handleApplied(command, outcome);
                 },
             .onLinkMessage =
-                [this](const schema::PeerMessage &message) {
+                [this](const ReplicaId &, const schema::PeerMessage &message) {
                     if (message.has_rpc_reply())
                         rpc_->handleReply(message.rpc_reply());
                 },
--- a/Source/Basilgap/Control/Replica.cpp
+++ b/Source/Basilgap/Control/Replica.cpp
@@ -103,24 +103,26 @@
         hello.set_id(self_.value());
         hello.set_incarnation(storage_->incarnation().value());
         hello.set_is_replica(true);
+        hello.set_zone(options_.settings.zone());
+        hello.set_relays_orders(options_.relaysOrders);
         links_[id] = std::make_unique<network::PeerLink>(loop_,
             network::PeerLink::Options{
                 .address = address,
                 .cellKey = options_.cellKey,
                 .hello = hello,
                 .onMessage =
-                    [this](const schema::PeerMessage &message) {
+                    [this, peer = id](schema::PeerMessage message) {
                         if (message.has_probe_reply())
                             handleProbeReply(message.probe_reply());
                         else
-                            options_.onLinkMessage(message);
+                            options_.onLinkMessage(peer, std::move(message));
                     },
                 .onUp =
                     [this, peer = id] {
                         core_->handlePeerConnected(peer, steadyNow());
                         scheduleFlush();
                     },
-                .onDown = [] {},
+                .onDown = [this, peer = id] { options_.onLinkDown(peer); },
                 .onRefused =
                     [this, peer = id] {
                         core_->handleLeaderExit(peer, steadyNow());
@@ -136,6 +138,12 @@
     return link != links_.end() && link->second->send(message);
 }
 
+bool Replica::isLinkUp(const ReplicaId &replica) const
+{
+    const auto link = links_.find(replica);
+    return link != links_.end() && link->second->isUp();
+}
+
 bool Replica::receive(network::PeerStream &stream, const schema::PeerMessage &message)
 {
     if (message.has_hello()) {
--- a/Source/Basilgap/Control/Replica.h
+++ b/Source/Basilgap/Control/Replica.h
@@ -49,7 +49,11 @@
         // Called after each applied command.
         std::function<void(const schema::Command &, const schema::CommandOutcome &)> onApplied;
         // Receives the messages that arrive on the links to other replicas, except probe replies.
-        std::function<void(schema::PeerMessage)> onLinkMessage;
+        std::function<void(const ReplicaId &, schema::PeerMessage)> onLinkMessage;
+        // The link to another replica is lost: what was sent on it may not have arrived.
+        std::function<void(const ReplicaId &)> onLinkDown = [](const ReplicaId &) {};
+        // Tells the other replicas that this process carries out OrderCalls.
+        bool relaysOrders = false;
         // The durable state can no longer be trusted, so the process must end.
         std::function<void(const Error &)> onFatal;
     };
@@ -92,6 +96,7 @@
 
     // Sends a message to another replica. Returns false if the link is down.
     bool sendTo(const ReplicaId &replica, const schema::PeerMessage &message);
+    bool isLinkUp(const ReplicaId &replica) const;
 
     // Transfers leadership to another replica, preferably outside zones taken out of service.
     bool transferLeadership();
--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -205,7 +205,7 @@
     sessions_[number] = std::make_unique<WorkerSession>(
         WorkerSession::Options{
             .number = number,
-            .endpoint = { incarnation.id(), incarnation.address() },
+            .endpoint = { incarnation.id(), incarnation.address(), incarnation.zone() },
             .incarnationStartMs = incarnation.born_ms(),
             .fencingToken = options_.replica.core().term().value(),
             .graceEnd = leaderSince_ + longestLease + Millis(500),
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -41,6 +41,8 @@
         WorkerPort &workers;
         AdvicePort &advice;
         SessionTimes times;
+        // Number of calls to workers that went through relays since this replica leads.
+        std::function<uint64_t()> relayedCalls = [] { return 0; };
     };
 
     WorkDispatcher(network::EventLoop &loop, Options options);
@@ -215,6 +217,8 @@
         Millis maxTickDelay;
     };
     Activity activity_;
+    // Value of Options::relayedCalls at the last status line.
+    uint64_t loggedRelayedCalls_ = 0;
     // Processor time of the process at the last status line.
     std::chrono::nanoseconds processorTime_ = processorTime();
     Millis lastTickAt_;
--- a/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
@@ -207,6 +207,9 @@
         .with("ends", activity_.ends)
         .with("preemptions", activity_.preemptions)
         .with("adviceCalls", activity_.adviceCalls);
+    const uint64_t relayed = options_.relayedCalls();
+    line->with("relayedCalls", relayed - loggedRelayedCalls_);
+    loggedRelayedCalls_ = relayed;
     processorTime_ = used;
     activity_ = {};
 }
--- a/Source/UnitTests/Control/ReplicaCellTest.cpp
+++ b/Source/UnitTests/Control/ReplicaCellTest.cpp
@@ -287,7 +287,7 @@
                 .onLeadershipGained = [] {},
                 .onLeadershipLost = [] {},
                 .onApplied = [](const schema::Command &, const schema::CommandOutcome &) {},
-                .onLinkMessage = [](const schema::PeerMessage &) {},
+                .onLinkMessage = [](const ReplicaId &, const schema::PeerMessage &) {},
                 .onFatal = [](const Error &error) { ADD_FAILURE() << error.text(); },
             });
         ASSERT_TRUE(started.has_value()) << started.error().text();
--- a/Source/UnitTests/Control/SingleReplicaFixture.h
+++ b/Source/UnitTests/Control/SingleReplicaFixture.h
@@ -45,7 +45,7 @@
                     [this](const schema::Command &command, const schema::CommandOutcome &outcome) {
                         onApplied_(command, outcome);
                     },
-                .onLinkMessage = [](const schema::PeerMessage &) {},
+                .onLinkMessage = [](const ReplicaId &, const schema::PeerMessage &) {},
                 .onFatal = [](const Error &error) { ADD_FAILURE() << error.text(); },
             });
         ASSERT_TRUE(started.has_value()) << started.error().text();
