Test sessions over relays that die and freeze

The model of leaders and workers gets relays between them, whose processes die or freeze with calls in hand, while calls are lost and late, workers restart and leaders change.

--- a/Source/UnitTests/Dispatch/ModelLeader.cpp
+++ b/Source/UnitTests/Dispatch/ModelLeader.cpp
@@ -28,12 +28,40 @@
 ModelLeader::ModelLeader(Options options)
     : options_(std::move(options))
     , network_(options_.time, options_.workers)
+    , port_(portOptions())
     , leaderSince_(options_.time.now())
 {
+    relayEnd_->run = [this](
+                         std::function<void()> event) { network_.runInLeader(std::move(event)); };
+    relayEnd_->port = &port_;
+    if (options_.relays != nullptr)
+        options_.relays->connect(relayEnd_);
     reconcile();
     options_.time.after(TickInterval, [this] { tick(); });
 }
 
+RelayedWorkerPort::Options ModelLeader::portOptions()
+{
+    return {
+        .direct = network_,
+        .term = options_.fencingToken,
+        .send =
+            [this](const std::string &relay, const schema::PeerMessage &message) {
+                return options_.relays->send(relayEnd_.get(), relay, message);
+            },
+        .scheduleFlush =
+            [this] {
+                options_.time.after(Millis(), [this] {
+                    network_.runInLeader([this] {
+                        if (!isRetired_)
+                            port_.flush();
+                    });
+                });
+            },
+        .clock = [this] { return options_.time.now(); },
+    };
+}
+
 void ModelLeader::freeze()
 {
     isFrozen_ = true;
@@ -50,6 +78,7 @@
 void ModelLeader::retire()
 {
     isRetired_ = true;
+    relayEnd_->port = nullptr;
     sessions_.clear();
 }
 
@@ -63,13 +92,13 @@
             sessions_[number] = std::make_unique<WorkerSession>(
                 WorkerSession::Options{
                     .number = number,
-                    .endpoint = { incarnation.id(), "" },
+                    .endpoint = { incarnation.id(), "", "z1" },
                     .incarnationStartMs = incarnation.born_ms(),
                     .fencingToken = options_.fencingToken,
                     .graceEnd = leaderSince_ + GraceTime,
                     .times = {},
                     .callLoss = callLoss_,
-                    .port = network_,
+                    .port = port_,
                     .table = options_.table,
                     .events = {
                         .onRunEnd =
@@ -137,6 +166,7 @@
     options_.time.after(TickInterval, [this] { tick(); });
     if (isFrozen_)
         return;
+    port_.tick(options_.time.now());
     if (isConfirmed_ && !isFenced_) {
         for (const auto &[number, session] : sessions_)
             session->tick(options_.time.now());
--- a/Source/UnitTests/Dispatch/ModelLeader.h
+++ b/Source/UnitTests/Dispatch/ModelLeader.h
@@ -9,6 +9,7 @@
 #include "Basilgap/Dispatch/WorkerSession.h"
 #include "Basilgap/Scheduling/PendingRunEnds.h"
 #include "ModelNetwork.h"
+#include "ModelRelays.h"
 
 namespace basilgap::dispatch {
 
@@ -25,6 +26,8 @@
         state::WorkTable &table;
         uint64_t fencingToken = 0;
         std::function<int64_t(const state::StepTaskRef &)> millicoresOf;
+        // Null if the leader makes all calls itself.
+        ModelRelays *relays = nullptr;
     };
 
     explicit ModelLeader(Options options);
@@ -37,6 +40,9 @@
     void thaw();
     // The process has ended or follows another leader. Its calls may still be carried out.
     void retire();
+    // Whether calls go through relays.
+    void setRelaying(bool isRelaying) { port_.setRelaying(isRelaying); }
+    uint64_t relayedCalls() const { return port_.relayedCalls(); }
 
     // Opens sessions with new incarnations, and supersedes the sessions with earlier ones.
     void reconcile();
@@ -46,6 +52,7 @@
 
 private:
     void tick();
+    RelayedWorkerPort::Options portOptions();
     // As in WorkDispatcher.
     void giveUpGang(const StepTaskRef &member, uint32_t run);
     void scheduleProposal();
@@ -63,6 +70,8 @@
 
     Options options_;
     ModelNetwork network_;
+    RelayedWorkerPort port_;
+    std::shared_ptr<ModelRelays::LeaderEnd> relayEnd_ = std::make_shared<ModelRelays::LeaderEnd>();
     CallLossTracker callLoss_;
     std::map<WorkerNumber, std::unique_ptr<WorkerSession>> sessions_;
     std::vector<schema::RunEnd> pendingEnds_;
--- a/Source/UnitTests/Dispatch/ModelNetwork.h
+++ b/Source/UnitTests/Dispatch/ModelNetwork.h
@@ -37,6 +37,8 @@
     // While the process is frozen, answers and timeouts wait.
     void freeze() { isFrozen_ = true; }
     void thaw();
+    // Runs the event in the leader's process.
+    void runInLeader(std::function<void()> event);
 
     void start(const WorkerEndpoint &worker, const StartOrder &order, Millis timeout,
         std::function<void(OrderAnswer)> done) override;
@@ -58,8 +60,6 @@
     template<typename Answer>
     void send(const std::string &worker, Millis timeout, Execute<Answer> execute,
         std::function<void(Answer)> done);
-    // Runs the event in the leader's process.
-    void runInLeader(std::function<void()> event);
 
     SimulatedTime &time_;
     Workers &workers_;
--- a/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
@@ -30,6 +30,9 @@
     bool restartsWorkers = false;
     bool cutsLinks = false;
     bool hasGangs = false;
+    bool hasRelays = false;
+    bool killsRelays = false;
+    bool freezesRelays = false;
     // No trouble is long enough for a member of a gang to wait in vain for the others.
     bool forbidsLoneMembers = false;
 };
@@ -55,6 +58,8 @@
             });
             registerIncarnation(*workers_[id]);
         }
+        if (scenario_.hasRelays)
+            relays_ = std::make_unique<ModelRelays>(time_, workers_);
         lead();
     }
 
@@ -67,6 +72,8 @@
         }
         isCalm_ = true;
         leader().setTrouble({});
+        if (relays_)
+            relays_->setTrouble({});
         leader().setConfirmed(true);
         time_.runUntil(time_.now() + CalmTime);
         if (!violations_.empty())
@@ -83,6 +90,13 @@
 
     const std::vector<std::string> &violations() const { return violations_; }
     size_t starts() const { return starts_; }
+    uint64_t relayedCalls() const
+    {
+        uint64_t calls = 0;
+        for (const auto &leader : leaders_)
+            calls += leader->relayedCalls();
+        return calls;
+    }
 
 private:
     ModelLeader &leader() { return *leaders_.back(); }
@@ -108,6 +122,13 @@
             restartOne();
         if (scenario_.cutsLinks && time_.chance(4))
             cutOne();
+        if (scenario_.killsRelays && time_.chance(5))
+            relays_->killOne();
+        if (scenario_.freezesRelays && time_.chance(5))
+            relays_->freezeOne();
+        // The load of the leader varies.
+        if (scenario_.hasRelays && time_.chance(5))
+            leader().setRelaying(time_.chance(80));
     }
 
     void submit()
@@ -197,9 +218,14 @@
                     return static_cast<int64_t>(
                         table_.find(task.step.work)->specOf(task.step).millicores());
                 },
+            .relays = relays_.get(),
         }));
-        if (!isCalm_)
-            leader().setTrouble(scenario_.trouble);
+        leader().setRelaying(scenario_.hasRelays);
+        if (isCalm_)
+            return;
+        leader().setTrouble(scenario_.trouble);
+        if (relays_)
+            relays_->setTrouble(scenario_.trouble);
     }
 
     ModelWorker &randomWorker()
@@ -321,6 +347,7 @@
     SimulatedTime time_;
     state::WorkTable table_;
     ModelNetwork::Workers workers_;
+    std::unique_ptr<ModelRelays> relays_;
     // The current one last; earlier ones may still be frozen.
     std::vector<std::unique_ptr<ModelLeader>> leaders_;
     std::vector<std::string> violations_;
@@ -346,15 +373,21 @@
 void playSeeds(const Scenario &scenario)
 {
     size_t starts = 0;
+    uint64_t relayedCalls = 0;
     for (uint64_t seed = 1; seed <= seedCount(); seed++) {
         ModelCell cell(scenario, seed);
         cell.play();
         starts += cell.starts();
+        relayedCalls += cell.relayedCalls();
         for (const std::string &violation : cell.violations())
             ADD_FAILURE() << "seed " << seed << ", " << violation;
     }
     testing::Test::RecordProperty("starts", static_cast<int>(starts));
     EXPECT_GE(starts, seedCount() * 50);
+    if (scenario.hasRelays)
+        EXPECT_GE(relayedCalls, seedCount() * 50) << "relays are used";
+    else
+        EXPECT_EQ(relayedCalls, 0U);
 }
 
 TEST(WorkerSessionModel, noWorkerIsOverItsCapacityInACalmNetwork)
@@ -434,5 +467,57 @@
     playSeeds({ .trouble = Lossy, .preempts = true, .restartsWorkers = true });
 }
 
+TEST(WorkerSessionModel, noWorkerIsOverItsCapacityThroughRelays)
+{
+    playSeeds({ .cancelsJobs = true, .preempts = true, .hasRelays = true });
+}
+
+// Guards against runs that are lost or run twice when a relay dies with calls in hand, some of
+// which have been carried out.
+TEST(WorkerSessionModel, noWorkerIsOverItsCapacityWhileRelaysDie)
+{
+    playSeeds({ .trouble = Lossy,
+        .cancelsJobs = true,
+        .preempts = true,
+        .hasRelays = true,
+        .killsRelays = true });
+}
+
+// Guards against calls that a frozen relay makes after the leader has made others directly, also at
+// a worker that has restarted since and no longer knows which runs were stopped.
+TEST(WorkerSessionModel, noWorkerIsOverItsCapacityWhileRelaysFreeze)
+{
+    playSeeds({ .trouble = Lossy,
+        .cancelsJobs = true,
+        .preempts = true,
+        .restartsWorkers = true,
+        .hasRelays = true,
+        .freezesRelays = true });
+}
+
+// Guards against calls of an earlier leader that a relay makes for it after the next one has begun.
+TEST(WorkerSessionModel, noWorkerIsOverItsCapacityWhileLeadersChangeAndRelaysDieAndFreeze)
+{
+    playSeeds({ .trouble = Lossy,
+        .changesLeader = true,
+        .losesConfirmation = true,
+        .cancelsJobs = true,
+        .preempts = true,
+        .restartsWorkers = true,
+        .hasRelays = true,
+        .killsRelays = true,
+        .freezesRelays = true });
+}
+
+TEST(WorkerSessionModel, noWorkerIsOverItsCapacityWhenGangsEndWhileRelaysDieAndFreeze)
+{
+    playSeeds({ .trouble = Lossy,
+        .cancelsJobs = true,
+        .hasGangs = true,
+        .hasRelays = true,
+        .killsRelays = true,
+        .freezesRelays = true });
+}
+
 } // namespace
 } // namespace basilgap::dispatch
