--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -46,6 +46,8 @@
         AdvicePort &advice;
         SessionTimes times;
         scheduling::ForecastUses forecastUses = { .expectedDuration = true };
+        // Number of calls to workers that went through relays since this replica leads.
+        std::function<uint64_t()> relayedCalls = [] { return 0; };
     };
 
     WorkDispatcher(network::EventLoop &loop, Options options);
@@ -253,6 +255,8 @@
         Millis maxTickDelay;
     };
     Activity activity_;
+    // Value of Options::relayedCalls at the last status line.
+    uint64_t loggedRelayedCalls_ = 0;
     // Processor time of the process at the last status line.
     std::chrono::nanoseconds processorTime_ = processorTime();
     Millis lastTickAt_;
