Measure the cost and the error of the duration forecast

Cause: the benchmark measured questions without the kept answers, and no errors.

Change: `basilgap-bench forecast` also measures kept answers, and the typical factor between actual and expected durations on two synthetic loads. Keys of groups are built with one allocation.

--- a/Source/Basilgap/State/DurationModel.cpp
+++ b/Source/Basilgap/State/DurationModel.cpp
@@ -43,20 +43,27 @@
 class KeyBuilder
 {
 public:
-    explicit KeyBuilder(GroupLevel level) { text_.push_back(static_cast<char>(level)); }
+    explicit KeyBuilder(GroupLevel level)
+    {
+        text_.reserve(UsualLength);
+        text_.push_back(static_cast<char>(level));
+    }
 
     KeyBuilder &with(std::string_view name) { return with(name.size()).append(name); }
 
     KeyBuilder &with(uint64_t number)
     {
-        for (int shift = 0; shift < 64; shift += 8)
-            text_.push_back(static_cast<char>(number >> shift));
-        return *this;
+        std::array<char, sizeof(number)> bytes{};
+        for (size_t i = 0; i < bytes.size(); i++)
+            bytes[i] = static_cast<char>(number >> (8 * i));
+        return append({ bytes.data(), bytes.size() });
     }
 
     uint64_t hash() const { return checksum(text_); }
 
 private:
+    static constexpr size_t UsualLength = 128;
+
     KeyBuilder &append(std::string_view text)
     {
         text_.append(text);
--- a/Source/Benchmarks/ForecastBench.cpp
+++ b/Source/Benchmarks/ForecastBench.cpp
@@ -5,7 +5,8 @@
 #include <ctime>
 #include <random>
 
-#include "Basilgap/State/WorkTable.h"
+#include "Basilgap/Common/LatencyHistogram.h"
+#include "Basilgap/Scheduling/DurationForecast.h"
 
 namespace basilgap::benchmarks {
 
@@ -89,6 +90,9 @@
         return static_cast<double>(used) / (Jobs * TasksPerJob);
     }
 
+    // The job that was submitted last.
+    const state::Work &lastWork() const { return *table.find(state::WorkSerial(jobs_)); }
+
     state::WorkTable table;
 
 private:
@@ -97,6 +101,48 @@
     uint64_t jobs_ = 0;
 };
 
+// Typical factor between the actual duration and the expected one, by forecast and by estimate, of
+// tasks of 3.8 s. Estimates are wrong by the given factors either way, the same in all tasks of a
+// job.
+void reportErrors(const std::string &name, double minFactor, double maxFactor)
+{
+    constexpr int JobCount = 200;
+    constexpr int JobsBefore = 20;
+    constexpr double TypicalMs = 3800;
+    std::mt19937 random(2);
+    std::uniform_real_distribution<double> factor(std::log(minFactor), std::log(maxFactor));
+    std::normal_distribution<double> spread(0, 0.25);
+    state::DurationModel model;
+    LatencyHistogram ofForecast;
+    LatencyHistogram ofEstimate;
+    schema::StepSpec spec;
+    spec.set_millicores(18000);
+    for (uint64_t job = 1; job <= JobCount; job++) {
+        const double wrong = std::exp(factor(random) * (random() % 2 == 0 ? 1 : -1));
+        spec.set_estimate_ms(static_cast<uint64_t>(TypicalMs * wrong));
+        const state::DurationSubject subject{ "deferrable", "account", spec };
+        const auto forecast = model.forecast(subject);
+        for (uint32_t task = 0; task < TasksPerJob; task++) {
+            const double actual = TypicalMs * std::exp(spread(random));
+            const auto errorOf = [actual](uint64_t expected) {
+                return std::exp(std::abs(std::log(actual / static_cast<double>(expected))));
+            };
+            if (job > JobsBefore && forecast) {
+                ofForecast.add(errorOf(forecast->median));
+                ofEstimate.add(errorOf(spec.estimate_ms()));
+            }
+            model.record({ .subject = subject,
+                .workerKind = {},
+                .work = job,
+                .duration = static_cast<uint64_t>(actual) });
+        }
+    }
+    report(name + "_forecast_error50", ofForecast.percentile(0.5));
+    report(name + "_forecast_error90", ofForecast.percentile(0.9));
+    report(name + "_estimate_error50", ofEstimate.percentile(0.5));
+    report(name + "_estimate_error90", ofEstimate.percentile(0.9));
+}
+
 } // namespace
 
 // Cost of the forecast of durations: per applied run, per question, and in the snapshot.
@@ -125,7 +171,16 @@
     report("save_us", static_cast<double>(processorNs() - before) / 1000);
     report("groups", static_cast<double>(load.table.durations().groups()));
     report("saved_bytes", static_cast<double>(saved.size()));
-    report("median_ms", static_cast<double>(sum) / Questions);
+    load.runJob(true);
+    const state::Work &work = load.lastWork();
+    const scheduling::DurationForecast forecast(load.table);
+    before = processorNs();
+    for (int i = 0; i < Questions; i++)
+        sum += forecast.forecast(work, { work.serial, 0, 0 })->median;
+    report("kept_answer_ns", static_cast<double>(processorNs() - before) / Questions);
+    report("both_medians_ms", static_cast<double>(sum) / Questions);
+    reportErrors("wrong_by_1.2", 1, 1.2);
+    reportErrors("wrong_by_2_to_10", 2, 10);
 }
 
 } // namespace basilgap::benchmarks
