--- a/Source/UnitTests/Scheduling/DurationForecastTest.cpp
+++ b/Source/UnitTests/Scheduling/DurationForecastTest.cpp
@@ -121,12 +121,16 @@
 }
 
 // Forecasts that are wrong by ten times either way may cost time, but every job still ends, no
-// worker is overcommitted, a gang starts as a whole and no task runs twice.
+// worker is overcommitted, the account stays within its cap, a gang starts as a whole and no task
+// runs twice.
 class WrongForecastTest : public DurationForecastTest, public testing::WithParamInterface<double>
 {
 protected:
-    void checkWorkers()
+    static constexpr int64_t CapMillicores = 40000;
+
+    void checkUsage()
     {
+        ASSERT_LE(table.usageOf(state::AccountName("team")).millicores, CapMillicores);
         for (const StepWorker &worker : workers)
             ASSERT_TRUE(table.reservedOn(worker.number).fitsIn(worker.capacity));
     }
@@ -173,6 +177,7 @@
     finishTasks("urgent", 200, wrong);
     finishTasks("deferrable", 200, GetParam() > 1 ? 100 : 10000);
     durations.useForecast(&forecast);
+    configCommand.mutable_config()->mutable_accounts(0)->set_millicores_cap(CapMillicores);
     addWorkers(8, 8000);
     std::mt19937 random(11);
     std::vector<StepRef> steps;
@@ -190,7 +195,7 @@
         const StepPlan planned = plan();
         checkPlan(planned);
         apply(planned);
-        checkWorkers();
+        checkUsage();
         for (const PlannedRun &start : planned.starts)
             ends_[start.task] = round + 3;
     }
