Let the worker of the admission tests answer while a call waits

Two runs of WorkDispatcherAdmissionTest had failed under load, one of 20 and one of 20: a call waited for 9 and 17 s, its worker was not answering meanwhile, so that it was dropped, or lost leases that the fake worker does not end (TWICE in the fake). A probe that syncs one file beside the tests saw a sync of 5.6 s; in that second both tests then running took 5 s longer than usual (8.3 and 10.7 s against 3.6 and 5.8 s at most in 59 and 40 other runs). A slow disk explains both failures; no probe ran beside these two.

The worker now answers while a call waits. No expectation was changed.

--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -320,7 +320,8 @@
         std::optional<schema::CallReply> answer;
         dispatcher_->handleRequest(
             request, [&answer](const schema::RpcReply &reply) { answer = reply.call(); });
-        EXPECT_TRUE(runUntil([&answer] { return answer.has_value(); }));
+        // A worker that is silent for long, as while the disk is slow, loses its leases.
+        EXPECT_TRUE(runWorkerUntil([&answer] { return answer.has_value(); }));
         return answer.value_or(schema::CallReply());
     }
 
@@ -652,10 +653,10 @@
     EXPECT_TRUE(statuses.empty());
     send("00000000000000a2");
     send("00000000000000a3");
-    ASSERT_TRUE(runUntil([&] { return statuses.size() == 1; }));
+    ASSERT_TRUE(runWorkerUntil([&] { return statuses.size() == 1; }));
     EXPECT_EQ(statuses, std::vector<uint32_t>{ 503 }) << "only the third call is refused";
     disk_.setBlocked(false);
-    ASSERT_TRUE(runUntil([&] { return statuses.size() == 3; }));
+    ASSERT_TRUE(runWorkerUntil([&] { return statuses.size() == 3; }));
     EXPECT_EQ(statuses, (std::vector<uint32_t>{ 503, 200, 200 }));
     EXPECT_FALSE(isKnown("00000000000000a3"));
 }
