Pass creating, renaming and truncating files through DiskCalls

Cause: tests could make a write and a sync of the storage fail, and no other operation, so that no test had a disk on which a file can't be created.

Change: opening, truncating and renaming a file and syncing the folder are virtual as well.

--- a/Source/Basilgap/Replication/DataFolder.cpp
+++ b/Source/Basilgap/Replication/DataFolder.cpp
@@ -84,7 +84,7 @@
 
 Result<void> DataFolder::sync() const
 {
-    if (::fsync(folder_) == 0)
+    if (calls_->syncFolder(folder_) == 0)
         return {};
     // Nobody knows what a failed sync left on the disk, whatever its cause.
     Error error = systemError("sync-folder", path_);
@@ -103,7 +103,7 @@
         return fail(written.error());
     if (auto synced = spare.file.sync(); !synced)
         return fail(synced.error());
-    if (::rename(pathOf(spare.name).c_str(), pathOf(name).c_str()) != 0) {
+    if (calls_->rename(pathOf(spare.name), pathOf(name)) != 0) {
         const Error error = systemError("rename", pathOf(name));
         if (auto emptied = spare.file.truncate(0); !emptied)
             return fail(emptied.error());
--- a/Source/Basilgap/Replication/DiskFile.cpp
+++ b/Source/Basilgap/Replication/DiskFile.cpp
@@ -27,16 +27,36 @@
 
 } // namespace
 
+int DiskCalls::open(const std::string &path, int flags)
+{
+    return ::open(path.c_str(), flags, FileMode);
+}
+
 ssize_t DiskCalls::write(int file, const char *data, size_t length)
 {
     return ::write(file, data, length);
 }
 
+int DiskCalls::truncate(int file, uint64_t length)
+{
+    return ::ftruncate(file, static_cast<off_t>(length));
+}
+
+int DiskCalls::rename(const std::string &from, const std::string &to)
+{
+    return ::rename(from.c_str(), to.c_str());
+}
+
 int DiskCalls::sync(int file)
 {
     return ::fdatasync(file);
 }
 
+int DiskCalls::syncFolder(int folder)
+{
+    return ::fsync(folder);
+}
+
 DiskFile::~DiskFile()
 {
     if (file_ >= 0)
@@ -66,7 +86,7 @@
     DiskFile file;
     file.path_ = path;
     file.calls_ = &calls;
-    file.file_ = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode);
+    file.file_ = calls.open(path, O_RDWR | O_CREAT | O_CLOEXEC);
     if (file.file_ < 0)
         return fail(systemError("open", path));
     return file;
@@ -84,7 +104,7 @@
             continue;
         if (bytesWritten <= 0) {
             const Error error = systemError("write", path_);
-            if (::ftruncate(file_, static_cast<off_t>(offset)) != 0)
+            if (calls_->truncate(file_, offset) != 0)
                 return fail(systemError("truncate", path_));
             return fail(error);
         }
@@ -95,7 +115,7 @@
 
 Result<void> DiskFile::truncate(uint64_t length)
 {
-    if (::ftruncate(file_, static_cast<off_t>(length)) != 0)
+    if (calls_->truncate(file_, length) != 0)
         return fail(systemError("truncate", path_));
     return {};
 }
--- a/Source/Basilgap/Replication/DiskFile.h
+++ b/Source/Basilgap/Replication/DiskFile.h
@@ -4,6 +4,8 @@
 #include <string>
 #include <string_view>
 
+#include <sys/types.h>
+
 #include "Basilgap/Common/Error.h"
 
 namespace basilgap::replication {
@@ -13,8 +15,13 @@
 {
 public:
     virtual ~DiskCalls() = default;
+    // Opens or, with O_CREAT, creates a file.
+    virtual int open(const std::string &path, int flags);
     virtual ssize_t write(int file, const char *data, size_t length);
+    virtual int truncate(int file, uint64_t length);
+    virtual int rename(const std::string &from, const std::string &to);
     virtual int sync(int file);
+    virtual int syncFolder(int folder);
 };
 
 // An open file that can be appended to and truncated.
--- a/Source/Basilgap/Replication/LogStorage.cpp
+++ b/Source/Basilgap/Replication/LogStorage.cpp
@@ -93,7 +93,7 @@
     std::filesystem::create_directories(options_.folder, code);
     if (code)
         return fail({ ErrorCode::Io, "create-folder", options_.folder, code.message() });
-    lock_ = ::open(path(LockFile).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+    lock_ = options_.calls->open(path(LockFile), O_RDWR | O_CREAT | O_CLOEXEC);
     if (lock_ < 0)
         return fail(systemError("open", path(LockFile)));
     if (::flock(lock_, LOCK_EX | LOCK_NB) != 0)
