Keep a control process running, and let it start, on a full disk

Cause: the folder was opened with files that had to be created: at each start, and each time a replica went on from its disk after a failed write, the spare files were removed and created anew, and the reserve and the lock were created if they were missing. A full disk refused that, and the error was fatal to the running process and failed the start. So a control process ended by itself half a second after the first failed write and could not start until space was back (event=fatal step=open peer=spare0).

Change: the folder opens with what it has. Spare files that are there are emptied and used again; those that are missing, and a missing reserve, are created once there is space, and before the replica counts its space as regained. A folder that lacks what cannot be done without (lock, identity, first log) is not opened: the replica then runs without its storage, says why once a second (disk-full), has no identity, sends no request to join, is not counted when a cell is bootstrapped, takes no first record, and opens the folder when it can. A running replica whose folder cannot be opened again does the same with the state that it has. QuotaDisk creates no files without a free byte, as a real disk.

--- a/Source/Basilgap/Control/Replica.cpp
+++ b/Source/Basilgap/Control/Replica.cpp
@@ -18,13 +18,13 @@
 Result<std::unique_ptr<Replica>> Replica::start(network::EventLoop &loop, Options options)
 {
     auto storage = openStorage(options);
-    if (!storage)
+    if (!storage && !isTransient(storage.error()))
         return fail(storage.error());
-    std::unique_ptr<Replica> replica(new Replica(loop, std::move(options), std::move(*storage)));
+    std::unique_ptr<Replica> replica(new Replica(loop, std::move(options), std::move(storage)));
     return replica;
 }
 
-Result<std::unique_ptr<replication::LogStorage>> Replica::openStorage(const Options &options)
+Replica::OpenedStorage Replica::openStorage(const Options &options)
 {
     return replication::LogStorage::open({
         .folder = options.settings.data_folder(),
@@ -34,12 +34,10 @@
     });
 }
 
-Replica::Replica(
-    network::EventLoop &loop, Options options, std::unique_ptr<replication::LogStorage> storage)
+Replica::Replica(network::EventLoop &loop, Options options, OpenedStorage storage)
     : loop_(loop)
     , options_(std::move(options))
     , self_(options_.settings.id())
-    , storage_(std::move(storage))
     , openMembership_(self_)
     , tickTimer_(loop, [this] { tick(); })
     , flushTimer_(loop, [this] { flush(); })
@@ -48,16 +46,24 @@
     , writeRetryTimer_(loop, [this] { retryWrite(); })
 {
     leaderLastKnownAt_ = steadyNow();
-    load();
+    if (storage) {
+        load(std::move(*storage));
+    } else {
+        startCore({});
+        awaitStorage(storage.error());
+    }
     updateLinks();
-    restoreReserve();
+    if (storage_)
+        restoreReserve();
     tickTimer_.startRepeating(TickInterval);
     probeTimer_.startRepeating(ProbeInterval);
 }
 
 // Takes over the state that the storage has read.
-void Replica::load()
+void Replica::load(std::unique_ptr<replication::LogStorage> storage)
 {
+    storage_ = std::move(storage);
+    incarnation_ = storage_->incarnation();
     if (storage_->tornBytes() > 0)
         LogEvent("log-tail-cut", LogLevel::Warning).with("bytes", storage_->tornBytes());
     replication::RaftPersistentState persistentState = storage_->takePersistentState();
@@ -65,12 +71,17 @@
     if (persistentState.snapshotMeta.index() > 0)
         state_.restore(*persistentState.snapshotState);
     appliedIndex_ = LogIndex(persistentState.snapshotMeta.index());
+    startCore(std::move(persistentState));
+    durableIndex_ = core_->lastIndex();
+}
+
+void Replica::startCore(replication::RaftPersistentState persistentState)
+{
     core_ = std::make_unique<replication::RaftCore>(
         replication::RaftOptions{
-            .self = self_, .incarnation = storage_->incarnation(), .seed = randomNumber() },
+            .self = self_, .incarnation = incarnation_, .seed = randomNumber() },
         std::move(persistentState), steadyNow());
     core_->setReluctant(!spaceError_.empty());
-    durableIndex_ = core_->lastIndex();
 }
 
 uint64_t Replica::sentBytes() const
@@ -101,7 +112,7 @@
             continue;
         schema::Hello hello;
         hello.set_id(self_.value());
-        hello.set_incarnation(storage_->incarnation().value());
+        hello.set_incarnation(incarnation_.value());
         hello.set_is_replica(true);
         links_[id] = std::make_unique<network::PeerLink>(loop_,
             network::PeerLink::Options{
@@ -157,7 +168,8 @@
         return true;
     }
     if (message.has_form()) {
-        core_->bootstrap(message.form().membership(), steadyNow());
+        if (diskError_.empty())
+            core_->bootstrap(message.form().membership(), steadyNow());
         scheduleFlush();
         return true;
     }
--- a/Source/Basilgap/Control/Replica.h
+++ b/Source/Basilgap/Control/Replica.h
@@ -54,6 +54,8 @@
         std::function<void(const Error &)> onFatal;
     };
 
+    // Succeeds on a full disk as well. A replica that cannot open its data folder yet is silent,
+    // and opens it once there is space.
     static Result<std::unique_ptr<Replica>> start(network::EventLoop &loop, Options options);
 
     // Handles a message from another replica. Returns false if it is not for the replica.
@@ -78,8 +80,8 @@
     bool isLeading() const { return isLeading_; }
     // Id of the leader; empty if unknown.
     ReplicaId leader() const { return core_->leader(); }
-    Incarnation incarnation() const { return storage_->incarnation(); }
-    uint64_t tornBytes() const { return storage_->tornBytes(); }
+    // Zero until the data folder has been opened.
+    Incarnation incarnation() const { return incarnation_; }
     uint64_t sentBytes() const;
     // Why records cannot be written; empty if they can.
     const std::string &diskError() const { return diskError_; }
@@ -116,10 +118,13 @@
         std::function<void(bool)> callback;
     };
 
-    Replica(network::EventLoop &loop, Options options,
-        std::unique_ptr<replication::LogStorage> storage);
-    static Result<std::unique_ptr<replication::LogStorage>> openStorage(const Options &options);
-    void load();
+    using OpenedStorage = Result<std::unique_ptr<replication::LogStorage>>;
+
+    Replica(network::EventLoop &loop, Options options, OpenedStorage storage);
+    static OpenedStorage openStorage(const Options &options);
+    void load(std::unique_ptr<replication::LogStorage> storage);
+    void startCore(replication::RaftPersistentState persistentState);
+    void awaitStorage(const Error &error);
     void tick();
     void scheduleFlush();
     void flush();
@@ -163,7 +168,9 @@
     network::EventLoop &loop_;
     Options options_;
     ReplicaId self_;
+    // Null while the data folder cannot be opened; then diskError_ says why.
     std::unique_ptr<replication::LogStorage> storage_;
+    Incarnation incarnation_;
     std::unique_ptr<replication::RaftCore> core_;
     replication::OpenMembership openMembership_;
     state::CellState state_;
--- a/Source/Basilgap/Control/ReplicaMembership.cpp
+++ b/Source/Basilgap/Control/ReplicaMembership.cpp
@@ -29,7 +29,7 @@
 {
     schema::Member member;
     member.set_id(self_.value());
-    member.set_incarnation(storage_->incarnation().value());
+    member.set_incarnation(incarnation_.value());
     member.set_voter(true);
     member.set_zone(options_.settings.zone());
     if (options_.membership == MembershipMode::Open)
@@ -78,7 +78,7 @@
 {
     const ReplicaId id(voter.id());
     if (id == self_)
-        return voter.incarnation() == storage_->incarnation().value();
+        return voter.incarnation() == incarnation_.value();
     const auto probed = probedIncarnations_.find(id);
     if (probed != probedIncarnations_.end() && probed->second != voter.incarnation())
         return false;
@@ -88,7 +88,8 @@
 
 void Replica::sendProbes()
 {
-    if (!shouldJoin())
+    // A replica that can store nothing must not become a member.
+    if (!shouldJoin() || !diskError_.empty())
         return;
     const schema::Member self = selfMember();
     for (const auto &[id, link] : links_) {
@@ -108,8 +109,8 @@
     schema::PeerMessage message;
     schema::ProbeReply *reply = message.mutable_probe_reply();
     reply->set_id(self_.value());
-    reply->set_incarnation(storage_->incarnation().value());
-    reply->set_blank(core_->isUninitialized());
+    reply->set_incarnation(incarnation_.value());
+    reply->set_blank(core_->isUninitialized() && diskError_.empty());
     reply->set_leader(core_->leader().value());
     reply->set_term(core_->term().value());
     reply->set_led(isLeading_ ? isConfirmedLeader(MaxLeaderConfirmationAge)
--- a/Source/Basilgap/Control/ReplicaWriting.cpp
+++ b/Source/Basilgap/Control/ReplicaWriting.cpp
@@ -112,6 +112,8 @@
 
 void Replica::retryWrite()
 {
+    if (!storage_)
+        return reopen();
     if (!failedOutput_)
         return resumeFromDisk(true);
     replication::RaftOutput output = std::move(*failedOutput_);
@@ -150,17 +152,38 @@
 {
     storage_.reset();
     auto storage = openStorage(options_);
-    if (!storage)
+    if (!storage && !isTransient(storage.error()))
         return options_.onFatal(storage.error());
-    storage_ = std::move(*storage);
+    if (!storage)
+        return awaitStorage(storage.error());
     probeReplies_.clear();
     mustFreeSpace_ = false;
     diskError_.clear();
-    load();
+    const Incarnation former = incarnation_;
+    load(std::move(*storage));
     LogEvent("disk-usable").with("index", core_->lastIndex().value());
+    // Links name the incarnation that they were opened under.
+    if (incarnation_ != former)
+        links_.clear();
     updateLinks();
 }
 
+// The data folder cannot be opened: a file of it is missing, or was not synced, and the disk is
+// full. The replica stays silent and tries again.
+void Replica::awaitStorage(const Error &error)
+{
+    const bool isDiskFull = error.code == ErrorCode::Full;
+    LogEvent(isDiskFull ? "disk-full" : "descriptors-exhausted", LogLevel::Error)
+        .with(error)
+        .with(
+            "files", toText(replication::DataFolder::fileSizesIn(options_.settings.data_folder())));
+    diskError_ = error.text();
+    if (isDiskFull)
+        spaceError_ = diskError_;
+    nextReserveTry_ = steadyNow() + ReserveRetryInterval;
+    writeRetryTimer_.startOnce(WriteRetryInterval);
+}
+
 // The records after this one are kept beside a snapshot of the present state.
 LogIndex Replica::trailingStart() const
 {
--- a/Source/Basilgap/Replication/DataFolder.cpp
+++ b/Source/Basilgap/Replication/DataFolder.cpp
@@ -63,8 +63,11 @@
     if (!reserve)
         return fail(reserve.error());
     folder.reserve_ = std::move(*reserve);
-    if (auto opened = folder.openSpares(); !opened)
-        return fail(opened.error());
+    if (auto opened = folder.openSpares(); !opened) {
+        if (opened.error().code != ErrorCode::Full)
+            return fail(opened.error());
+        LogEvent("spare-file-missing", LogLevel::Warning).with(opened.error());
+    }
     return folder;
 }
 
@@ -72,8 +75,7 @@
 {
     while (spares_.size() < SpareCount) {
         const std::string name = SparePrefix + std::to_string(nextSpare_);
-        ::unlink(pathOf(name).c_str());
-        auto file = DiskFile::open(pathOf(name), *calls_);
+        auto file = openSpare(pathOf(name));
         if (!file)
             return fail(file.error());
         spares_.push_back({ name, std::move(*file) });
@@ -82,6 +84,43 @@
     return {};
 }
 
+// A file that is there already is kept, as a full disk may have no space to create another one. A
+// second name of it would be that of a file in use.
+Result<DiskFile> DataFolder::openSpare(const std::string &path) const
+{
+    std::error_code code;
+    const auto names = std::filesystem::hard_link_count(path, code);
+    if (!code && names > 1)
+        ::unlink(path.c_str());
+    auto file = DiskFile::open(path, *calls_);
+    if (!file)
+        return file;
+    if (auto emptied = file->truncate(0); !emptied)
+        return fail(emptied.error());
+    return file;
+}
+
+Result<void> DataFolder::provideSpare()
+{
+    if (hasSpare())
+        return {};
+    auto opened = openSpares();
+    if (!opened && !hasSpare() && opened.error().code == ErrorCode::Full && reserve_.release()) {
+        LogEvent("disk-reserve-released", LogLevel::Warning).with(opened.error());
+        opened = openSpares();
+    }
+    return hasSpare() ? Result<void>() : opened;
+}
+
+Result<void> DataFolder::holdReserve(uint64_t bytes)
+{
+    if (!hasSpare()) {
+        if (auto opened = openSpares(); !opened && !hasSpare())
+            return opened;
+    }
+    return reserve_.resize(bytes);
+}
+
 Result<void> DataFolder::sync() const
 {
     if (calls_->syncFolder(folder_) == 0)
@@ -94,10 +133,8 @@
 
 Result<DiskFile> DataFolder::replace(const std::string &name, std::string_view content)
 {
-    if (spares_.empty()) {
-        if (auto opened = openSpares(); !opened && spares_.empty())
-            return fail(opened.error());
-    }
+    if (auto provided = provideSpare(); !provided)
+        return fail(provided.error());
     Spare &spare = spares_.front();
     if (auto written = writeSpare(&spare.file, content); !written)
         return fail(written.error());
@@ -129,11 +166,11 @@
     return spare->writeAt(0, content);
 }
 
-std::vector<FileSize> DataFolder::fileSizes() const
+std::vector<FileSize> DataFolder::fileSizesIn(const std::string &path)
 {
     std::vector<FileSize> sizes;
     std::error_code code;
-    for (std::filesystem::directory_iterator entry(path_, code), end; !code && entry != end;
+    for (std::filesystem::directory_iterator entry(path, code), end; !code && entry != end;
          entry.increment(code)) {
         std::error_code unreadable;
         const auto bytes = entry->file_size(unreadable);
--- a/Source/Basilgap/Replication/DataFolder.h
+++ b/Source/Basilgap/Replication/DataFolder.h
@@ -28,7 +28,8 @@
     DataFolder(DataFolder &&other) noexcept;
     DataFolder &operator=(DataFolder &&other) noexcept;
 
-    // Opens an existing folder.
+    // Opens an existing folder. Files for further contents that a full disk has no space for are
+    // created later.
     static Result<DataFolder> open(const std::string &path, DiskCalls &calls);
 
     // Replaces the content of a file: after a crash it holds either the old or the new content.
@@ -37,17 +38,22 @@
     // disk is unknown.
     Result<DiskFile> replace(const std::string &name, std::string_view content);
 
-    // Holds that much disk space in reserve, or as much of it as there is.
-    Result<void> holdReserve(uint64_t bytes) { return reserve_.resize(bytes); }
+    // Holds that much disk space in reserve, or as much of it as there is, and a file to use it.
+    Result<void> holdReserve(uint64_t bytes);
     uint64_t reservedBytes() const { return reserve_.bytes(); }
+    // Whether the next content has a file to be written to.
+    bool hasSpare() const { return !spares_.empty(); }
 
     std::string pathOf(const std::string &name) const { return path_ + "/" + name; }
 
     // The files in the folder, by name.
-    std::vector<FileSize> fileSizes() const;
+    std::vector<FileSize> fileSizes() const { return fileSizesIn(path_); }
+    static std::vector<FileSize> fileSizesIn(const std::string &path);
 
 private:
     Result<void> openSpares();
+    Result<DiskFile> openSpare(const std::string &path) const;
+    Result<void> provideSpare();
     Result<void> sync() const;
     Result<void> writeSpare(DiskFile *spare, std::string_view content);
 
--- a/Source/Basilgap/Replication/DiskReserve.cpp
+++ b/Source/Basilgap/Replication/DiskReserve.cpp
@@ -13,20 +13,33 @@
 
 Result<DiskReserve> DiskReserve::open(const std::string &path, DiskCalls &calls)
 {
-    auto file = DiskFile::open(path, calls);
+    DiskReserve reserve;
+    reserve.path_ = path;
+    reserve.calls_ = &calls;
+    if (auto opened = reserve.openFile(); !opened && opened.error().code != ErrorCode::Full)
+        return fail(opened.error());
+    return reserve;
+}
+
+Result<void> DiskReserve::openFile()
+{
+    auto file = DiskFile::open(path_, *calls_);
     if (!file)
         return fail(file.error());
     const auto size = file->size();
     if (!size)
         return fail(size.error());
-    DiskReserve reserve;
-    reserve.file_ = std::move(*file);
-    reserve.bytes_ = *size;
-    return reserve;
+    file_ = std::move(*file);
+    bytes_ = *size;
+    return {};
 }
 
 Result<void> DiskReserve::resize(uint64_t bytes)
 {
+    if (!file_.isOpen()) {
+        if (auto opened = openFile(); !opened)
+            return opened;
+    }
     if (bytes < bytes_) {
         if (auto truncated = file_.truncate(bytes); !truncated)
             return truncated;
--- a/Source/Basilgap/Replication/DiskReserve.h
+++ b/Source/Basilgap/Replication/DiskReserve.h
@@ -13,7 +13,8 @@
 class DiskReserve
 {
 public:
-    // Opens the file; the bytes that it already has are held.
+    // Opens the file; the bytes that it already has are held. A file that a full disk has no space
+    // for is created later.
     static Result<DiskReserve> open(const std::string &path, DiskCalls &calls);
 
     // Grows or shrinks the reserve. After an error it holds what it could get.
@@ -25,6 +26,10 @@
     uint64_t bytes() const { return bytes_; }
 
 private:
+    Result<void> openFile();
+
+    std::string path_;
+    DiskCalls *calls_ = nullptr;
     DiskFile file_;
     uint64_t bytes_ = 0;
 };
--- a/Source/Basilgap/Replication/LogStorage.cpp
+++ b/Source/Basilgap/Replication/LogStorage.cpp
@@ -91,8 +91,10 @@
 {
     std::error_code code;
     std::filesystem::create_directories(options_.folder, code);
-    if (code)
-        return fail({ ErrorCode::Io, "create-folder", options_.folder, code.message() });
+    if (code) {
+        errno = code.value();
+        return fail(systemError("create-folder", options_.folder));
+    }
     lock_ = options_.calls->open(path(LockFile), O_RDWR | O_CREAT | O_CLOEXEC);
     if (lock_ < 0)
         return fail(systemError("open", path(LockFile)));
--- a/Source/Basilgap/Replication/LogStorage.h
+++ b/Source/Basilgap/Replication/LogStorage.h
@@ -27,8 +27,9 @@
         uint64_t reserveBytes = 0;
     };
 
-    // Opens the folder and reads its files. A torn record at the end of the log is truncated;
-    // damage anywhere else is an error that names the file and the offset.
+    // Opens the folder and reads its files. On a full disk this succeeds if no file of the folder
+    // is missing; otherwise the error is transient. A torn record at the end of the log is
+    // truncated; damage anywhere else is an error that names the file and the offset.
     static Result<std::unique_ptr<LogStorage>> open(Options options);
     ~LogStorage();
     LogStorage(const LogStorage &) = delete;
@@ -57,9 +58,15 @@
     // shortened log that finds the disk full, and not for further records.
     Result<void> restoreReserve();
     Result<void> restoreLeastReserve() { return folder_.holdReserve(leastReserve()); }
-    bool hasReserve() const { return folder_.reservedBytes() >= wantedReserve(); }
+    bool hasReserve() const
+    {
+        return folder_.hasSpare() && folder_.reservedBytes() >= wantedReserve();
+    }
     // Whether it holds what a crowded disk must have for records to be written.
-    bool hasLeastReserve() const { return folder_.reservedBytes() >= leastReserve(); }
+    bool hasLeastReserve() const
+    {
+        return folder_.hasSpare() && folder_.reservedBytes() >= leastReserve();
+    }
     // Fails, and leaves the reserve small, unless the disk has room for the log to grow beside it.
     Result<void> restoreReserveWithMargin();
     uint64_t reservedBytes() const { return folder_.reservedBytes(); }
--- a/Source/StandIns/QuotaDisk.h
+++ b/Source/StandIns/QuotaDisk.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 
+#include <fcntl.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -17,7 +18,7 @@
 namespace basilgap::standins {
 
 // A disk on which the files of one folder may take a limited number of bytes. Overwriting takes no
-// space, as on a real disk.
+// space, as on a real disk. Without a free byte no file can be created.
 class QuotaDisk : public replication::DiskCalls
 {
 public:
@@ -25,6 +26,9 @@
         : folder_(std::move(folder))
     {}
 
+    // While set, no file is created and nothing is written, whatever space is released.
+    void setRefusing(bool refusing) { refusing_ = refusing; }
+
     // From now on the files may grow by that many bytes in all.
     void setFreeBytes(uint64_t bytes) { capacity_ = usedBytes() + bytes; }
 
@@ -41,8 +45,22 @@
         return used;
     }
 
+    int open(const std::string &path, int flags) override
+    {
+        const bool creates = (flags & O_CREAT) != 0 && !std::filesystem::exists(path);
+        if (creates && (refusing_ || usedBytes() >= capacity_)) {
+            errno = ENOSPC;
+            return -1;
+        }
+        return DiskCalls::open(path, flags);
+    }
+
     ssize_t write(int file, const char *data, size_t length) override
     {
+        if (refusing_) {
+            errno = ENOSPC;
+            return -1;
+        }
         const off_t position = lseek(file, 0, SEEK_CUR);
         struct stat status = {};
         if (position < 0 || fstat(file, &status) != 0)
@@ -60,6 +78,7 @@
 
 private:
     std::string folder_;
+    std::atomic<bool> refusing_ = false;
     std::atomic<uint64_t> capacity_ = std::numeric_limits<uint64_t>::max() / 2;
 };
 
--- a/Source/UnitTests/Control/ReplicaCellTest.cpp
+++ b/Source/UnitTests/Control/ReplicaCellTest.cpp
@@ -21,6 +21,8 @@
 constexpr size_t DocumentBytes = 50000;
 constexpr uint64_t Changes = 120;
 constexpr uint64_t ChangesInFlight = 8;
+// Longer than it takes a replica to open its folder again after a failed write.
+constexpr Millis RefusalTime{ 2500 };
 constexpr auto TurnPause = std::chrono::milliseconds(1);
 
 std::string nameOf(size_t index)
@@ -67,14 +69,55 @@
     }
 
     void startCell(size_t size, MembershipMode mode)
+    {
+        ASSERT_NO_FATAL_FAILURE(openCell(size, mode, false));
+        ASSERT_TRUE(runUntil([this] { return leader().has_value(); }));
+    }
+
+    // Starts the replicas of a new cell, on disks that refuse everything if so asked.
+    void openCell(size_t size, MembershipMode mode, bool isRefusing)
     {
         mode_ = mode;
         for (size_t i = 0; i < size; i++)
             listen();
         peers_.assign(addresses_.begin(), addresses_.end());
+        setRefusing(isRefusing);
         for (size_t i = 0; i < size; i++)
-            startReplica(i, true);
-        ASSERT_TRUE(runUntil([this] { return leader().has_value(); }));
+            ASSERT_NO_FATAL_FAILURE(startReplica(i, true));
+    }
+
+    // Whether the disks of all replicas neither create files nor write.
+    void setRefusing(bool isRefusing)
+    {
+        for (Node &node : nodes_)
+            node.disk.setRefusing(isRefusing);
+    }
+
+    void runFor(Millis time)
+    {
+        const Millis end = steadyNow() + time;
+        ASSERT_TRUE(runUntil([end] { return steadyNow() >= end; }));
+    }
+
+    bool haveSameRecords()
+    {
+        if (!leader())
+            return false;
+        const replication::RaftCore &leading = replica(*leader()).core();
+        for (size_t i = 0; i < nodes_.size(); i++) {
+            if (leading.matchIndexOf(ReplicaId(nameOf(i))) != leading.lastIndex() && i != leader())
+                return false;
+        }
+        return true;
+    }
+
+    bool haveSameState()
+    {
+        for (Node &node : nodes_) {
+            if (node.replica->state().save() != replica(0).state().save())
+                return false;
+        }
+        return true;
     }
 
     // For the replicas that are started from now on.
@@ -468,5 +511,94 @@
     EXPECT_NE(leader(), full);
 }
 
+// Guards against processes that end, all alike, while the disks of their hosts are full.
+TEST_F(ReplicaCell, allReplicasKeepRunningWhileTheirDisksRefuseEverything)
+{
+    ASSERT_NO_FATAL_FAILURE(startCell(3, MembershipMode::Open));
+    ASSERT_NO_FATAL_FAILURE(propose(configuration(1)));
+    setRefusing(true);
+    std::optional<schema::OutcomeCode> outcome;
+    replica(*leader()).propose(configuration(2),
+        [&outcome](const schema::CommandOutcome &reply) { outcome = reply.code(); });
+    ASSERT_TRUE(runUntil([&outcome] { return outcome.has_value(); }));
+    EXPECT_EQ(outcome, schema::UNAVAILABLE);
+    ASSERT_NO_FATAL_FAILURE(runFor(RefusalTime));
+    EXPECT_FALSE(leader().has_value());
+    setRefusing(false);
+    ASSERT_NO_FATAL_FAILURE(propose(configuration(3)));
+    EXPECT_TRUE(runUntil([this] { return haveSameRecords() && haveSameState(); }));
+    EXPECT_EQ(replica(0).state().workConfig().version(), 3U);
+}
+
+// Guards against starts that fail, all alike, until the disks have space again.
+TEST_F(ReplicaCell, allReplicasStartWhileTheirDisksRefuseEverything)
+{
+    ASSERT_NO_FATAL_FAILURE(startCell(3, MembershipMode::Open));
+    ASSERT_NO_FATAL_FAILURE(propose(configuration(1)));
+    ASSERT_TRUE(runUntil([this] { return haveSameRecords(); }));
+    for (size_t i = 0; i < 3; i++)
+        node(i).replica.reset();
+    setRefusing(true);
+    for (size_t i = 0; i < 3; i++)
+        ASSERT_NO_FATAL_FAILURE(restart(i));
+    ASSERT_NO_FATAL_FAILURE(runFor(RefusalTime));
+    EXPECT_FALSE(leader().has_value()) << "no vote can be stored";
+    setRefusing(false);
+    ASSERT_TRUE(runUntil([this] { return leader().has_value() && haveAllVotes(); }));
+    EXPECT_TRUE(runUntil([this] { return haveSameRecords() && haveSameState(); }));
+    EXPECT_EQ(replica(0).state().workConfig().version(), 1U);
+    ASSERT_NO_FATAL_FAILURE(propose(configuration(2)));
+}
+
+// Guards against a cell that is formed with replicas that have no identity, or never.
+TEST_F(ReplicaCell, newCellIsFormedOnceItsDisksHaveSpace)
+{
+    ASSERT_NO_FATAL_FAILURE(openCell(3, MembershipMode::Open, true));
+    ASSERT_NO_FATAL_FAILURE(runFor(RefusalTime));
+    EXPECT_FALSE(leader().has_value());
+    node(0).disk.setRefusing(false);
+    ASSERT_NO_FATAL_FAILURE(runFor(RefusalTime));
+    EXPECT_TRUE(replica(0).core().isUninitialized()) << "the others have no identity yet";
+    setRefusing(false);
+    ASSERT_TRUE(runUntil([this] { return haveAllVotes(); }));
+    ASSERT_NO_FATAL_FAILURE(propose(configuration(1)));
+    EXPECT_TRUE(runUntil([this] { return haveSameRecords(); }));
+}
+
+// Guards against a host with a full disk that disturbs the others, or ends: it neither
+// acknowledges nor votes, and goes on when there is space.
+TEST_F(ReplicaCell, oneReplicaWhoseDiskRefusesEverythingDoesNotDisturbTheOthers)
+{
+    ASSERT_NO_FATAL_FAILURE(startCell(3, MembershipMode::Open));
+    const size_t full = (*leader() + 1) % 3;
+    node(full).disk.setRefusing(true);
+    ASSERT_NO_FATAL_FAILURE(propose(configuration(1)));
+    ASSERT_NO_FATAL_FAILURE(runFor(RefusalTime));
+    node(full).replica.reset();
+    ASSERT_NO_FATAL_FAILURE(restart(full));
+    ASSERT_NO_FATAL_FAILURE(runFor(RefusalTime));
+    ASSERT_NO_FATAL_FAILURE(propose(configuration(2)));
+    EXPECT_FALSE(haveSameRecords());
+    node(full).disk.setRefusing(false);
+    EXPECT_TRUE(runUntil([this] { return haveSameRecords() && haveSameState(); }));
+}
+
+// As above, for a host that lost its data: it joins under its new identity when it has one.
+TEST_F(ReplicaCell, replicaWithoutDataJoinsOnceItsDiskHasSpace)
+{
+    ASSERT_NO_FATAL_FAILURE(startCell(3, MembershipMode::Open));
+    const size_t wiped = (*leader() + 1) % 3;
+    lose(wiped);
+    node(wiped).disk.setRefusing(true);
+    ASSERT_NO_FATAL_FAILURE(restart(wiped));
+    ASSERT_NO_FATAL_FAILURE(runFor(RefusalTime));
+    ASSERT_NO_FATAL_FAILURE(propose(configuration(1)));
+    for (const schema::Member &member : replica(*leader()).core().membership().members())
+        EXPECT_NE(member.incarnation(), 0U) << member.id();
+    node(wiped).disk.setRefusing(false);
+    EXPECT_TRUE(runUntil([&] { return hasVote(wiped); }));
+    EXPECT_TRUE(runUntil([this] { return haveSameRecords() && haveSameState(); }));
+}
+
 } // namespace
 } // namespace basilgap::control
--- a/Source/UnitTests/Control/ReplicaDiskTest.cpp
+++ b/Source/UnitTests/Control/ReplicaDiskTest.cpp
@@ -23,6 +23,9 @@
 
     replication::DiskCalls &disk() override { return quota_; }
 
+    // Longer than it takes a replica to open its folder again after a failed write.
+    static constexpr Millis RefusalTime{ 2500 };
+
     void restart()
     {
         replica_.reset();
@@ -107,4 +110,77 @@
     EXPECT_FALSE(replica_->spaceError().empty());
 }
 
+// Guards against a process that ends on a full disk: the replica opened its folder again after the
+// failed write, which replaced the spare files, and a spare file that could not be created was
+// fatal.
+TEST_F(ReplicaDiskTest, replicaKeepsRunningWhileItsDiskRefusesEverything)
+{
+    // The log must be so short that no snapshot, for which the reserve is released, is tried.
+    propose();
+    ASSERT_TRUE(runUntil([this] { return accepted_ == 1; }));
+    quota_.setRefusing(true);
+    std::optional<schema::OutcomeCode> outcome;
+    schema::Command command;
+    command.mutable_expire();
+    replica_->propose(std::move(command),
+        [&outcome](const schema::CommandOutcome &reply) { outcome = reply.code(); });
+    ASSERT_TRUE(runUntil([&outcome] { return outcome.has_value(); }));
+    EXPECT_EQ(outcome, schema::UNAVAILABLE);
+    ASSERT_NO_FATAL_FAILURE(runFor(RefusalTime));
+    EXPECT_FALSE(replica_->isLeading());
+    quota_.setRefusing(false);
+    ASSERT_NO_FATAL_FAILURE(configure());
+}
+
+// Guards against a start that fails on a full disk although all that was acknowledged is there.
+TEST_F(ReplicaDiskTest, replicaStartsWhileItsDiskRefusesEverything)
+{
+    ASSERT_NO_FATAL_FAILURE(configure());
+    replica_.reset();
+    quota_.setRefusing(true);
+    ASSERT_NO_FATAL_FAILURE(openReplica());
+    ASSERT_NO_FATAL_FAILURE(runFor(RefusalTime));
+    EXPECT_FALSE(replica_->isLeading()) << "it cannot store its vote";
+    EXPECT_FALSE(replica_->diskError().empty());
+    quota_.setRefusing(false);
+    ASSERT_TRUE(runUntil([this] { return replica_->isLeading(); }));
+    EXPECT_EQ(replica_->state().workConfig().version(), 1U);
+    ASSERT_NO_FATAL_FAILURE(configure());
+}
+
+// As above, for a folder without spare files and reserve, of which none can be created.
+TEST_F(ReplicaDiskTest, replicaStartsWithoutSpareFilesWhileItsDiskRefusesEverything)
+{
+    ASSERT_NO_FATAL_FAILURE(configure());
+    replica_.reset();
+    for (const char *name : { "/spare0", "/spare1", "/spare2", "/reserve" })
+        std::filesystem::remove(folder_ + name);
+    quota_.setRefusing(true);
+    ASSERT_NO_FATAL_FAILURE(openReplica());
+    ASSERT_NO_FATAL_FAILURE(runFor(RefusalTime));
+    EXPECT_FALSE(replica_->isLeading());
+    quota_.setRefusing(false);
+    ASSERT_TRUE(runUntil([this] { return replica_->isLeading(); }));
+    ASSERT_NO_FATAL_FAILURE(configure());
+}
+
+// Guards against a start that fails on a full disk that holds nothing yet. Without an identity the
+// replica must not take part under a made-up one.
+TEST_F(ReplicaDiskTest, replicaWithoutDataStartsWhileItsDiskRefusesEverything)
+{
+    replica_.reset();
+    std::filesystem::remove_all(folder_);
+    quota_.setRefusing(true);
+    ASSERT_NO_FATAL_FAILURE(openReplica());
+    ASSERT_NO_FATAL_FAILURE(runFor(RefusalTime));
+    EXPECT_FALSE(replica_->isLeading());
+    EXPECT_FALSE(replica_->diskError().empty());
+    EXPECT_FALSE(replica_->makeProbeReply().probe_reply().blank())
+        << "the cell must not be bootstrapped with it";
+    quota_.setRefusing(false);
+    ASSERT_TRUE(runUntil([this] { return replica_->isLeading(); }));
+    EXPECT_NE(replica_->incarnation(), Incarnation());
+    ASSERT_NO_FATAL_FAILURE(configure());
+}
+
 } // namespace basilgap::control
--- a/Source/UnitTests/Control/SingleReplicaFixture.h
+++ b/Source/UnitTests/Control/SingleReplicaFixture.h
@@ -33,6 +33,13 @@
 
     // Starts the replica on the data that its folder holds, and waits until it leads.
     void startReplica()
+    {
+        ASSERT_NO_FATAL_FAILURE(openReplica());
+        ASSERT_TRUE(runUntil([this] { return replica_->isLeading(); }));
+    }
+
+    // Starts the replica on the data that its folder holds.
+    void openReplica()
     {
         auto started = Replica::start(loop_,
             {
@@ -50,7 +57,6 @@
             });
         ASSERT_TRUE(started.has_value()) << started.error().text();
         replica_ = std::move(*started);
-        ASSERT_TRUE(runUntil([this] { return replica_->isLeading(); }));
     }
 
     virtual replication::DiskCalls &disk() { return disk_; }
@@ -74,6 +80,12 @@
         return condition();
     }
 
+    void runFor(Millis time)
+    {
+        const Millis end = steadyNow() + time;
+        ASSERT_TRUE(runUntil([end] { return steadyNow() >= end; }));
+    }
+
     // Proposes a command that must be accepted in the end.
     void propose(schema::Command command)
     {
--- a/Source/UnitTests/Replication/LogStorageTest.cpp
+++ b/Source/UnitTests/Replication/LogStorageTest.cpp
@@ -1,6 +1,11 @@
+#include <algorithm>
 #include <cerrno>
 #include <filesystem>
 #include <fstream>
+#include <utility>
+
+#include <fcntl.h>
+#include <sys/stat.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -14,30 +19,69 @@
 
 namespace {
 
-// Fails writes and syncs on demand.
+// Fails operations on demand.
 class FakeDisk : public DiskCalls
 {
 public:
+    int open(const std::string &path, int flags) override
+    {
+        if (full && (flags & O_CREAT) != 0 && !std::filesystem::exists(path))
+            return failWith(ENOSPC);
+        return DiskCalls::open(path, flags);
+    }
+
     ssize_t write(int file, const char *data, size_t length) override
     {
-        if (full) {
-            errno = ENOSPC;
-            return -1;
-        }
-        return DiskCalls::write(file, data, length);
+        if (full && writableBytes == 0)
+            return failWith(ENOSPC);
+        if (!full)
+            return DiskCalls::write(file, data, length);
+        const size_t part = std::min(length, std::exchange(writableBytes, 0));
+        return DiskCalls::write(file, data, part);
+    }
+
+    int truncate(int file, uint64_t length) override
+    {
+        return truncateError != 0 ? failWith(truncateError) : DiskCalls::truncate(file, length);
+    }
+
+    int rename(const std::string &from, const std::string &to) override
+    {
+        return renameError != 0 ? failWith(renameError) : DiskCalls::rename(from, to);
     }
 
     int sync(int file) override
     {
-        if (syncFails) {
-            errno = EIO;
-            return -1;
-        }
-        return DiskCalls::sync(file);
+        if (syncFails)
+            return failWith(EIO);
+        return syncError != 0 ? failWith(syncError) : DiskCalls::sync(file);
     }
 
+    int syncFolder(int folder) override
+    {
+        if (folderSyncError != 0 && folderSyncsBeforeError-- <= 0)
+            return failWith(folderSyncError);
+        return DiskCalls::syncFolder(folder);
+    }
+
+    // Neither creates files nor writes.
     bool full = false;
+    // Written by the next write to the full disk.
+    size_t writableBytes = 0;
     bool syncFails = false;
+    // Numbers of system errors; 0 for none.
+    int syncError = 0;
+    int folderSyncError = 0;
+    int folderSyncsBeforeError = 0;
+    int renameError = 0;
+    int truncateError = 0;
+
+private:
+    static int failWith(int number)
+    {
+        errno = number;
+        return -1;
+    }
 };
 
 class LogStorageTest : public testing::Test
@@ -50,6 +94,27 @@
         return LogStorage::open({ .folder = folder_, .replica = ReplicaId("r1"), .calls = &disk_ });
     }
 
+    // The last index of the log in the folder, which no storage may have open.
+    uint64_t lastIndexOnDisk()
+    {
+        auto storage = open();
+        EXPECT_TRUE(storage.has_value());
+        return storage ? (*storage)->takePersistentState().log.lastIndex().value() : 0;
+    }
+
+    static RaftOutput vote(uint64_t term)
+    {
+        RaftOutput output;
+        output.hardState.emplace().set_term(term);
+        return output;
+    }
+
+    static void expectFull(const Result<void> &result)
+    {
+        ASSERT_FALSE(result.has_value());
+        EXPECT_EQ(result.error().code, ErrorCode::Full) << result.error().text();
+    }
+
     static RaftOutput outputWithRecords(uint64_t from, uint64_t to)
     {
         RaftOutput output;
@@ -215,6 +280,55 @@
     EXPECT_EQ(persistentState.log.lastIndex(), LogIndex(24));
 }
 
+// Guards against a start that fails on a full disk: spare files were created anew at each start,
+// after those that were there had been removed.
+TEST_F(LogStorageTest, existingFolderIsOpenedOnADiskThatRefusesEverything)
+{
+    ASSERT_TRUE((*open())->write(outputWithRecords(1, 3)).has_value());
+    disk_.full = true;
+    auto storage = open();
+    ASSERT_TRUE(storage.has_value()) << storage.error().text();
+    EXPECT_EQ((*storage)->takePersistentState().log.lastIndex(), LogIndex(3));
+    expectFull((*storage)->write(outputWithRecords(4, 5)));
+    expectFull((*storage)->write(vote(2)));
+    expectFull((*storage)->saveSnapshot(snapshotAt(2), LogIndex(2)));
+    disk_.full = false;
+    EXPECT_TRUE((*storage)->write(outputWithRecords(4, 5)).has_value());
+    EXPECT_TRUE((*storage)->write(vote(2)).has_value());
+    EXPECT_TRUE((*storage)->saveSnapshot(snapshotAt(2), LogIndex(2)).has_value());
+    storage->reset();
+    EXPECT_EQ(lastIndexOnDisk(), 5U);
+}
+
+TEST_F(LogStorageTest, missingSpareFilesAreCreatedOnceThereIsSpace)
+{
+    ASSERT_TRUE((*open())->write(outputWithRecords(1, 3)).has_value());
+    for (const char *name : { "/spare0", "/spare1", "/spare2", "/reserve" })
+        std::filesystem::remove(folder_ + name);
+    disk_.full = true;
+    auto storage = open();
+    ASSERT_TRUE(storage.has_value()) << storage.error().text();
+    expectFull((*storage)->write(vote(2)));
+    disk_.full = false;
+    EXPECT_TRUE((*storage)->write(vote(2)).has_value());
+    for (const char *name : { "/spare0", "/spare1", "/spare2" })
+        EXPECT_TRUE(std::filesystem::exists(folder_ + name)) << name;
+}
+
+TEST_F(LogStorageTest, newFolderIsOpenedOnceThereIsSpace)
+{
+    disk_.full = true;
+    for (int i = 0; i < 2; i++) {
+        const auto refused = open();
+        ASSERT_FALSE(refused.has_value());
+        EXPECT_TRUE(isTransient(refused.error())) << refused.error().text();
+    }
+    disk_.full = false;
+    const auto storage = open();
+    ASSERT_TRUE(storage.has_value());
+    EXPECT_NE((*storage)->incarnation(), Incarnation());
+}
+
 TEST_F(LogStorageTest, shortageOfDescriptorsIsTransient)
 {
     const standins::DescriptorShortage shortage;
