Treat a sync that finds no space as a full disk whose state is unknown

Cause: a sync that failed with ENOSPC or EDQUOT, as on file systems that allocate late, was an I/O error and ended the process. So did a truncation after a failed write that found no space itself (copy on write), or it left the remains of that write in the log behind later records.

Change: such a sync has the code Full, and what it was to make durable is discarded: the records of that write are cut off, a spare file is emptied and written again after the release of the reserve, and the reserve holds what it held before. After a sync of the folder that found no space, no record is written until the folder is synced. Remains that could not be cut are cut by the next write. A start syncs the folder and the log before it relies on them. If that finds no space the folder isn't opened, and the next try writes the log to a new file, since a later sync of the same file reports no error for the pages of the failed one. Other failed syncs end the process as before.

Ruled out: to sync again after a failed sync. The kernel drops the error and keeps the pages as clean.

Seen before, on the code without any of the changes: LogStorageTest.recordsWhoseSyncFindsNoSpaceAreRemoved (code Io, and the records read back: last index 6 in place of 3), logWhoseSyncAtTheStartFindsNoSpaceIsWrittenAnew (opened without a sync), voteCountsOnceTheFolderIsSynced and recordsFollowAShortenedLogWhoseNameWasNotSynced (code Io; the write after it accepted), remainsOfAFailedWriteAreRemovedBeforeTheNextOne (remains read back). renameThatFindsNoSpaceReplacesNothing passed before.

--- a/Source/Basilgap/Control/Replica.cpp
+++ b/Source/Basilgap/Control/Replica.cpp
@@ -17,20 +17,21 @@
 
 Result<std::unique_ptr<Replica>> Replica::start(network::EventLoop &loop, Options options)
 {
-    auto storage = openStorage(options);
+    auto storage = openStorage(options, false);
     if (!storage && !isTransient(storage.error()))
         return fail(storage.error());
     std::unique_ptr<Replica> replica(new Replica(loop, std::move(options), std::move(storage)));
     return replica;
 }
 
-Replica::OpenedStorage Replica::openStorage(const Options &options)
+Replica::OpenedStorage Replica::openStorage(const Options &options, bool mustRewriteLog)
 {
     return replication::LogStorage::open({
         .folder = options.settings.data_folder(),
         .replica = ReplicaId(options.settings.id()),
         .calls = &options.disk,
         .reserveBytes = options.settings.snapshot_bytes(),
+        .mustRewriteLog = mustRewriteLog,
     });
 }
 
--- a/Source/Basilgap/Control/Replica.h
+++ b/Source/Basilgap/Control/Replica.h
@@ -121,7 +121,7 @@
     using OpenedStorage = Result<std::unique_ptr<replication::LogStorage>>;
 
     Replica(network::EventLoop &loop, Options options, OpenedStorage storage);
-    static OpenedStorage openStorage(const Options &options);
+    static OpenedStorage openStorage(const Options &options, bool mustRewriteLog);
     void load(std::unique_ptr<replication::LogStorage> storage);
     void startCore(replication::RaftPersistentState persistentState);
     void awaitStorage(const Error &error);
--- a/Source/Basilgap/Control/ReplicaWriting.cpp
+++ b/Source/Basilgap/Control/ReplicaWriting.cpp
@@ -150,8 +150,10 @@
 // Starts again from what is on the disk. What was not written has not been acknowledged.
 void Replica::reopen()
 {
+    // A folder that could not be opened may have a log that could not be synced.
+    const bool mustRewriteLog = !storage_ || storage_->hasRemains();
     storage_.reset();
-    auto storage = openStorage(options_);
+    auto storage = openStorage(options_, mustRewriteLog);
     if (!storage && !isTransient(storage.error()))
         return options_.onFatal(storage.error());
     if (!storage)
--- a/Source/Basilgap/Replication/DataFolder.cpp
+++ b/Source/Basilgap/Replication/DataFolder.cpp
@@ -34,6 +34,7 @@
     , spares_(std::move(other.spares_))
     , reserve_(std::move(other.reserve_))
     , nextSpare_(other.nextSpare_)
+    , hasUnsyncedNames_(other.hasUnsyncedNames_)
 {}
 
 DataFolder &DataFolder::operator=(DataFolder &&other) noexcept
@@ -48,6 +49,7 @@
     spares_ = std::move(other.spares_);
     reserve_ = std::move(other.reserve_);
     nextSpare_ = other.nextSpare_;
+    hasUnsyncedNames_ = other.hasUnsyncedNames_;
     return *this;
 }
 
@@ -68,6 +70,9 @@
             return fail(opened.error());
         LogEvent("spare-file-missing", LogLevel::Warning).with(opened.error());
     }
+    // The process before may have ended between a replacement and its sync.
+    if (auto synced = folder.syncNames(); !synced)
+        return fail(synced.error());
     return folder;
 }
 
@@ -121,13 +126,17 @@
     return reserve_.resize(bytes);
 }
 
-Result<void> DataFolder::sync() const
+Result<void> DataFolder::syncNames()
 {
-    if (calls_->syncFolder(folder_) == 0)
+    if (!hasUnsyncedNames_)
+        return {};
+    if (calls_->syncFolder(folder_) == 0) {
+        hasUnsyncedNames_ = false;
         return {};
-    // Nobody knows what a failed sync left on the disk, whatever its cause.
+    }
     Error error = systemError("sync-folder", path_);
-    error.code = ErrorCode::Io;
+    if (error.code != ErrorCode::Full)
+        error.code = ErrorCode::Io;
     return fail(error);
 }
 
@@ -138,19 +147,16 @@
     Spare &spare = spares_.front();
     if (auto written = writeSpare(&spare.file, content); !written)
         return fail(written.error());
-    if (auto synced = spare.file.sync(); !synced)
-        return fail(synced.error());
     if (calls_->rename(pathOf(spare.name), pathOf(name)) != 0) {
         const Error error = systemError("rename", pathOf(name));
-        if (auto emptied = spare.file.truncate(0); !emptied)
+        if (auto emptied = spare.file.discardFrom(0); !emptied)
             return fail(emptied.error());
         return fail(error);
     }
+    hasUnsyncedNames_ = true;
     DiskFile file = std::move(spare.file);
     file.setPath(pathOf(name));
     spares_.erase(spares_.begin());
-    if (auto synced = sync(); !synced)
-        return fail(synced.error());
     // The next replacement tries again.
     if (auto opened = openSpares(); !opened)
         LogEvent("spare-file-missing", LogLevel::Warning).with(opened.error());
@@ -159,11 +165,23 @@
 
 Result<void> DataFolder::writeSpare(DiskFile *spare, std::string_view content)
 {
-    auto written = spare->writeAt(0, content);
+    auto written = writeAndSync(spare, content);
     if (written || written.error().code != ErrorCode::Full || !reserve_.release())
         return written;
     LogEvent("disk-reserve-released", LogLevel::Warning).with(written.error());
-    return spare->writeAt(0, content);
+    return writeAndSync(spare, content);
+}
+
+Result<void> DataFolder::writeAndSync(DiskFile *spare, std::string_view content)
+{
+    if (auto written = spare->writeAt(0, content); !written)
+        return written;
+    auto synced = spare->sync();
+    if (synced || synced.error().code != ErrorCode::Full)
+        return synced;
+    if (auto emptied = spare->discardFrom(0); !emptied)
+        return emptied;
+    return synced;
 }
 
 std::vector<FileSize> DataFolder::fileSizesIn(const std::string &path)
--- a/Source/Basilgap/Replication/DataFolder.h
+++ b/Source/Basilgap/Replication/DataFolder.h
@@ -32,12 +32,15 @@
     // created later.
     static Result<DataFolder> open(const std::string &path, DiskCalls &calls);
 
-    // Replaces the content of a file: after a crash it holds either the old or the new content.
-    // Returns the new file, which stays open. On a full disk the reserve is released. After a
-    // transient error (see isTransient()) nothing has been replaced; after any other the state on
-    // disk is unknown.
+    // Replaces the content of a file: after a crash it holds either the old or the new content, and
+    // the new one once syncNames() has succeeded. Returns the new file, which stays open. On a full
+    // disk the reserve is released. After a transient error (see isTransient()) nothing has been
+    // replaced; after any other the state on disk is unknown.
     Result<DiskFile> replace(const std::string &name, std::string_view content);
 
+    // Makes all replacements durable. After a transient error it may be called again.
+    Result<void> syncNames();
+
     // Holds that much disk space in reserve, or as much of it as there is, and a file to use it.
     Result<void> holdReserve(uint64_t bytes);
     uint64_t reservedBytes() const { return reserve_.bytes(); }
@@ -54,8 +57,8 @@
     Result<void> openSpares();
     Result<DiskFile> openSpare(const std::string &path) const;
     Result<void> provideSpare();
-    Result<void> sync() const;
     Result<void> writeSpare(DiskFile *spare, std::string_view content);
+    static Result<void> writeAndSync(DiskFile *spare, std::string_view content);
 
     std::string path_;
     DiskCalls *calls_ = nullptr;
@@ -69,6 +72,8 @@
     std::vector<Spare> spares_;
     DiskReserve reserve_;
     uint64_t nextSpare_ = 0;
+    // Whether names were changed since the last sync of the folder, by this process or before it.
+    bool hasUnsyncedNames_ = true;
 };
 
 } // namespace basilgap::replication
--- a/Source/Basilgap/Replication/DiskFile.cpp
+++ b/Source/Basilgap/Replication/DiskFile.cpp
@@ -67,6 +67,7 @@
     : file_(std::exchange(other.file_, -1))
     , path_(std::move(other.path_))
     , calls_(other.calls_)
+    , hasRemains_(other.hasRemains_)
 {}
 
 DiskFile &DiskFile::operator=(DiskFile &&other) noexcept
@@ -78,6 +79,7 @@
     file_ = std::exchange(other.file_, -1);
     path_ = std::move(other.path_);
     calls_ = other.calls_;
+    hasRemains_ = other.hasRemains_;
     return *this;
 }
 
@@ -94,6 +96,10 @@
 
 Result<void> DiskFile::writeAt(uint64_t offset, std::string_view data)
 {
+    if (hasRemains_) {
+        if (auto cut = truncate(offset); !cut)
+            return cut;
+    }
     if (::lseek(file_, static_cast<off_t>(offset), SEEK_SET) < 0)
         return fail(systemError("seek", path_));
     size_t written = 0;
@@ -104,8 +110,8 @@
             continue;
         if (bytesWritten <= 0) {
             const Error error = systemError("write", path_);
-            if (calls_->truncate(file_, offset) != 0)
-                return fail(systemError("truncate", path_));
+            if (auto cut = discardFrom(offset); !cut)
+                return cut;
             return fail(error);
         }
         written += static_cast<size_t>(bytesWritten);
@@ -117,6 +123,16 @@
 {
     if (calls_->truncate(file_, length) != 0)
         return fail(systemError("truncate", path_));
+    hasRemains_ = false;
+    return {};
+}
+
+Result<void> DiskFile::discardFrom(uint64_t offset)
+{
+    hasRemains_ = true;
+    auto cut = truncate(offset);
+    if (!cut && !isTransient(cut.error()))
+        return cut;
     return {};
 }
 
@@ -140,9 +156,9 @@
 {
     if (calls_->sync(file_) == 0)
         return {};
-    // Nobody knows what a failed sync left on the disk, whatever its cause.
     Error error = systemError("sync", path_);
-    error.code = ErrorCode::Io;
+    if (error.code != ErrorCode::Full)
+        error.code = ErrorCode::Io;
     return fail(error);
 }
 
--- a/Source/Basilgap/Replication/DiskReserve.cpp
+++ b/Source/Basilgap/Replication/DiskReserve.cpp
@@ -47,6 +47,20 @@
     }
     if (bytes == bytes_)
         return {};
+    const uint64_t heldBefore = bytes_;
+    if (auto grown = grow(bytes); !grown)
+        return grown;
+    auto synced = file_.sync();
+    if (synced || synced.error().code != ErrorCode::Full)
+        return synced;
+    if (auto discarded = file_.discardFrom(heldBefore); !discarded)
+        return discarded;
+    bytes_ = heldBefore;
+    return synced;
+}
+
+Result<void> DiskReserve::grow(uint64_t bytes)
+{
     const std::string zeros(std::min(ChunkBytes, bytes - bytes_), '\0');
     while (bytes_ < bytes) {
         const uint64_t length = std::min<uint64_t>(zeros.size(), bytes - bytes_);
@@ -55,7 +69,7 @@
             return written;
         bytes_ += length;
     }
-    return file_.sync();
+    return {};
 }
 
 bool DiskReserve::release()
--- a/Source/Basilgap/Replication/DiskReserve.h
+++ b/Source/Basilgap/Replication/DiskReserve.h
@@ -27,6 +27,7 @@
 
 private:
     Result<void> openFile();
+    Result<void> grow(uint64_t bytes);
 
     std::string path_;
     DiskCalls *calls_ = nullptr;
--- a/Source/Basilgap/Replication/LogStorage.cpp
+++ b/Source/Basilgap/Replication/LogStorage.cpp
@@ -112,7 +112,7 @@
 {
     if (auto file = folder_.replace(name, content); !file)
         return fail(file.error());
-    return {};
+    return folder_.syncNames();
 }
 
 Result<void> LogStorage::readIdentity()
@@ -166,10 +166,26 @@
     if (!file)
         return fail(file.error());
     log_ = std::move(*file);
-    return scanLog(*bytes);
+    std::vector<schema::LogRecord> records;
+    if (auto scanned = scanLog(*bytes, &records); !scanned)
+        return scanned;
+    if (auto done = makeLogDurable(*bytes); !done)
+        return done;
+    return loadRecords(std::move(records));
 }
 
-Result<void> LogStorage::scanLog(const std::string &bytes)
+// The process before may have ended between a write and its sync.
+Result<void> LogStorage::makeLogDurable(const std::string &bytes)
+{
+    if (!options_.mustRewriteLog)
+        return log_.sync();
+    std::vector<std::string> records;
+    for (const uint64_t offset : offsets_)
+        records.emplace_back(readFrame(bytes, offset).content);
+    return rewriteLog(LogIndex(baseIndex_), Term(baseTerm_), records);
+}
+
+Result<void> LogStorage::scanLog(const std::string &bytes, std::vector<schema::LogRecord> *records)
 {
     // The header is written by an atomic replacement of the file only, so it can't be torn.
     schema::SnapshotMeta header;
@@ -180,7 +196,6 @@
     baseIndex_ = header.index();
     baseTerm_ = header.term();
 
-    std::vector<schema::LogRecord> records;
     size_t offset = first.length;
     while (offset < bytes.size()) {
         const Frame frame = readFrame(bytes, offset);
@@ -196,19 +211,17 @@
             || record.index() != lastIndex() + 1)
             return fail(damaged(path(LogFile), offset));
         offsets_.push_back(offset);
-        records.push_back(std::move(record));
+        records->push_back(std::move(record));
         offset += frame.length;
     }
     logLength_ = offset;
-    return loadRecords(std::move(records));
+    return {};
 }
 
 Result<void> LogStorage::truncateTornTail(const std::string &bytes, size_t offset)
 {
     tornBytes_ = bytes.size() - offset;
-    if (auto cut = log_.truncate(offset); !cut)
-        return cut;
-    return log_.sync();
+    return log_.discardFrom(offset);
 }
 
 Result<void> LogStorage::loadRecords(std::vector<schema::LogRecord> records)
@@ -240,6 +253,9 @@
 
 Result<void> LogStorage::write(const RaftOutput &output)
 {
+    // A log whose name is not on the disk must not take records.
+    if (auto synced = folder_.syncNames(); !synced)
+        return synced;
     if (output.hardState) {
         if (auto done = writeHardState(*output.hardState); !done)
             return done;
@@ -257,9 +273,31 @@
     }
     if (output.append.empty() && !output.truncateFrom)
         return {};
+    const LogIndex lastDurable(lastIndex());
     if (auto done = append(output.append); !done)
         return done;
-    return log_.sync();
+    return syncLog(lastDurable);
+}
+
+// If the sync finds no space, the records after the given one are in an unknown state. They are
+// removed, so that they are not read back and taken for durable.
+Result<void> LogStorage::syncLog(LogIndex lastDurable)
+{
+    auto synced = log_.sync();
+    if (synced || synced.error().code != ErrorCode::Full)
+        return synced;
+    forgetFrom(LogIndex(lastDurable.value() + 1));
+    if (auto discarded = log_.discardFrom(logLength_); !discarded)
+        return discarded;
+    return synced;
+}
+
+void LogStorage::forgetFrom(LogIndex index)
+{
+    if (index.value() > lastIndex())
+        return;
+    logLength_ = offsets_[index.value() - baseIndex_ - 1];
+    offsets_.resize(index.value() - baseIndex_ - 1);
 }
 
 Result<void> LogStorage::append(const std::vector<schema::LogRecord> &records)
@@ -291,8 +329,7 @@
     const uint64_t offset = offsets_[index.value() - baseIndex_ - 1];
     if (auto done = log_.truncate(offset); !done)
         return done;
-    offsets_.resize(index.value() - baseIndex_ - 1);
-    logLength_ = offset;
+    forgetFrom(index);
     return {};
 }
 
@@ -389,7 +426,7 @@
     offsets_ = std::move(offsets);
     if (!persistentState_.log.size())
         persistentState_.log = RaftLog(baseIndex, baseTerm, {});
-    return {};
+    return folder_.syncNames();
 }
 
 } // namespace basilgap::replication
--- a/Source/Basilgap/Replication/LogStorage.h
+++ b/Source/Basilgap/Replication/LogStorage.h
@@ -25,6 +25,9 @@
         DiskCalls *calls = nullptr;
         // Disk space held in reserve besides that for the next snapshot.
         uint64_t reserveBytes = 0;
+        // Set if a sync of the log may have failed before. Its records can then be read although
+        // they may not be on the disk, and no later sync says so: they are written to a new file.
+        bool mustRewriteLog = false;
     };
 
     // Opens the folder and reads its files. On a full disk this succeeds if no file of the folder
@@ -76,6 +79,8 @@
     }
 
     uint64_t logBytes() const { return logLength_; }
+    // Whether the log on the disk still has records that were discarded.
+    bool hasRemains() const { return log_.hasRemains(); }
     std::vector<FileSize> fileSizes() const { return folder_.fileSizes(); }
     // Size of the records in the log up to and including the index.
     uint64_t bytesUpTo(LogIndex index) const;
@@ -89,12 +94,15 @@
     Result<void> readHardState();
     Result<void> readSnapshot();
     Result<void> readLog();
-    Result<void> scanLog(const std::string &bytes);
+    Result<void> scanLog(const std::string &bytes, std::vector<schema::LogRecord> *records);
+    Result<void> makeLogDurable(const std::string &bytes);
     Result<void> truncateTornTail(const std::string &bytes, size_t offset);
     Result<void> loadRecords(std::vector<schema::LogRecord> records);
     Result<void> writeHardState(const schema::HardState &state);
     Result<void> append(const std::vector<schema::LogRecord> &records);
     Result<void> truncateFrom(LogIndex index);
+    Result<void> syncLog(LogIndex lastDurable);
+    void forgetFrom(LogIndex index);
     Result<void> rewriteLog(
         LogIndex baseIndex, Term baseTerm, const std::vector<std::string> &records);
     std::string path(const char *name) const { return options_.folder + "/" + name; }
--- a/Source/UnitTests/Replication/LogStorageTest.cpp
+++ b/Source/UnitTests/Replication/LogStorageTest.cpp
@@ -329,6 +329,111 @@
     EXPECT_NE((*storage)->incarnation(), Incarnation());
 }
 
+// Guards against a process that ends because a sync finds no space, as on file systems that
+// allocate late. What was to be synced is in an unknown state and must not count as written.
+TEST_F(LogStorageTest, recordsWhoseSyncFindsNoSpaceAreRemoved)
+{
+    for (const int number : { ENOSPC, EDQUOT }) {
+        auto storage = open();
+        const uint64_t last = (*storage)->takePersistentState().log.lastIndex().value();
+        ASSERT_TRUE((*storage)->write(outputWithRecords(last + 1, last + 3)).has_value());
+        disk_.syncError = number;
+        expectFull((*storage)->write(outputWithRecords(last + 4, last + 6)));
+        disk_.syncError = 0;
+        storage->reset();
+        EXPECT_EQ(lastIndexOnDisk(), last + 3);
+        ASSERT_TRUE((*open())->write(outputWithRecords(last + 4, last + 4)).has_value());
+    }
+}
+
+// Guards against records that are taken for durable: a process that was killed had written them,
+// the sync of the next start failed, and a later sync of the same file reports no error.
+TEST_F(LogStorageTest, logWhoseSyncAtTheStartFindsNoSpaceIsWrittenAnew)
+{
+    ASSERT_TRUE((*open())->write(outputWithRecords(1, 3)).has_value());
+    disk_.syncError = ENOSPC;
+    const auto refused = open();
+    ASSERT_FALSE(refused.has_value());
+    EXPECT_EQ(refused.error().code, ErrorCode::Full);
+    disk_.syncError = 0;
+    struct stat before = {};
+    ASSERT_EQ(::stat(logPath().c_str(), &before), 0);
+    auto storage = LogStorage::open(
+        { .folder = folder_, .replica = ReplicaId("r1"), .calls = &disk_, .mustRewriteLog = true });
+    ASSERT_TRUE(storage.has_value());
+    EXPECT_EQ((*storage)->takePersistentState().log.lastIndex(), LogIndex(3));
+    struct stat after = {};
+    ASSERT_EQ(::stat(logPath().c_str(), &after), 0);
+    EXPECT_NE(before.st_ino, after.st_ino);
+    ASSERT_TRUE((*storage)->write(outputWithRecords(4, 4)).has_value());
+    storage->reset();
+    EXPECT_EQ(lastIndexOnDisk(), 4U);
+}
+
+// Guards against a vote that is sent and lost in a power cut: its file had its name, and the folder
+// was not synced.
+TEST_F(LogStorageTest, voteCountsOnceTheFolderIsSynced)
+{
+    auto storage = open();
+    disk_.folderSyncError = ENOSPC;
+    expectFull((*storage)->write(vote(2)));
+    expectFull((*storage)->write(outputWithRecords(1, 1)));
+    storage->reset();
+    const auto refused = open();
+    ASSERT_FALSE(refused.has_value());
+    EXPECT_EQ(refused.error().code, ErrorCode::Full);
+    disk_.folderSyncError = 0;
+    storage = open();
+    ASSERT_TRUE(storage.has_value());
+    EXPECT_TRUE((*storage)->write(outputWithRecords(1, 1)).has_value());
+}
+
+// Guards against records that are written to the file that the shortened log has replaced.
+TEST_F(LogStorageTest, recordsFollowAShortenedLogWhoseNameWasNotSynced)
+{
+    auto storage = open();
+    ASSERT_TRUE((*storage)->write(outputWithRecords(1, 9)).has_value());
+    disk_.folderSyncError = ENOSPC;
+    disk_.folderSyncsBeforeError = 1;
+    expectFull((*storage)->saveSnapshot(snapshotAt(5), LogIndex(5)));
+    expectFull((*storage)->write(outputWithRecords(10, 10)));
+    disk_.folderSyncError = 0;
+    ASSERT_TRUE((*storage)->write(outputWithRecords(10, 10)).has_value());
+    storage->reset();
+    EXPECT_EQ(lastIndexOnDisk(), 10U);
+}
+
+TEST_F(LogStorageTest, renameThatFindsNoSpaceReplacesNothing)
+{
+    auto storage = open();
+    ASSERT_TRUE((*storage)->write(vote(2)).has_value());
+    disk_.renameError = EDQUOT;
+    expectFull((*storage)->write(vote(3)));
+    disk_.renameError = 0;
+    storage->reset();
+    storage = open();
+    EXPECT_EQ((*storage)->takePersistentState().hardState.term(), 2U);
+    EXPECT_TRUE((*storage)->write(vote(3)).has_value());
+}
+
+// Guards against the remains of a failed write behind the records that were written after it: a
+// file system that copies on write may find no space for a truncation either.
+TEST_F(LogStorageTest, remainsOfAFailedWriteAreRemovedBeforeTheNextOne)
+{
+    auto storage = open();
+    ASSERT_TRUE((*storage)->write(outputWithRecords(1, 3)).has_value());
+    disk_.full = true;
+    disk_.writableBytes = 100;
+    disk_.truncateError = ENOSPC;
+    expectFull((*storage)->write(outputWithRecords(4, 13)));
+    expectFull((*storage)->write(outputWithRecords(4, 4)));
+    disk_.full = false;
+    disk_.truncateError = 0;
+    ASSERT_TRUE((*storage)->write(outputWithRecords(4, 4)).has_value());
+    storage->reset();
+    EXPECT_EQ(lastIndexOnDisk(), 4U);
+}
+
 TEST_F(LogStorageTest, shortageOfDescriptorsIsTransient)
 {
     const standins::DescriptorShortage shortage;
