Let a replica form its cell after a first record that found no space

Cause: the first term is written before the first record.

Change: it takes one as long as it has not acted: its term is the first one, it has no record and has not voted. Elections start after that term, so it has acknowledged nothing.

Seen before: ReplicaDiskTest.replicaWithoutDataFormsItsCellOnceThereIsSpace, with 80 bytes free: no leader within 10 s of there being space.

--- a/Source/Basilgap/Replication/RaftCore.cpp
+++ b/Source/Basilgap/Replication/RaftCore.cpp
@@ -7,6 +7,13 @@
 
 namespace basilgap::replication {
 
+namespace {
+
+// The term of the record that forms a cell. Elections start after it.
+constexpr uint64_t FirstTerm = 1;
+
+} // namespace
+
 const char *toText(RaftRole role)
 {
     switch (role) {
@@ -81,18 +88,20 @@
 
 void RaftCore::bootstrap(const schema::Membership &membership, Millis now)
 {
-    if (!isUninitialized() || log_.lastIndex().value() != 0 || hardState_.term() != 0)
+    // A replica whose disk had space for its first term and not for its first record starts again.
+    const bool hasActed = hardState_.term() > FirstTerm || !hardState_.voted_for().empty();
+    if (!isUninitialized() || log_.lastIndex().value() != 0 || hasActed)
         return;
     now_ = now;
     schema::LogRecord record;
     record.set_index(1);
-    record.set_term(1);
+    record.set_term(FirstTerm);
     record.set_kind(schema::LogRecord::MEMBERSHIP);
     record.set_data(membership.SerializeAsString());
     recordMembership(record);
     log_.append(record);
     output_.append.push_back(std::move(record));
-    hardState_.set_term(1);
+    hardState_.set_term(FirstTerm);
     saveHardState();
     resetElectionDue();
 }
--- a/Source/UnitTests/Control/ReplicaDiskTest.cpp
+++ b/Source/UnitTests/Control/ReplicaDiskTest.cpp
@@ -183,4 +183,24 @@
     ASSERT_NO_FATAL_FAILURE(configure());
 }
 
+// Guards against a replica that never forms its cell: the disk was full after any one of the first
+// files and records had been written.
+TEST_F(ReplicaDiskTest, replicaWithoutDataFormsItsCellOnceThereIsSpace)
+{
+    constexpr uint64_t MostBytes = 280;
+    constexpr uint64_t Step = 40;
+    for (uint64_t bytes = 0; bytes <= MostBytes; bytes += Step) {
+        replica_.reset();
+        std::filesystem::remove_all(folder_);
+        std::filesystem::create_directory(folder_);
+        quota_.setFreeBytes(bytes);
+        ASSERT_NO_FATAL_FAILURE(openReplica());
+        ASSERT_TRUE(
+            runUntil([this] { return replica_->isLeading() || !replica_->diskError().empty(); }));
+        quota_.setFreeBytes(16 * SnapshotBytes);
+        ASSERT_TRUE(runUntil([this] { return replica_->isLeading(); }))
+            << bytes << " bytes: " << replica_->diskError();
+    }
+}
+
 } // namespace basilgap::control
