Restore the reserve at the first tick, and test syncs that find no space

Cause: a start restored the reserve before the event loop ran. If the sync of the reserve failed for another cause than space, the process logged a fatal error and stopped its event loop, which had not begun: it went on. Found by reading, in the review of the paths to fatal.

--- a/Source/Basilgap/Control/Replica.cpp
+++ b/Source/Basilgap/Control/Replica.cpp
@@ -54,8 +54,7 @@
         awaitStorage(storage.error());
     }
     updateLinks();
-    if (storage_)
-        restoreReserve();
+    // The first tick restores the reserve: a fatal error must be reported from the event loop.
     tickTimer_.startRepeating(TickInterval);
     probeTimer_.startRepeating(ProbeInterval);
 }
--- a/Source/UnitTests/Control/ReplicaDiskTest.cpp
+++ b/Source/UnitTests/Control/ReplicaDiskTest.cpp
@@ -1,3 +1,5 @@
+#include <atomic>
+#include <cerrno>
 #include <filesystem>
 
 #include <gtest/gtest.h>
@@ -8,6 +10,32 @@
 namespace basilgap::control {
 namespace {
 
+// A small disk whose syncs fail on demand.
+class UnsyncedDisk : public standins::QuotaDisk
+{
+public:
+    using QuotaDisk::QuotaDisk;
+
+    // Fails the syncs after the given number of further ones; 0 ends that.
+    void failSyncs(int number, int syncsBefore = 0)
+    {
+        syncsBeforeError_ = syncsBefore;
+        syncError_ = number;
+    }
+
+    int sync(int file) override
+    {
+        if (syncError_ == 0 || syncsBeforeError_-- > 0)
+            return QuotaDisk::sync(file);
+        errno = syncError_;
+        return -1;
+    }
+
+private:
+    std::atomic<int> syncError_ = 0;
+    std::atomic<int> syncsBeforeError_ = 0;
+};
+
 // A replica on a small disk that takes one large configuration after the other.
 class ReplicaDiskTest : public SingleReplicaFixture
 {
@@ -57,7 +85,7 @@
         EXPECT_EQ(replica_->state().workConfig().version(), version_);
     }
 
-    standins::QuotaDisk quota_{ folder_ };
+    UnsyncedDisk quota_{ folder_ };
     uint64_t version_ = 0;
 };
 
@@ -132,6 +160,47 @@
     ASSERT_NO_FATAL_FAILURE(configure());
 }
 
+// Guards against a process that ends where a full disk shows in the sync only, and against records
+// that are acknowledged after such a sync.
+TEST_F(ReplicaDiskTest, replicaKeepsRunningAndStartsWhileSyncsFindNoSpace)
+{
+    ASSERT_NO_FATAL_FAILURE(configure());
+    quota_.failSyncs(ENOSPC);
+    std::optional<schema::OutcomeCode> outcome;
+    schema::Command command;
+    command.mutable_put_work_config()->set_version(++version_);
+    replica_->propose(std::move(command),
+        [&outcome](const schema::CommandOutcome &reply) { outcome = reply.code(); });
+    ASSERT_TRUE(runUntil([&outcome] { return outcome.has_value(); }));
+    EXPECT_EQ(outcome, schema::UNAVAILABLE);
+    ASSERT_NO_FATAL_FAILURE(runFor(RefusalTime));
+    replica_.reset();
+    ASSERT_NO_FATAL_FAILURE(openReplica());
+    ASSERT_NO_FATAL_FAILURE(runFor(RefusalTime));
+    EXPECT_FALSE(replica_->isLeading());
+    quota_.failSyncs(0);
+    ASSERT_TRUE(runUntil([this] { return replica_->isLeading(); }));
+    EXPECT_EQ(replica_->state().workConfig().version(), 1U);
+    ASSERT_NO_FATAL_FAILURE(configure());
+}
+
+// Guards against a process that goes on after a fatal error: the reserve was restored while the
+// process started, when its event loop could not be stopped yet.
+TEST_F(ReplicaDiskTest, failedSyncOfTheReserveIsReportedFromTheEventLoop)
+{
+    replica_.reset();
+    std::filesystem::remove(folder_ + "/reserve");
+    std::optional<Error> fatal;
+    onFatal_ = [&fatal](const Error &error) { fatal = error; };
+    // The first one is that of the log.
+    quota_.failSyncs(EIO, 1);
+    ASSERT_NO_FATAL_FAILURE(openReplica());
+    EXPECT_FALSE(fatal.has_value());
+    ASSERT_TRUE(runUntil([&fatal] { return fatal.has_value(); }));
+    EXPECT_EQ(fatal->step, "sync");
+    quota_.failSyncs(0);
+}
+
 // Guards against a start that fails on a full disk although all that was acknowledged is there.
 TEST_F(ReplicaDiskTest, replicaStartsWhileItsDiskRefusesEverything)
 {
--- a/Source/UnitTests/Control/SingleReplicaFixture.h
+++ b/Source/UnitTests/Control/SingleReplicaFixture.h
@@ -53,7 +53,7 @@
                         onApplied_(command, outcome);
                     },
                 .onLinkMessage = [](const schema::PeerMessage &) {},
-                .onFatal = [](const Error &error) { ADD_FAILURE() << error.text(); },
+                .onFatal = [this](const Error &error) { onFatal_(error); },
             });
         ASSERT_TRUE(started.has_value()) << started.error().text();
         replica_ = std::move(*started);
@@ -109,6 +109,9 @@
     schema::ControlSettings settings_;
     std::function<void(const schema::Command &, const schema::CommandOutcome &)> onApplied_ =
         [](const schema::Command &, const schema::CommandOutcome &) {};
+    std::function<void(const Error &)> onFatal_ = [](const Error &error) {
+        ADD_FAILURE() << error.text();
+    };
     std::unique_ptr<Replica> replica_;
     int accepted_ = 0;
 };
