Test control processes on disks that take no writes

Change: a test of real processes under a file size limit of zero, as ReplicasFailure.leaderWithAFullDiskStepsDownAndReportsWhy has one of some kilobytes: all three start, one of them without data; none ends; none leads; when the limit is lifted from the running processes, the cell has a leader, accepts a configuration, and the one without data has its vote.

--- a/Source/FailureTests/ReplicasFailureTest.cpp
+++ b/Source/FailureTests/ReplicasFailureTest.cpp
@@ -3,6 +3,8 @@
 #include <fstream>
 #include <sstream>
 
+#include <sys/resource.h>
+
 #include "FailureTests/TestCell.h"
 
 namespace basilgap::failuretests {
@@ -179,6 +181,40 @@
     EXPECT_EQ(cell_->applyNext().response.status, 200);
 }
 
+// Guards against control processes that end, or do not start, while their disks take no writes. One
+// of them has lost its data, and cannot store an identity.
+TEST_F(ReplicasFailure, processesStartAndStayUpWhileTheirDisksTakeNoWrites)
+{
+    startCell({ .controls = 3, .entries = 1 });
+    ASSERT_EQ(cell_->applyNext().response.status, 200);
+    const std::string program = standins::programPath("ControlDaemon/basilgap-control");
+    for (size_t i = 0; i < 3; i++)
+        control(i).process.kill();
+    std::filesystem::remove_all(control(2).dataFolder);
+    for (size_t i = 0; i < 3; i++) {
+        control(i).process = standins::ChildProcess::start(
+            { "/bin/bash", "-c",
+                "ulimit -S -f 0; exec " + program + " " + control(i).settingsFile },
+            cell_->logFile(control(i).id));
+    }
+    EXPECT_FALSE(waitUntil(Millis(5000), [&] { return cell_->leader() >= 0; }));
+    for (size_t i = 0; i < 3; i++)
+        ASSERT_TRUE(control(i).process.isRunning()) << control(i).id;
+    // Of the two others, one may not have had anything to write.
+    EXPECT_NE(dumpOf(2).find("File too large"), std::string::npos);
+    // The disks have space again.
+    const struct rlimit unlimited = { .rlim_cur = RLIM_INFINITY, .rlim_max = RLIM_INFINITY };
+    for (size_t i = 0; i < 3; i++)
+        ASSERT_EQ(::prlimit(control(i).process.pid(), RLIMIT_FSIZE, &unlimited, nullptr), 0);
+    const int leader = cell_->waitForLeader(DefaultTimeout);
+    ASSERT_GE(leader, 0);
+    EXPECT_EQ(cell_->applyNext().response.status, 200);
+    EXPECT_TRUE(waitUntil(DefaultTimeout, [&] {
+        const int leading = cell_->leader();
+        return leading >= 0 && isVoter(static_cast<size_t>(leading), control(2).id);
+    }));
+}
+
 TEST_F(ReplicasFailure, stoppedLeaderTransfersLeadership)
 {
     startCell({ .controls = 3, .entries = 1 });
