Do not take a shortage of descriptors for low disk space

Cause: since the reserve counts as whole only with a file for the next content. While descriptors are short and the last spare file is used, it could not be restored, and any failure of that set the space low: new jobs were refused with 503.

Seen before: ReplicaDiskTest.shortageOfDescriptorsIsNotTakenForLowSpace, space error "open .../spare1: Too many open files".

--- a/Source/Basilgap/Control/ReplicaWriting.cpp
+++ b/Source/Basilgap/Control/ReplicaWriting.cpp
@@ -275,6 +275,10 @@
     if (!isTransient(restored.error()))
         return options_.onFatal(restored.error());
     nextReserveTry_ = steadyNow() + ReserveRetryInterval;
+    if (restored.error().code == ErrorCode::Exhausted) {
+        LogEvent("spare-file-missing", LogLevel::Warning).with(restored.error());
+        return;
+    }
     LogEvent("disk-full", LogLevel::Error)
         .with(restored.error())
         .with("files", toText(storage_->fileSizes()));
--- a/Source/UnitTests/Control/ReplicaDiskTest.cpp
+++ b/Source/UnitTests/Control/ReplicaDiskTest.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "SingleReplicaFixture.h"
+#include "StandIns/DescriptorShortage.h"
 #include "StandIns/QuotaDisk.h"
 
 namespace basilgap::control {
@@ -201,6 +202,30 @@
     quota_.failSyncs(0);
 }
 
+// Guards against new jobs that are refused for low disk space when it is descriptors that are
+// short: the space counts as low while there is no file for the next snapshot.
+TEST_F(ReplicaDiskTest, shortageOfDescriptorsIsNotTakenForLowSpace)
+{
+    constexpr uint64_t MostChanges = 40;
+    const auto hasSpareFile = [this] {
+        for (const char *name : { "/spare0", "/spare1", "/spare2" }) {
+            if (std::filesystem::exists(folder_ + name))
+                return true;
+        }
+        return false;
+    };
+    {
+        const standins::DescriptorShortage shortage;
+        while (hasSpareFile() && version_ < MostChanges)
+            ASSERT_NO_FATAL_FAILURE(configure());
+        ASSERT_FALSE(hasSpareFile());
+        ASSERT_NO_FATAL_FAILURE(runFor(Millis(200)));
+        EXPECT_EQ(replica_->spaceError(), "");
+    }
+    ASSERT_NO_FATAL_FAILURE(configure());
+    EXPECT_TRUE(runUntil(hasSpareFile));
+}
+
 // Guards against a start that fails on a full disk although all that was acknowledged is there.
 TEST_F(ReplicaDiskTest, replicaStartsWhileItsDiskRefusesEverything)
 {
