--- a/Source/Basilgap/Control/ReplicaWriting.cpp
+++ b/Source/Basilgap/Control/ReplicaWriting.cpp
@@ -112,6 +112,8 @@
 
 void Replica::retryWrite()
 {
+    if (!storage_)
+        return reopen();
     if (!failedOutput_)
         return resumeFromDisk(true);
     replication::RaftOutput output = std::move(*failedOutput_);
@@ -148,19 +150,42 @@
 // Starts again from what is on the disk. What was not written has not been acknowledged.
 void Replica::reopen()
 {
+    // A folder that could not be opened may have a log that could not be synced.
+    const bool mustRewriteLog = !storage_ || storage_->hasRemains();
     storage_.reset();
-    auto storage = openStorage(options_);
-    if (!storage)
+    auto storage = openStorage(options_, mustRewriteLog);
+    if (!storage && !isTransient(storage.error()))
         return options_.onFatal(storage.error());
-    storage_ = std::move(*storage);
+    if (!storage)
+        return awaitStorage(storage.error());
     probeReplies_.clear();
     mustFreeSpace_ = false;
     diskError_.clear();
-    load();
+    const Incarnation former = incarnation_;
+    load(std::move(*storage));
     LogEvent("disk-usable").with("index", core_->lastIndex().value());
+    // Links name the incarnation that they were opened under.
+    if (incarnation_ != former)
+        links_.clear();
     updateLinks();
 }
 
+// The data folder cannot be opened: a file of it is missing, or was not synced, and the disk is
+// full. The replica stays silent and tries again.
+void Replica::awaitStorage(const Error &error)
+{
+    const bool isDiskFull = error.code == ErrorCode::Full;
+    LogEvent(isDiskFull ? "disk-full" : "descriptors-exhausted", LogLevel::Error)
+        .with(error)
+        .with(
+            "files", toText(replication::DataFolder::fileSizesIn(options_.settings.data_folder())));
+    diskError_ = error.text();
+    if (isDiskFull)
+        spaceError_ = diskError_;
+    nextReserveTry_ = steadyNow() + ReserveRetryInterval;
+    writeRetryTimer_.startOnce(WriteRetryInterval);
+}
+
 // The records after this one are kept beside a snapshot of the present state.
 LogIndex Replica::trailingStart() const
 {
@@ -250,6 +275,10 @@
     if (!isTransient(restored.error()))
         return options_.onFatal(restored.error());
     nextReserveTry_ = steadyNow() + ReserveRetryInterval;
+    if (restored.error().code == ErrorCode::Exhausted) {
+        LogEvent("spare-file-missing", LogLevel::Warning).with(restored.error());
+        return;
+    }
     LogEvent("disk-full", LogLevel::Error)
         .with(restored.error())
         .with("files", toText(storage_->fileSizes()));
--- a/Source/Basilgap/Replication/DataFolder.cpp
+++ b/Source/Basilgap/Replication/DataFolder.cpp
@@ -34,6 +34,7 @@
     , spares_(std::move(other.spares_))
     , reserve_(std::move(other.reserve_))
     , nextSpare_(other.nextSpare_)
+    , hasUnsyncedNames_(other.hasUnsyncedNames_)
 {}
 
 DataFolder &DataFolder::operator=(DataFolder &&other) noexcept
@@ -48,6 +49,7 @@
     spares_ = std::move(other.spares_);
     reserve_ = std::move(other.reserve_);
     nextSpare_ = other.nextSpare_;
+    hasUnsyncedNames_ = other.hasUnsyncedNames_;
     return *this;
 }
 
@@ -63,8 +65,14 @@
     if (!reserve)
         return fail(reserve.error());
     folder.reserve_ = std::move(*reserve);
-    if (auto opened = folder.openSpares(); !opened)
-        return fail(opened.error());
+    if (auto opened = folder.openSpares(); !opened) {
+        if (opened.error().code != ErrorCode::Full)
+            return fail(opened.error());
+        LogEvent("spare-file-missing", LogLevel::Warning).with(opened.error());
+    }
+    // The process before may have ended between a replacement and its sync.
+    if (auto synced = folder.syncNames(); !synced)
+        return fail(synced.error());
     return folder;
 }
 
@@ -72,8 +80,7 @@
 {
     while (spares_.size() < SpareCount) {
         const std::string name = SparePrefix + std::to_string(nextSpare_);
-        ::unlink(pathOf(name).c_str());
-        auto file = DiskFile::open(pathOf(name), *calls_);
+        auto file = openSpare(pathOf(name));
         if (!file)
             return fail(file.error());
         spares_.push_back({ name, std::move(*file) });
@@ -82,38 +89,74 @@
     return {};
 }
 
-Result<void> DataFolder::sync() const
+// A file that is there already is kept, as a full disk may have no space to create another one. A
+// second name of it would be that of a file in use.
+Result<DiskFile> DataFolder::openSpare(const std::string &path) const
+{
+    std::error_code code;
+    const auto names = std::filesystem::hard_link_count(path, code);
+    if (!code && names > 1)
+        ::unlink(path.c_str());
+    auto file = DiskFile::open(path, *calls_);
+    if (!file)
+        return file;
+    if (auto emptied = file->truncate(0); !emptied)
+        return fail(emptied.error());
+    return file;
+}
+
+Result<void> DataFolder::provideSpare()
+{
+    if (hasSpare())
+        return {};
+    auto opened = openSpares();
+    if (!opened && !hasSpare() && opened.error().code == ErrorCode::Full && reserve_.release()) {
+        LogEvent("disk-reserve-released", LogLevel::Warning).with(opened.error());
+        opened = openSpares();
+    }
+    return hasSpare() ? Result<void>() : opened;
+}
+
+Result<void> DataFolder::holdReserve(uint64_t bytes)
 {
-    if (::fsync(folder_) == 0)
+    if (!hasSpare()) {
+        if (auto opened = openSpares(); !opened && !hasSpare())
+            return opened;
+    }
+    return reserve_.resize(bytes);
+}
+
+Result<void> DataFolder::syncNames()
+{
+    if (!hasUnsyncedNames_)
         return {};
-    // Nobody knows what a failed sync left on the disk, whatever its cause.
+    if (calls_->syncFolder(folder_) == 0) {
+        hasUnsyncedNames_ = false;
+        return {};
+    }
     Error error = systemError("sync-folder", path_);
-    error.code = ErrorCode::Io;
+    if (error.code != ErrorCode::Full)
+        error.code = ErrorCode::Io;
     return fail(error);
 }
 
 Result<DiskFile> DataFolder::replace(const std::string &name, std::string_view content)
 {
-    if (spares_.empty()) {
-        if (auto opened = openSpares(); !opened && spares_.empty())
-            return fail(opened.error());
-    }
+    if (auto provided = provideSpare(); !provided)
+        return fail(provided.error());
     Spare &spare = spares_.front();
     if (auto written = writeSpare(&spare.file, content); !written)
         return fail(written.error());
-    if (auto synced = spare.file.sync(); !synced)
-        return fail(synced.error());
-    if (::rename(pathOf(spare.name).c_str(), pathOf(name).c_str()) != 0) {
+    if (calls_->rename(pathOf(spare.name), pathOf(name)) != 0) {
         const Error error = systemError("rename", pathOf(name));
-        if (auto emptied = spare.file.truncate(0); !emptied)
+        if (auto emptied = spare.file.discardFrom(0); !emptied)
             return fail(emptied.error());
         return fail(error);
     }
+    hasUnsyncedNames_ = true;
     DiskFile file = std::move(spare.file);
     file.setPath(pathOf(name));
     spares_.erase(spares_.begin());
-    if (auto synced = sync(); !synced)
-        return fail(synced.error());
     // The next replacement tries again.
     if (auto opened = openSpares(); !opened)
         LogEvent("spare-file-missing", LogLevel::Warning).with(opened.error());
@@ -122,18 +165,30 @@
 
 Result<void> DataFolder::writeSpare(DiskFile *spare, std::string_view content)
 {
-    auto written = spare->writeAt(0, content);
+    auto written = writeAndSync(spare, content);
     if (written || written.error().code != ErrorCode::Full || !reserve_.release())
         return written;
     LogEvent("disk-reserve-released", LogLevel::Warning).with(written.error());
-    return spare->writeAt(0, content);
+    return writeAndSync(spare, content);
+}
+
+Result<void> DataFolder::writeAndSync(DiskFile *spare, std::string_view content)
+{
+    if (auto written = spare->writeAt(0, content); !written)
+        return written;
+    auto synced = spare->sync();
+    if (synced || synced.error().code != ErrorCode::Full)
+        return synced;
+    if (auto emptied = spare->discardFrom(0); !emptied)
+        return emptied;
+    return synced;
 }
 
-std::vector<FileSize> DataFolder::fileSizes() const
+std::vector<FileSize> DataFolder::fileSizesIn(const std::string &path)
 {
     std::vector<FileSize> sizes;
     std::error_code code;
-    for (std::filesystem::directory_iterator entry(path_, code), end; !code && entry != end;
+    for (std::filesystem::directory_iterator entry(path, code), end; !code && entry != end;
          entry.increment(code)) {
         std::error_code unreadable;
         const auto bytes = entry->file_size(unreadable);
--- a/Source/Basilgap/Replication/DiskFile.cpp
+++ b/Source/Basilgap/Replication/DiskFile.cpp
@@ -27,16 +27,36 @@
 
 } // namespace
 
+int DiskCalls::open(const std::string &path, int flags)
+{
+    return ::open(path.c_str(), flags, FileMode);
+}
+
 ssize_t DiskCalls::write(int file, const char *data, size_t length)
 {
     return ::write(file, data, length);
 }
 
+int DiskCalls::truncate(int file, uint64_t length)
+{
+    return ::ftruncate(file, static_cast<off_t>(length));
+}
+
+int DiskCalls::rename(const std::string &from, const std::string &to)
+{
+    return ::rename(from.c_str(), to.c_str());
+}
+
 int DiskCalls::sync(int file)
 {
     return ::fdatasync(file);
 }
 
+int DiskCalls::syncFolder(int folder)
+{
+    return ::fsync(folder);
+}
+
 DiskFile::~DiskFile()
 {
     if (file_ >= 0)
@@ -47,6 +67,7 @@
     : file_(std::exchange(other.file_, -1))
     , path_(std::move(other.path_))
     , calls_(other.calls_)
+    , hasRemains_(other.hasRemains_)
 {}
 
 DiskFile &DiskFile::operator=(DiskFile &&other) noexcept
@@ -58,6 +79,7 @@
     file_ = std::exchange(other.file_, -1);
     path_ = std::move(other.path_);
     calls_ = other.calls_;
+    hasRemains_ = other.hasRemains_;
     return *this;
 }
 
@@ -66,7 +88,7 @@
     DiskFile file;
     file.path_ = path;
     file.calls_ = &calls;
-    file.file_ = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode);
+    file.file_ = calls.open(path, O_RDWR | O_CREAT | O_CLOEXEC);
     if (file.file_ < 0)
         return fail(systemError("open", path));
     return file;
@@ -74,6 +96,10 @@
 
 Result<void> DiskFile::writeAt(uint64_t offset, std::string_view data)
 {
+    if (hasRemains_) {
+        if (auto cut = truncate(offset); !cut)
+            return cut;
+    }
     if (::lseek(file_, static_cast<off_t>(offset), SEEK_SET) < 0)
         return fail(systemError("seek", path_));
     size_t written = 0;
@@ -84,8 +110,8 @@
             continue;
         if (bytesWritten <= 0) {
             const Error error = systemError("write", path_);
-            if (::ftruncate(file_, static_cast<off_t>(offset)) != 0)
-                return fail(systemError("truncate", path_));
+            if (auto cut = discardFrom(offset); !cut)
+                return cut;
             return fail(error);
         }
         written += static_cast<size_t>(bytesWritten);
@@ -95,8 +121,18 @@
 
 Result<void> DiskFile::truncate(uint64_t length)
 {
-    if (::ftruncate(file_, static_cast<off_t>(length)) != 0)
+    if (calls_->truncate(file_, length) != 0)
         return fail(systemError("truncate", path_));
+    hasRemains_ = false;
+    return {};
+}
+
+Result<void> DiskFile::discardFrom(uint64_t offset)
+{
+    hasRemains_ = true;
+    auto cut = truncate(offset);
+    if (!cut && !isTransient(cut.error()))
+        return cut;
     return {};
 }
 
@@ -120,9 +156,9 @@
 {
     if (calls_->sync(file_) == 0)
         return {};
-    // Nobody knows what a failed sync left on the disk, whatever its cause.
     Error error = systemError("sync", path_);
-    error.code = ErrorCode::Io;
+    if (error.code != ErrorCode::Full)
+        error.code = ErrorCode::Io;
     return fail(error);
 }
 
--- a/Source/Basilgap/Replication/LogStorage.h
+++ b/Source/Basilgap/Replication/LogStorage.h
@@ -25,10 +25,14 @@
         DiskCalls *calls = nullptr;
         // Disk space held in reserve besides that for the next snapshot.
         uint64_t reserveBytes = 0;
+        // Set if a sync of the log may have failed before. Its records can then be read although
+        // they may not be on the disk, and no later sync says so: they are written to a new file.
+        bool mustRewriteLog = false;
     };
 
-    // Opens the folder and reads its files. A torn record at the end of the log is truncated;
-    // damage anywhere else is an error that names the file and the offset.
+    // Opens the folder and reads its files. On a full disk this succeeds if no file of the folder
+    // is missing; otherwise the error is transient. A torn record at the end of the log is
+    // truncated; damage anywhere else is an error that names the file and the offset.
     static Result<std::unique_ptr<LogStorage>> open(Options options);
     ~LogStorage();
     LogStorage(const LogStorage &) = delete;
@@ -57,9 +61,15 @@
     // shortened log that finds the disk full, and not for further records.
     Result<void> restoreReserve();
     Result<void> restoreLeastReserve() { return folder_.holdReserve(leastReserve()); }
-    bool hasReserve() const { return folder_.reservedBytes() >= wantedReserve(); }
+    bool hasReserve() const
+    {
+        return folder_.hasSpare() && folder_.reservedBytes() >= wantedReserve();
+    }
     // Whether it holds what a crowded disk must have for records to be written.
-    bool hasLeastReserve() const { return folder_.reservedBytes() >= leastReserve(); }
+    bool hasLeastReserve() const
+    {
+        return folder_.hasSpare() && folder_.reservedBytes() >= leastReserve();
+    }
     // Fails, and leaves the reserve small, unless the disk has room for the log to grow beside it.
     Result<void> restoreReserveWithMargin();
     uint64_t reservedBytes() const { return folder_.reservedBytes(); }
@@ -69,6 +79,8 @@
     }
 
     uint64_t logBytes() const { return logLength_; }
+    // Whether the log on the disk still has records that were discarded.
+    bool hasRemains() const { return log_.hasRemains(); }
     std::vector<FileSize> fileSizes() const { return folder_.fileSizes(); }
     // Size of the records in the log up to and including the index.
     uint64_t bytesUpTo(LogIndex index) const;
@@ -82,12 +94,15 @@
     Result<void> readHardState();
     Result<void> readSnapshot();
     Result<void> readLog();
-    Result<void> scanLog(const std::string &bytes);
+    Result<void> scanLog(const std::string &bytes, std::vector<schema::LogRecord> *records);
+    Result<void> makeLogDurable(const std::string &bytes);
     Result<void> truncateTornTail(const std::string &bytes, size_t offset);
     Result<void> loadRecords(std::vector<schema::LogRecord> records);
     Result<void> writeHardState(const schema::HardState &state);
     Result<void> append(const std::vector<schema::LogRecord> &records);
     Result<void> truncateFrom(LogIndex index);
+    Result<void> syncLog(LogIndex lastDurable);
+    void forgetFrom(LogIndex index);
     Result<void> rewriteLog(
         LogIndex baseIndex, Term baseTerm, const std::vector<std::string> &records);
     std::string path(const char *name) const { return options_.folder + "/" + name; }
