--- a/Source/Basilgap/Dispatch/WorkDispatcherAdmission.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherAdmission.cpp
@@ -91,6 +91,9 @@
     const schema::WorkSpec &spec) const
 {
     const state::AccountName name(account);
+    // The job is only read where a refusal is possible at all.
+    if (!accountShares_.isDemandBeyondShare(name))
+        return std::nullopt;
     // Workers out of reach count, because they usually return within seconds, as after the change
     // of the leader.
     const double cores = static_cast<double>(registeredCapacity_.millicores) / MillicoresPerCore;
@@ -99,7 +102,7 @@
             .id = id,
             .queue = state::QueueName(queue.name()),
             .account = name,
-            .objective = scheduling::latencyObjective(spec, queue),
+            .objective = scheduling::latencyObjective(spec, queue, name, waitingSteps_.durations()),
             .isExempt = scheduling::isExemptFromAdmission(spec),
             .entitledCores = accountShares_.entitlement(name) * cores,
             .isDemandBeyondShare = accountShares_.isDemandBeyondShare(name),
--- a/Source/Basilgap/Scheduling/AdmissionForecast.cpp
+++ b/Source/Basilgap/Scheduling/AdmissionForecast.cpp
@@ -5,6 +5,8 @@
 
 #include "Basilgap/Common/Hash.h"
 
+#include "Basilgap/Scheduling/Lateness.h"
+
 namespace basilgap::scheduling {
 
 namespace {
@@ -43,21 +45,17 @@
 
 } // namespace
 
-Millis latencyObjective(const schema::WorkSpec &spec, const schema::QueueConfig &queue)
+Millis latencyObjective(const schema::WorkSpec &spec, const schema::QueueConfig &queue,
+    const state::AccountName &account, const DurationEstimator *durations)
 {
-    std::vector<uint64_t> ends(static_cast<size_t>(spec.steps_size()));
-    uint64_t longest = 0;
-    for (size_t i = 0; i < ends.size(); i++) {
-        const schema::StepSpec &step = spec.steps(static_cast<int>(i));
-        for (const uint32_t before : step.after()) {
-            if (before < i)
-                ends[i] = std::max(ends[i], ends[before]);
-        }
-        ends[i] += step.estimate_ms();
-        longest = std::max(longest, ends[i]);
-    }
-    return Millis(static_cast<int64_t>(queue.slack_factor() * static_cast<double>(longest)
-        + static_cast<double>(queue.target_latency_ms())));
+    // The job as it would be in the table.
+    state::Work work;
+    work.queue = state::QueueName(queue.name());
+    work.account = account;
+    work.spec = spec;
+    work.occurrences.resize(1);
+    work.occurrences.front().resize(static_cast<size_t>(spec.steps_size()));
+    return latencyObjectiveOf(work, queue, 0, durations);
 }
 
 bool isExemptFromAdmission(const schema::WorkSpec &spec)
@@ -91,7 +89,7 @@
     if (job.isLeftOut)
         return job;
     job.expiresAt = Millis(static_cast<int64_t>(work.submittedMs))
-        + latencyObjective(work.spec, *queue) * ExpiredLatenessFactor;
+        + latencyObjectiveOf(work, *queue, 0, &durations) * ExpiredLatenessFactor;
     expiries_.emplace(job.expiresAt, work.serial);
     return job;
 }
--- a/Source/Basilgap/Scheduling/AdmissionForecast.h
+++ b/Source/Basilgap/Scheduling/AdmissionForecast.h
@@ -22,7 +22,7 @@
     std::string id;
     state::QueueName queue;
     state::AccountName account;
-    // By the estimates in the job; 0: the job has none.
+    // 0: the job has no estimate.
     Millis objective;
     // Services and scheduled jobs are always accepted.
     bool isExempt = false;
@@ -44,8 +44,10 @@
     Millis objective;
 };
 
-// Latency objective of a job by the estimates of its steps.
-Millis latencyObjective(const schema::WorkSpec &spec, const schema::QueueConfig &queue);
+// Latency objective of a job that is not in the table, by the expected durations of its steps, or
+// by the estimates in the job without an estimator.
+Millis latencyObjective(const schema::WorkSpec &spec, const schema::QueueConfig &queue,
+    const state::AccountName &account, const DurationEstimator *durations);
 
 // Whether admission never refuses such a job.
 bool isExemptFromAdmission(const schema::WorkSpec &spec);
--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -218,7 +218,7 @@
         candidate.queue = queue;
         candidate.priority = queue->priority();
         candidate.latenessBand = work.specOf(ref).service() ? 0 : bounds.bandAt(input_.wallMs);
-        candidate.latestStartMs = bounds.latestStartMs;
+        candidate.orderMs = bounds.orderMs;
         candidate.isPrefetch = !input_.pendingEnds.isReady(work, ref);
         // Unchanged steps that are ready are among the waiting steps.
         if (!candidate.isPrefetch && !changedWorks_.contains(work.serial))
--- a/Source/Basilgap/Scheduling/WaitingSteps.cpp
+++ b/Source/Basilgap/Scheduling/WaitingSteps.cpp
@@ -15,8 +15,8 @@
 
 bool WaitingStep::operator<(const WaitingStep &other) const
 {
-    return std::tie(latenessBand, priority, latestStartMs, ref)
-        < std::tie(other.latenessBand, other.priority, other.latestStartMs, other.ref);
+    return std::tie(latenessBand, priority, orderMs, ref)
+        < std::tie(other.latenessBand, other.priority, other.orderMs, other.ref);
 }
 
 void TimedChanges::add(uint64_t wallMs, state::WorkSerial work)
@@ -133,7 +133,7 @@
                                             .queue = &queue,
                                             .priority = queue.priority(),
                                             .latenessBand = spec.service() ? 0 : band,
-                                            .latestStartMs = bounds.latestStartMs,
+                                            .orderMs = bounds.orderMs,
                                         })
                                         .first);
         }
--- a/Source/Basilgap/Scheduling/WaitingSteps.h
+++ b/Source/Basilgap/Scheduling/WaitingSteps.h
@@ -24,8 +24,8 @@
     uint32_t priority = 0;
     // See LatencyBounds; a service counts as on time.
     int latenessBand = 0;
-    // The latest start that meets the objective, in Unix milliseconds.
-    int64_t latestStartMs = 0;
+    // See LatencyBounds.
+    int64_t orderMs = 0;
 
     bool operator<(const WaitingStep &other) const;
 };
@@ -72,8 +72,9 @@
 
 // The steps with waiting tasks whose predecessors are done, in the order in which they are placed:
 // those that can meet their objective first, then by priority and by the latest start that meets
-// it. Kept between planning rounds; only jobs that have changed are read again. Load pattern: a
-// full cell with thousands of waiting tasks, of which each round can place a few.
+// it, with those first that are nearly finished. Kept between planning rounds; only jobs that have
+// changed are read again. Load pattern: a full cell with thousands of waiting tasks, of which each
+// round can place a few.
 class WaitingSteps
 {
 public:
--- a/Source/UnitTests/Scheduling/AdmissionForecastTest.cpp
+++ b/Source/UnitTests/Scheduling/AdmissionForecastTest.cpp
@@ -253,7 +253,7 @@
             .id = command.id(),
             .queue = Queue,
             .account = account->name,
-            .objective = latencyObjective(command.spec(), queue_),
+            .objective = latencyObjective(command.spec(), queue_, state::AccountName(), nullptr),
             .isExempt = isExemptFromAdmission(command.spec()),
             .entitledCores = shares_.entitlement(account->name) * static_cast<double>(cores_),
             .isDemandBeyondShare = shares_.isDemandBeyondShare(account->name),
@@ -361,11 +361,11 @@
     schema::WorkSpec spec;
     for (const uint64_t ms : { 1000, 3000, 500 })
         spec.add_steps()->set_estimate_ms(ms);
-    EXPECT_EQ(latencyObjective(spec, queue), Millis(4800));
+    EXPECT_EQ(latencyObjective(spec, queue, state::AccountName(), nullptr), Millis(4800));
     spec.mutable_steps(2)->add_after(0);
     spec.mutable_steps(2)->add_after(1);
-    EXPECT_EQ(latencyObjective(spec, queue), Millis(5550));
-    EXPECT_EQ(latencyObjective({}, queue), Millis(300));
+    EXPECT_EQ(latencyObjective(spec, queue, state::AccountName(), nullptr), Millis(5550));
+    EXPECT_EQ(latencyObjective({}, queue, state::AccountName(), nullptr), Millis(300));
 }
 
 // Guards against refusals in a cell that serves its load, or that is only just full.
--- a/Source/UnitTests/Scheduling/WaitingStepsTest.cpp
+++ b/Source/UnitTests/Scheduling/WaitingStepsTest.cpp
@@ -72,7 +72,7 @@
     {
         std::vector<std::tuple<state::StepRef, uint32_t, int, int64_t>> list;
         for (const WaitingStep &step : steps.ordered())
-            list.emplace_back(step.ref, step.priority, step.latenessBand, step.latestStartMs);
+            list.emplace_back(step.ref, step.priority, step.latenessBand, step.orderMs);
         return list;
     }
 
