Bound the bytes of requests that wait for a leader

Cause: RpcClient kept every request until its deadline, up to 30 s, whatever its size.

Change: RpcClient takes a bound on the bytes of its pending requests. A request beyond it is not sent and fails with Full at the next tick, so that the callback never runs inside call(). `calls-refused` tells it once a second.

RpcClientLimits.aRequestWithoutRoomFailsAndIsNotSent passes.

--- a/Source/Basilgap/Network/RpcClient.cpp
+++ b/Source/Basilgap/Network/RpcClient.cpp
@@ -2,6 +2,8 @@
 
 #include <vector>
 
+#include "Basilgap/Common/EventLog.h"
+
 namespace basilgap::network {
 
 namespace {
@@ -11,11 +13,13 @@
 // Longer than any answer that was not lost takes.
 constexpr Millis ResendInterval{ 3000 };
 constexpr Millis RetryInterval{ 50 };
+constexpr Millis LogInterval{ 1000 };
 
 } // namespace
 
-RpcClient::RpcClient(EventLoop &loop, Send send)
+RpcClient::RpcClient(EventLoop &loop, Send send, size_t maxPendingBytes)
     : send_(std::move(send))
+    , maxPendingBytes_(maxPendingBytes)
     , tickTimer_(loop, [this] { tick(); })
 {}
 
@@ -25,14 +29,48 @@
     const uint64_t id = nextId_++;
     request.set_id(id);
     const Millis now = steadyNow();
-    calls_.emplace(id,
-        Call{ std::move(request), now + timeout, now, false, std::move(callback),
-            std::move(isWanted) });
-    send(id);
+    const size_t bytes = request.SpaceUsedLong();
+    Call call{ .request = std::move(request),
+        .deadline = now + timeout,
+        .resendAt = now,
+        .callback = std::move(callback),
+        .isWanted = std::move(isWanted) };
+    if (maxPendingBytes_ != 0 && pendingBytes_ + bytes > maxPendingBytes_) {
+        // Reported by the next tick, since callers do not expect an answer inside this call.
+        call.isRefused = true;
+        call.request.Clear();
+        call.deadline = now;
+        countRefusal(now);
+    } else {
+        call.bytes = bytes;
+        pendingBytes_ += bytes;
+    }
+    const bool isRefused = call.isRefused;
+    calls_.emplace(id, std::move(call));
+    if (!isRefused)
+        send(id);
     if (!tickTimer_.isPending())
         tickTimer_.startRepeating(TickInterval);
 }
 
+void RpcClient::countRefusal(Millis now)
+{
+    refused_++;
+    if (now - refusalLoggedAt_ < LogInterval)
+        return;
+    LogEvent("calls-refused", LogLevel::Warning)
+        .with("reason", "pending-bytes")
+        .with("pending_bytes", pendingBytes_)
+        .with("total", refused_);
+    refusalLoggedAt_ = now;
+}
+
+RpcClient::Calls::iterator RpcClient::erase(Calls::iterator call)
+{
+    pendingBytes_ -= call->second.bytes;
+    return calls_.erase(call);
+}
+
 // A leader in this process may answer before send_() returns, so the call is looked up again.
 void RpcClient::send(uint64_t id)
 {
@@ -40,7 +78,7 @@
     if (call == calls_.end())
         return;
     if (call->second.isWanted && !call->second.isWanted()) {
-        calls_.erase(call);
+        erase(call);
         return;
     }
     schema::PeerMessage message;
@@ -66,7 +104,7 @@
         return;
     }
     const Callback callback = std::move(found->second.callback);
-    calls_.erase(found);
+    erase(found);
     callback(reply);
 }
 
@@ -80,13 +118,17 @@
 void RpcClient::tick()
 {
     const Millis now = steadyNow();
-    std::vector<std::pair<Callback, bool>> expired;
-    std::erase_if(calls_, [&](auto &entry) {
-        if (now < entry.second.deadline)
-            return false;
-        expired.emplace_back(std::move(entry.second.callback), entry.second.sent);
-        return true;
-    });
+    std::vector<std::pair<Callback, ErrorCode>> expired;
+    for (auto call = calls_.begin(); call != calls_.end();) {
+        if (now < call->second.deadline) {
+            ++call;
+            continue;
+        }
+        const ErrorCode unsent = call->second.isRefused ? ErrorCode::Full : ErrorCode::Unreachable;
+        const ErrorCode code = call->second.sent ? ErrorCode::Timeout : unsent;
+        expired.emplace_back(std::move(call->second.callback), code);
+        call = erase(call);
+    }
     std::vector<uint64_t> due;
     for (const auto &[id, call] : calls_) {
         if (now >= call.resendAt)
@@ -96,9 +138,10 @@
         send(id);
     if (calls_.empty())
         tickTimer_.cancel();
-    for (const auto &[callback, sent] : expired) {
-        const ErrorCode code = sent ? ErrorCode::Timeout : ErrorCode::Unreachable;
-        callback(fail({ code, "ask-leader", "", "no answer from a leader in time" }));
+    for (const auto &[callback, code] : expired) {
+        const char *message = code == ErrorCode::Full ? "too many requests wait for a leader"
+                                                      : "no answer from a leader in time";
+        callback(fail({ code, "ask-leader", "", message }));
     }
 }
 
--- a/Source/Basilgap/Network/RpcClient.h
+++ b/Source/Basilgap/Network/RpcClient.h
@@ -18,13 +18,15 @@
     using Send = std::function<bool(const schema::PeerMessage &)>;
     using Callback = std::function<void(Result<schema::RpcReply>)>;
 
-    RpcClient(EventLoop &loop, Send send);
+    // Requests that wait hold at most `maxPendingBytes`; 0 means no limit.
+    RpcClient(EventLoop &loop, Send send, size_t maxPendingBytes = 0);
 
     // Whether a request may still be sent.
     using IsWanted = std::function<bool()>;
 
     // The callback receives the answer of the leader, or an error after the timeout: Unreachable if
-    // the request was never passed to a connection, Timeout otherwise. It is not called once
+    // the request was never passed to a connection, Timeout otherwise. A request for which there is
+    // no room fails with Full and is not sent. The callback is not called once
     // `isWanted` has returned false, which is asked before each send.
     void call(
         schema::RpcRequest request, Millis timeout, Callback callback, IsWanted isWanted = {});
@@ -35,6 +37,7 @@
     void handleLeaderChange();
 
     size_t pending() const { return calls_.size(); }
+    size_t pendingBytes() const { return pendingBytes_; }
 
 private:
     struct Call
@@ -43,15 +46,25 @@
         Millis deadline;
         Millis resendAt;
         bool sent = false;
+        // Whether there was no room for the request.
+        bool isRefused = false;
+        size_t bytes = 0;
         Callback callback;
         IsWanted isWanted;
     };
 
+    using Calls = std::map<uint64_t, Call>;
     void send(uint64_t id);
+    void countRefusal(Millis now);
+    Calls::iterator erase(Calls::iterator call);
     void tick();
 
     Send send_;
-    std::map<uint64_t, Call> calls_;
+    Calls calls_;
+    size_t maxPendingBytes_;
+    size_t pendingBytes_ = 0;
+    Millis refusalLoggedAt_{ 0 };
+    uint64_t refused_ = 0;
     uint64_t nextId_ = 1;
     Timer tickTimer_;
 };
