Bound what the connections of an HTTP listener hold

- The body limit was checked after evhttp had kept up to 4 MiB more than it, and chunk sizes were buffered without a bound.
- evhttp enables reading again while an answer waits to be written, so pipelined requests were kept without a bound while their answers were not read.
- There was no bound over all connections.
- Silent connections were counted by time only, and a full listener waited until some timed out.

Change: each accepted connection has an HttpServerConnection that sees all bytes that evhttp reads and writes. evhttp's own limit is now the body limit. Its 413 is not written; the listener sends its own one with the promised headers, and discards what still arrives (LingeringSockets), since a reset would lose the answer, and evhttp's clients take an early end of the connection for a failure. A read watermark allows one request at the limit, and 32 KiB while answers wait. ClientLimits sums the bytes over the listeners of a process and closes the greediest connection beyond the limit; it counts refusals for the log and the metrics. A full listener closes a connection that was silent, stalled or idle, or else one after an answer, but only when another connection waits in the kernel. A request that takes more than 60 s to arrive is closed. Checks run in an event of higher priority, outside of evhttp.

Ruled out: duplicating the descriptor to discard the rest of a body, because the event loop's changelist does not allow duplicates.

--- a/Source/Basilgap/Network/EventLoop.cpp
+++ b/Source/Basilgap/Network/EventLoop.cpp
@@ -13,6 +13,8 @@
     event_config *config = event_config_new();
     event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
     event_base *base = event_base_new_with_config(config);
+    // Other events have the priority in the middle, which is 1.
+    event_base_priority_init(base, 2);
     event_config_free(config);
     return base;
 }
--- a/Source/Basilgap/Network/EventLoop.h
+++ b/Source/Basilgap/Network/EventLoop.h
@@ -9,6 +9,9 @@
 
 namespace basilgap::network {
 
+// Events of this priority run before all others that are due, which have the priority 1.
+constexpr int UrgentPriority = 0;
+
 struct EventDeleter
 {
     void operator()(event *pointer) const { event_free(pointer); }
--- a/Source/Basilgap/Network/HttpServer.cpp
+++ b/Source/Basilgap/Network/HttpServer.cpp
@@ -17,10 +17,12 @@
 
 namespace {
 
-// evhttp answers a body above its own limit without our headers, so its limit is above ours.
-constexpr size_t BodySlackBytes = 4 * 1024 * 1024;
-
 constexpr Millis ResumeInterval{ 50 };
+constexpr Millis SlowRequestInterval{ 1000 };
+
+// The start of an answer up to its status code, as in "HTTP/1.1 413".
+constexpr size_t StatusEnd = 12;
+constexpr size_t StatusStart = 9;
 
 // All methods that evhttp knows, so that none is refused before the handler sees it.
 constexpr uint16_t AllMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT
@@ -81,7 +83,7 @@
         , request_(request)
     {
         server_->pendingRequests_++;
-        server_->connections_[evhttp_request_get_connection(request)] = this;
+        connection()->responder = this;
     }
 
     ~EvhttpResponder() override
@@ -94,17 +96,26 @@
     {
         if (request_ == nullptr)
             return;
+        // Several answers may be given before enforce() runs.
+        if (*alive_ && server_->options_.limits->isGreediest(response.body.size())) {
+            server_->options_.limits->countRefusal(
+                RefusalClass::TotalBytes, server_->options_.address);
+            return abort();
+        }
+        HttpServerConnection *answered = *alive_ ? connection() : nullptr;
         evhttp_request *request = release();
-        if (!*alive_)
+        if (answered == nullptr)
             return;
         evkeyvalq *headers = evhttp_request_get_output_headers(request);
         for (const Header &header : response.headers)
             evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
-        if (!server_->isAccepting_ || server_->closesAfterAnswers_)
+        if (!server_->isAccepting_ || server_->closesAfterAnswers_ || server_->takePlaceWanted())
             evhttp_add_header(headers, "Connection", "close");
         evbuffer *body = evbuffer_new();
         evbuffer_add(body, response.body.data(), response.body.size());
+        answered->isAnswering = true;
         evhttp_send_reply(request, response.status, nullptr, body);
+        answered->isAnswering = false;
         evbuffer_free(body);
     }
 
@@ -112,17 +123,19 @@
     {
         if (request_ == nullptr)
             return;
+        HttpServerConnection *aborted = *alive_ ? connection() : nullptr;
         evhttp_request *request = release();
-        if (!*alive_)
+        if (aborted == nullptr)
             return;
-        evhttp_connection *connection = evhttp_request_get_connection(request);
         // evhttp still uses the connection further up the call stack. Shutting down the socket
         // makes it clean up by itself.
         const linger none{ 1, 0 };
-        const int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+        const int socket = bufferevent_getfd(aborted->buffer());
         setsockopt(socket, SOL_SOCKET, SO_LINGER, &none, sizeof none);
         shutdown(socket, SHUT_RDWR);
+        aborted->isAnswering = true;
         evhttp_send_reply(request, 503, nullptr, nullptr);
+        aborted->isAnswering = false;
     }
 
     bool isCallerGone() const override
@@ -180,12 +193,17 @@
         if (!*alive_)
             return request;
         server_->pendingRequests_--;
-        const auto connection = server_->connections_.find(evhttp_request_get_connection(request));
-        if (connection != server_->connections_.end())
-            connection->second = nullptr;
+        HttpServerConnection *released = server_->find(evhttp_request_get_connection(request));
+        if (released != nullptr)
+            released->finishRequest();
         return request;
     }
 
+    HttpServerConnection *connection() const
+    {
+        return server_->find(evhttp_request_get_connection(request_));
+    }
+
     HttpServer *server_;
     std::shared_ptr<bool> alive_;
     evhttp_request *request_;
@@ -198,11 +216,17 @@
     : options_(std::move(options))
     , handler_(std::move(handler))
     , http_(evhttp_new(loop.base()))
+    , attentionEvent_(event_new(loop.base(), -1, 0, onAttention, this))
+    , lingering_(loop)
     , resumeTimer_(loop, [this] { resumeAccepting(); })
+    , slowRequestTimer_(loop, [this] { closeSlowRequests(); })
 {
+    if (options_.limits == nullptr)
+        options_.limits = std::make_shared<ClientLimits>();
+    slowRequestTimer_.startRepeating(SlowRequestInterval);
+    event_priority_set(attentionEvent_.get(), UrgentPriority);
     evhttp_set_allowed_methods(http_, AllMethods);
-    evhttp_set_max_body_size(
-        http_, static_cast<ev_ssize_t>(options_.maxBodyBytes + BodySlackBytes));
+    evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(options_.maxBodyBytes));
     evhttp_set_max_headers_size(http_, static_cast<ev_ssize_t>(options_.maxHeaderBytes));
     const timeval idle{ options_.idleTimeout.count() / 1000,
         (options_.idleTimeout.count() % 1000) * 1000 };
@@ -231,6 +255,7 @@
 {
     *alive_ = false;
     evhttp_free(http_);
+    accepted_.clear();
 }
 
 std::string HttpServer::address() const
@@ -249,17 +274,27 @@
 
 bufferevent *HttpServer::onAccept(event_base *base, void *self)
 {
-    static_cast<HttpServer *>(self)->recordAccepted();
-    return bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent *buffer = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    if (buffer != nullptr)
+        static_cast<HttpServer *>(self)->recordAccepted(buffer);
+    return buffer;
 }
 
-void HttpServer::recordAccepted()
+void HttpServer::recordAccepted(bufferevent *buffer)
 {
-    silentSince_.push_back(steadyNow());
+    accepted_.push_back(std::make_unique<HttpServerConnection>(
+        HttpServerConnection::Options{
+            .maxRequestBytes = options_.maxHeaderBytes + options_.maxBodyBytes,
+            .limits = *options_.limits,
+            .owner = *this },
+        buffer));
+    event_active(attentionEvent_.get(), EV_TIMEOUT, 0);
     const bool isFull =
         options_.maxConnections != 0 && openConnections() >= options_.maxConnections;
     if (!isFull || isPaused_ || socket_ == nullptr)
         return;
+    if (isConnectionWaiting() && closeMostOverdue())
+        return;
     LogEvent("accepting-paused", LogLevel::Warning)
         .with("listener", options_.address)
         .with("open", openConnections());
@@ -268,13 +303,27 @@
     resumeTimer_.startRepeating(ResumeInterval);
 }
 
+// Whether the kernel has a connection that was not accepted yet. Nobody has to give a place
+// otherwise.
+bool HttpServer::isConnectionWaiting() const
+{
+    if (socket_ == nullptr)
+        return false;
+    pollfd listener{ .fd = evhttp_bound_socket_get_fd(socket_), .events = POLLIN, .revents = 0 };
+    return ::poll(&listener, 1, 0) > 0;
+}
+
 void HttpServer::resumeAccepting()
 {
-    const Millis now = steadyNow();
-    while (!silentSince_.empty() && now - silentSince_.front() > options_.idleTimeout)
-        silentSince_.pop_front();
-    if (openConnections() >= options_.maxConnections)
-        return;
+    placesWanted_ = 0;
+    if (openConnections() >= options_.maxConnections) {
+        if (!isConnectionWaiting())
+            return;
+        if (!closeMostOverdue()) {
+            placesWanted_ = 1;
+            return;
+        }
+    }
     isPaused_ = false;
     resumeTimer_.cancel();
     LogEvent("accepting-resumed").with("listener", options_.address);
@@ -282,11 +331,127 @@
         evconnlistener_enable(evhttp_bound_socket_get_listener(socket_));
 }
 
-void HttpServer::recordConnection(evhttp_connection *connection)
+// Callers that send one request after another are never idle, so one of them gives its place after
+// an answer. At most one does so in each ResumeInterval.
+bool HttpServer::takePlaceWanted()
+{
+    if (placesWanted_ == 0)
+        return false;
+    placesWanted_--;
+    options_.limits->countRefusal(RefusalClass::TooManyConnections, options_.address);
+    return true;
+}
+
+bool HttpServer::closeMostOverdue()
+{
+    const Millis now = steadyNow();
+    HttpServerConnection *most = nullptr;
+    Millis mostOverdue{ 0 };
+    for (const auto &[evhttp, connection] : connections_) {
+        const Millis overdue = connection->overdue(now);
+        if (overdue <= mostOverdue)
+            continue;
+        most = connection.get();
+        mostOverdue = overdue;
+    }
+    if (most != nullptr)
+        closeFor(most, RefusalClass::TooManyConnections);
+    return most != nullptr;
+}
+
+void HttpServer::closeSlowRequests()
+{
+    const Millis now = steadyNow();
+    std::vector<HttpServerConnection *> slow;
+    for (const auto &[evhttp, connection] : connections_) {
+        if (connection->requestAge(now) > options_.requestTimeout)
+            slow.push_back(connection.get());
+    }
+    for (HttpServerConnection *connection : slow)
+        closeFor(connection, RefusalClass::SlowRequest);
+}
+
+HttpServerConnection *HttpServer::find(evhttp_connection *connection)
+{
+    const auto found = connections_.find(connection);
+    return found == connections_.end() ? nullptr : found->second.get();
+}
+
+void HttpServer::onAttention(evutil_socket_t, short, void *self)
+{
+    static_cast<HttpServer *>(self)->attend();
+}
+
+void HttpServer::needsAttention(HttpServerConnection *connection)
+{
+    needAttention_.insert(connection);
+    event_active(attentionEvent_.get(), EV_TIMEOUT, 0);
+}
+
+void HttpServer::adoptAccepted()
+{
+    for (auto &connection : accepted_) {
+        evhttp_connection *evhttp = connection->findEvhttpConnection();
+        if (evhttp == nullptr)
+            continue;
+        evhttp_connection_set_closecb(evhttp, onConnectionClosed, this);
+        connections_[evhttp] = std::move(connection);
+    }
+    accepted_.clear();
+}
+
+void HttpServer::attend()
+{
+    adoptAccepted();
+    while (!needAttention_.empty()) {
+        HttpServerConnection *connection = *needAttention_.begin();
+        needAttention_.erase(needAttention_.begin());
+        attend(connection);
+    }
+    options_.limits->enforce();
+}
+
+void HttpServer::attend(HttpServerConnection *connection)
+{
+    if (connection->hasEvhttpAnswer())
+        return replaceEvhttpAnswer(connection);
+    if (connection->isOverLimit() && connection->responder == nullptr)
+        closeFor(connection, RefusalClass::ConnectionBytes);
+}
+
+// evhttp answers a body over its limit by itself and without our headers. Nothing of that answer
+// has been written to the socket yet.
+void HttpServer::replaceEvhttpAnswer(HttpServerConnection *connection)
+{
+    connection->clearEvhttpAnswer();
+    evbuffer *output = bufferevent_get_output(connection->buffer());
+    std::string start(StatusEnd, ' ');
+    evbuffer_copyout(output, start.data(), start.size());
+    const std::string status = start.substr(StatusStart);
+    if (status == "400")
+        return options_.limits->countRefusal(RefusalClass::Malformed, options_.address);
+    if (status != "413")
+        return;
+    options_.limits->countRefusal(RefusalClass::TooLarge, options_.address);
+    std::string answer = "HTTP/1.1 413 Request Entity Too Large\r\n";
+    for (const Header &header : options_.tooLargeHeaders)
+        answer += header.name + ": " + header.value + "\r\n";
+    answer += "Content-Length: " + std::to_string(options_.tooLargeBody.size())
+        + "\r\nConnection: close\r\n\r\n" + options_.tooLargeBody;
+    // evhttp closes the connection once its answer is written. So it is never written, and ours
+    // goes past evhttp; it is much smaller than a socket's buffer.
+    bufferevent_disable(connection->buffer(), EV_READ | EV_WRITE);
+    ::send(bufferevent_getfd(connection->buffer()), answer.data(), answer.size(),
+        MSG_NOSIGNAL | MSG_DONTWAIT);
+    evhttp_connection *evhttp = connection->evhttpConnection();
+    if (!lingering_.add(connection->buffer(), [evhttp] { evhttp_connection_free(evhttp); }))
+        evhttp_connection_free(evhttp);
+}
+
+void HttpServer::closeFor(HttpServerConnection *connection, RefusalClass refusal)
 {
-    evhttp_connection_set_closecb(connection, onConnectionClosed, this);
-    if (connections_.try_emplace(connection, nullptr).second && !silentSince_.empty())
-        silentSince_.pop_front();
+    options_.limits->countRefusal(refusal, options_.address);
+    evhttp_connection_free(connection->evhttpConnection());
 }
 
 void HttpServer::onConnectionClosed(evhttp_connection *connection, void *self)
@@ -295,10 +460,13 @@
     const auto found = server->connections_.find(connection);
     if (found == server->connections_.end())
         return;
-    EvhttpResponder *responder = found->second;
+    // The responder's callback may look for the connection.
+    const std::unique_ptr<HttpServerConnection> closed = std::move(found->second);
     server->connections_.erase(found);
-    if (responder != nullptr)
-        responder->handleConnectionClosed();
+    server->needAttention_.erase(closed.get());
+    server->lingering_.remove(closed->buffer());
+    if (closed->responder != nullptr)
+        closed->responder->handleConnectionClosed();
 }
 
 void HttpServer::handle(evhttp_request *request, void *self)
@@ -308,13 +476,15 @@
 
 void HttpServer::dispatch(evhttp_request *request)
 {
-    recordConnection(evhttp_request_get_connection(request));
+    adoptAccepted();
     auto responder = std::make_shared<EvhttpResponder>(this, request);
     if (evbuffer_get_length(evhttp_request_get_input_buffer(request)) > options_.maxBodyBytes) {
+        options_.limits->countRefusal(RefusalClass::TooLarge, options_.address);
         responder->answer({ 413, options_.tooLargeHeaders, options_.tooLargeBody });
         return;
     }
     if (options_.maxPending != 0 && pendingRequests_ > options_.maxPending) {
+        options_.limits->countRefusal(RefusalClass::TooManyPending, options_.address);
         responder->answer(
             { 503, { { "Retry-After", "1" }, { "Basilgap-Outcome", "not-run" } }, "" });
         return;
--- a/Source/Basilgap/Network/HttpServer.h
+++ b/Source/Basilgap/Network/HttpServer.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
+#include <vector>
 
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -12,6 +13,8 @@
 #include "Basilgap/Common/Error.h"
 #include "Basilgap/Network/EventLoop.h"
 #include "Basilgap/Network/HttpMessage.h"
+#include "Basilgap/Network/HttpServerConnection.h"
+#include "Basilgap/Network/LingeringSockets.h"
 
 namespace basilgap::network {
 
@@ -36,27 +39,34 @@
 struct HttpServerOptions
 {
     std::string address;
-    // Largest body that is read, in bytes. A larger one is answered 413 with `tooLargeBody`.
+    // Largest body that is kept, in bytes. A larger one is answered 413 with `tooLargeBody` as soon
+    // as its length is known.
     size_t maxBodyBytes = 1024 * 1024;
     size_t maxHeaderBytes = 16 * 1024;
     Millis idleTimeout{ 60000 };
-    // While this many connections are open, no further one is accepted; 0 means no limit.
+    // A request that has not arrived in full within this time of its first byte is closed.
+    Millis requestTimeout{ 60000 };
+    // While this many connections are open, a further one takes the place of one that has sent no
+    // request for some time, or waits until one is closed after its next answer; 0 means no limit.
     size_t maxConnections = 0;
     // Requests beyond this number of pending ones are answered 503 at once; 0 means no limit.
     size_t maxPending = 0;
     std::string tooLargeBody;
     Headers tooLargeHeaders;
+    // Shared by the listeners of a process; by default a listener has no limit of its own.
+    std::shared_ptr<ClientLimits> limits;
 };
 
 class EvhttpResponder;
 
-// An HTTP/1.1 listener on evhttp.
-class HttpServer
+// An HTTP/1.1 listener on evhttp. Bounds the bytes that each connection, and together with the
+// other listeners of the process all connections, hold.
+class HttpServer : private HttpServerConnection::Owner
 {
 public:
     static Result<std::unique_ptr<HttpServer>> listen(
         EventLoop &loop, HttpServerOptions options, RequestHandler handler);
-    ~HttpServer();
+    ~HttpServer() override;
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
@@ -69,7 +79,7 @@
     // Tells callers to close their connection after the next answer; new ones are still accepted.
     void closeAfterAnswers() { closesAfterAnswers_ = true; }
 
-    size_t openConnections() const { return connections_.size() + silentSince_.size(); }
+    size_t openConnections() const { return connections_.size() + accepted_.size(); }
 
     // Number of requests that were read and not answered yet.
     size_t pendingRequests() const { return pendingRequests_; }
@@ -82,21 +92,38 @@
     static bufferevent *onAccept(event_base *base, void *self);
     static void onConnectionClosed(evhttp_connection *connection, void *self);
     void dispatch(evhttp_request *request);
-    void recordAccepted();
-    void recordConnection(evhttp_connection *connection);
+    static void onAttention(evutil_socket_t, short, void *self);
+    void needsAttention(HttpServerConnection *connection) override;
+    void closeFor(HttpServerConnection *connection, RefusalClass refusal) override;
+    void recordAccepted(bufferevent *buffer);
+    void adoptAccepted();
+    void attend();
+    void attend(HttpServerConnection *connection);
+    void replaceEvhttpAnswer(HttpServerConnection *connection);
+    bool isConnectionWaiting() const;
+    bool closeMostOverdue();
+    bool takePlaceWanted();
+    void closeSlowRequests();
     void resumeAccepting();
+    HttpServerConnection *find(evhttp_connection *connection);
 
     HttpServerOptions options_;
     RequestHandler handler_;
     evhttp *http_;
     evhttp_bound_socket *socket_ = nullptr;
-    // Connections that have sent a request, with the responder of their pending request or null.
-    std::unordered_map<evhttp_connection *, EvhttpResponder *> connections_;
-    // When each connection was accepted that has sent no request yet. evhttp does not report the
-    // end of these, so they count until they would have timed out.
-    std::deque<Millis> silentSince_;
+    // Connections that were accepted in this turn of the event loop. Their evhttp connections are
+    // not known yet.
+    std::vector<std::unique_ptr<HttpServerConnection>> accepted_;
+    std::unordered_map<evhttp_connection *, std::unique_ptr<HttpServerConnection>> connections_;
+    std::unordered_set<HttpServerConnection *> needAttention_;
+    // Runs attend() outside of evhttp, before the event loop reads or writes again.
+    std::unique_ptr<event, EventDeleter> attentionEvent_;
+    LingeringSockets lingering_;
     bool isPaused_ = false;
+    // Connections to close after their next answer, because others wait for a place.
+    size_t placesWanted_ = 0;
     Timer resumeTimer_;
+    Timer slowRequestTimer_;
     size_t pendingRequests_ = 0;
     bool isAccepting_ = true;
     bool closesAfterAnswers_ = false;
