Limit the held bytes and the places of clients in every process

Cause: the processes set no bound over all their connections, the listeners of basilgap-entry and basilgap-control none on the number of connections.

Change: the listeners of a process share one limit, a sixth of the host's memory (maxHeldMb; on the platform limits.memory_mb of the settings file, or the machine or the process's limits). A held byte was measured to cost up to 2.05 bytes, so with a fifth the crowd of chunked bodies would have come near the bound. Requests that wait for a leader may take half of it. Callers get half of the descriptors for connections, services a quarter, operators 32 places, the readiness check 32. The platform's 413 has a JSON body; a call without room at the entry is 503 and was not run.

--- a/Source/Basilgap/Admin/AdminServer.cpp
+++ b/Source/Basilgap/Admin/AdminServer.cpp
@@ -16,6 +16,9 @@
 constexpr Millis QueryTimeout{ 3000 };
 constexpr size_t MaxOperationIdLength = 255;
 
+// Operators and the collectors of metrics.
+constexpr size_t MaxConnections = 32;
+
 using network::errorResponse;
 using network::HttpRequest;
 using network::HttpResponse;
@@ -61,11 +64,15 @@
 {
     const std::string address = options.address;
     std::unique_ptr<AdminServer> admin(new AdminServer(std::move(options)));
+    const HttpResponse tooLarge =
+        errorResponse({ .status = 413, .error = "the body is too large", .step = "accept" });
     auto server = network::HttpServer::listen(loop,
         { .address = address,
             .maxBodyBytes = settings::MaxFileBytes,
-            .tooLargeBody = "",
-            .tooLargeHeaders = {} },
+            .maxConnections = MaxConnections,
+            .tooLargeBody = tooLarge.body,
+            .tooLargeHeaders = tooLarge.headers,
+            .limits = admin->options_.limits },
         [self = admin.get()](const HttpRequest &request, const ResponderPointer &responder) {
             self->handle(request, responder);
         });
--- a/Source/Basilgap/Admin/AdminServer.h
+++ b/Source/Basilgap/Admin/AdminServer.h
@@ -19,6 +19,8 @@
         std::string address;
         std::string operatorKey;
         network::RpcClient &rpc;
+        // Shared with the other listeners of the process.
+        std::shared_ptr<network::ClientLimits> limits;
         // Returns the state of the process as JSON text.
         std::function<std::string()> dump;
         // Returns the metrics in the Prometheus text format.
--- a/Source/Basilgap/Control/ControlProcess.cpp
+++ b/Source/Basilgap/Control/ControlProcess.cpp
@@ -48,7 +48,8 @@
 Result<void> ControlProcess::openReplica(const std::string &cellKey)
 {
     rpc_ = std::make_unique<network::RpcClient>(
-        loop_, [this](const schema::PeerMessage &message) { return sendToLeader(message); });
+        loop_, [this](const schema::PeerMessage &message) { return sendToLeader(message); },
+        network::pendingCallBytes(network::heldBytesOf(settings_)));
     auto replica = Replica::start(loop_,
         {
             .settings = settings_,
@@ -103,11 +104,13 @@
     if (!peers)
         return fail(peers.error());
     peers_ = std::move(*peers);
+    clientLimits_ = std::make_shared<network::ClientLimits>(network::heldBytesOf(settings_));
     auto admin = admin::AdminServer::listen(loop_,
         {
             .address = settings_.admin_address(),
             .operatorKey = operatorKey,
             .rpc = *rpc_,
+            .limits = clientLimits_,
             .dump = [this] { return dump(); },
             .metrics = [this] { return metrics(); },
             .status = [this] { return status(); },
@@ -248,7 +251,7 @@
         + line("basilgap_jobs", replica_->state().jobs().jobs().size())
         + line("basilgap_tasks_waiting", replica_->state().jobs().waitingTasks())
         + line("basilgap_tasks_running", replica_->state().jobs().runningTasks())
-        + line("basilgap_claims", replica_->state().claims().size());
+        + line("basilgap_claims", replica_->state().claims().size()) + clientLimits_->metricText();
 }
 
 } // namespace basilgap::control
--- a/Source/Basilgap/Control/ControlProcess.h
+++ b/Source/Basilgap/Control/ControlProcess.h
@@ -48,6 +48,7 @@
     std::unique_ptr<Leader> leader_;
     std::unique_ptr<network::PeerServer> peers_;
     std::unique_ptr<network::RpcClient> rpc_;
+    std::shared_ptr<network::ClientLimits> clientLimits_;
     std::unique_ptr<admin::AdminServer> admin_;
     network::Timer stopTimer_;
     network::Timer zoneCheckTimer_;
--- a/Source/Basilgap/Entry/ControlClient.cpp
+++ b/Source/Basilgap/Entry/ControlClient.cpp
@@ -26,7 +26,9 @@
 ControlClient::ControlClient(network::EventLoop &loop, Options options)
     : loop_(loop)
     , options_(std::move(options))
-    , rpc_(loop, [this](const schema::PeerMessage &message) { return send(message); })
+    , rpc_(
+          loop, [this](const schema::PeerMessage &message) { return send(message); },
+          options_.maxPendingBytes)
     , renewalTimer_(loop, [this] { renew(); })
     , tickTimer_(loop, [this] { tick(); })
 {
--- a/Source/Basilgap/Entry/ControlClient.h
+++ b/Source/Basilgap/Entry/ControlClient.h
@@ -23,6 +23,8 @@
 public:
     struct Options
     {
+        // Bytes of the requests that wait for the leader; 0 means no limit.
+        size_t maxPendingBytes = 0;
         const schema::EntrySettings &settings;
         Incarnation incarnation;
         std::string cellKey;
--- a/Source/Basilgap/Entry/EntryProcess.cpp
+++ b/Source/Basilgap/Entry/EntryProcess.cpp
@@ -5,6 +5,7 @@
 #include "Basilgap/Common/EventLog.h"
 #include "Basilgap/Common/Hash.h"
 #include "Basilgap/Common/LeaseTimes.h"
+#include "Basilgap/Network/DescriptorBudget.h"
 #include "Basilgap/Network/Json.h"
 #include "Basilgap/Settings/YamlReader.h"
 
@@ -26,6 +27,11 @@
 // Added to the longest route timeout to bound the duration of a stop.
 constexpr Millis StopMargin{ 2000 };
 
+// Of the descriptors for connections, callers get half and backend servers and workers a quarter.
+// The rest is for connections to backend servers and for operators.
+constexpr size_t CallerConnectionParts = 2;
+constexpr size_t ServiceConnectionParts = 4;
+
 // The HTTP server sends this answer itself, before a handler sees the request.
 network::HttpResponse bodyTooLarge()
 {
@@ -89,8 +95,11 @@
             .connectionGeneration = [this] { return control_->connectionGeneration(); },
         },
         view_);
+    const size_t heldBytes = network::heldBytesOf(settings_);
+    clientLimits_ = std::make_shared<network::ClientLimits>(heldBytes);
     control_ = std::make_unique<ControlClient>(loop_,
         ControlClient::Options{
+            .maxPendingBytes = network::pendingCallBytes(heldBytes),
             .settings = settings_,
             .incarnation = incarnation_,
             .cellKey = cellKey,
@@ -135,13 +144,18 @@
         .workers = *workers_,
         .onBackendChanged = [this] { control_->scheduleRenewal(MinChangeRenewInterval); } });
     const network::HttpResponse refusal = bodyTooLarge();
+    const network::DescriptorBudget budget = network::divideDescriptors(network::descriptorLimit());
+    const size_t connections = budget.workerConnections + budget.acceptedConnections;
     auto callers = network::HttpServer::listen(loop_,
         { .address = settings_.public_address(),
             .maxBodyBytes = settings_.max_body_bytes(),
             .idleTimeout = Millis(settings_.idle_timeout_ms()),
+            .maxConnections =
+                std::min<size_t>(settings_.max_connections(), connections / CallerConnectionParts),
             .maxPending = settings_.max_connections(),
             .tooLargeBody = refusal.body,
-            .tooLargeHeaders = refusal.headers },
+            .tooLargeHeaders = refusal.headers,
+            .limits = clientLimits_ },
         [this](network::HttpRequest request, network::ResponderPointer responder) {
             callerApi_->handle(std::move(request), std::move(responder));
         });
@@ -150,8 +164,10 @@
     publicServer_ = std::move(*callers);
     auto services = network::HttpServer::listen(loop_,
         { .address = settings_.service_address(),
+            .maxConnections = connections / ServiceConnectionParts,
             .tooLargeBody = refusal.body,
-            .tooLargeHeaders = refusal.headers },
+            .tooLargeHeaders = refusal.headers,
+            .limits = clientLimits_ },
         [this](const network::HttpRequest &request, const network::ResponderPointer &responder) {
             serviceApi_->handle(request, responder);
         });
@@ -162,6 +178,7 @@
         { .address = settings_.admin_address(),
             .operatorKey = operatorKey,
             .rpc = control_->rpc(),
+            .limits = clientLimits_,
             .dump = [this] { return dump(); },
             .metrics = [this] { return metrics(); },
             .status = [this] { return status(); } });
@@ -333,7 +350,8 @@
         + line("basilgap_control_sent_bytes", sent)
         + line("basilgap_control_received_bytes", received)
         + dispatcher_->waitingTimeMs().metricText("basilgap_request_waiting_ms")
-        + dispatcher_->totalTimeMs().metricText("basilgap_request_total_ms");
+        + dispatcher_->totalTimeMs().metricText("basilgap_request_total_ms")
+        + clientLimits_->metricText();
 }
 
 } // namespace basilgap::entry
--- a/Source/Basilgap/Entry/EntryProcess.h
+++ b/Source/Basilgap/Entry/EntryProcess.h
@@ -53,6 +53,7 @@
     std::unique_ptr<WorkerRelay> workers_;
     std::unique_ptr<CallerApi> callerApi_;
     std::unique_ptr<ServiceApi> serviceApi_;
+    std::shared_ptr<network::ClientLimits> clientLimits_;
     std::unique_ptr<network::HttpServer> publicServer_;
     std::unique_ptr<network::HttpServer> serviceServer_;
     std::unique_ptr<admin::AdminServer> admin_;
--- a/Source/Basilgap/Network/ClientLimits.h
+++ b/Source/Basilgap/Network/ClientLimits.h
@@ -12,9 +12,9 @@
 
 // Why a listener refuses a request or closes a connection.
 enum class RefusalClass {
-    // 413: the body, the header block or a chunk is over the limit.
+    // 413: the body or a chunk is over the limit.
     TooLarge,
-    // 400 from the HTTP parser.
+    // 400 from the HTTP parser, as for a header block over the limit.
     Malformed,
     // 503: too many requests are pending.
     TooManyPending,
--- a/Source/FailureTests/ClientLimitsFailureTest.cpp
+++ b/Source/FailureTests/ClientLimitsFailureTest.cpp
@@ -17,6 +17,7 @@
 constexpr size_t MaxDescriptors = DescriptorLimit - 16;
 
 constexpr size_t MaxBodyBytes = 64 * 1024;
+constexpr size_t MaxHeldMegabytes = 24;
 constexpr size_t Crowd = 40;
 // More connections than the processes have descriptors.
 constexpr size_t SilentCrowd = 300;
@@ -58,9 +59,11 @@
     void start()
     {
         const LowDescriptorLimit limit;
+        const std::string heldBytes = "maxHeldMb: " + std::to_string(MaxHeldMegabytes) + "\n";
         startCell({ .controls = 1,
             .entries = 1,
-            .entryExtra = "maxBodyBytes: " + std::to_string(MaxBodyBytes) + "\n" });
+            .controlExtra = heldBytes,
+            .entryExtra = "maxBodyBytes: " + std::to_string(MaxBodyBytes) + "\n" + heldBytes });
         if (HasFatalFailure())
             return;
         LocalCell::Host *entry = &cell_->entries()[0];
