Support no second candidate just after a vote

Cause: after a power cut of all hosts a replica that had voted, and not yet heard from the new leader, supported the next pre-candidate, which deposed the leader 40 ms after its election.

Change: a replica refuses pre-votes for 150 ms after it has voted, except to the candidate that it voted for.

--- a/Source/Basilgap/Replication/RaftCore.h
+++ b/Source/Basilgap/Replication/RaftCore.h
@@ -32,6 +32,9 @@
     Millis promptElectionMax{ 260 };
     // How long a pre-candidate refuses its pre-vote to pre-candidates that it outranks.
     Millis preVotePriorityTime{ 1000 };
+    // A replica that has voted supports no other candidate for this time. The one that it voted for
+    // may lead already, and its first message may be under way.
+    Millis voteHoldTime{ 150 };
     // How much later a reluctant replica starts an election. The others elect a leader by then.
     Millis reluctance{ 700 };
     uint64_t seed = 1;
@@ -266,6 +269,8 @@
     Millis lastRoundAt_;
     Millis quorumCheckDue_;
     Millis leaderHeardAt_;
+    // When this replica last voted in an election, also for itself; absent since its start.
+    std::optional<Millis> votedAt_;
     // Time at which this replica first became a pre-candidate since it last knew a leader.
     std::optional<Millis> candidateSince_;
     std::set<ReplicaId> votes_;
--- a/Source/Basilgap/Replication/RaftElection.cpp
+++ b/Source/Basilgap/Replication/RaftElection.cpp
@@ -103,6 +103,7 @@
     hardState_.set_term(hardState_.term() + 1);
     hardState_.set_voted_for(options_.self.value());
     saveHardState();
+    votedAt_ = now_;
     votes_ = { options_.self };
     setPromptElectionDue();
     if (hasQuorum(votes_))
@@ -164,7 +165,9 @@
         // unable to reach a quorum.
         const bool isOutranked = role_ == RaftRole::PreCandidate && outranks(message)
             && now_ - candidateSince_.value_or(now_) < options_.preVotePriorityTime;
-        granted = granted && message.term() > hardState_.term() && !isOutranked;
+        const bool holdsVote = votedAt_ && now_ - *votedAt_ < options_.voteHoldTime
+            && hardState_.voted_for() != message.from();
+        granted = granted && message.term() > hardState_.term() && !isOutranked && !holdsVote;
         if (granted && role_ == RaftRole::PreCandidate) {
             role_ = RaftRole::Follower;
             setPromptElectionDue();
@@ -176,6 +179,7 @@
     }
     if (granted && !request.pre_vote()) {
         hardState_.set_voted_for(message.from());
+        votedAt_ = now_;
         saveHardState();
         resetElectionDue();
     }
--- a/Source/UnitTests/Replication/RaftCoreTest.cpp
+++ b/Source/UnitTests/Replication/RaftCoreTest.cpp
@@ -350,6 +350,42 @@
     }
 }
 
+// Guards against a leader that is deposed as soon as it is elected: after a power cut of all hosts,
+// which come back one after the other, a pre-candidate got a quorum from replicas that had voted
+// and not yet heard from their leader.
+TEST(RaftCore, leaderIsNotDeposedBeforeItsFirstMessageArrives)
+{
+    constexpr Millis Step{ 5 };
+    for (uint64_t seed = 1; seed <= 200; seed++) {
+        std::mt19937_64 random(seed);
+        RaftCluster cluster(5, seed);
+        ASSERT_TRUE(cluster.converge());
+        std::vector<Millis> startsAt;
+        for (size_t i = 0; i < cluster.size(); i++) {
+            cluster.crash(i);
+            cluster.isolate(i, true);
+            cluster.setLatency(i, Millis(static_cast<int64_t>(5 + random() % 25)));
+            startsAt.emplace_back(static_cast<int64_t>(random() % 350));
+        }
+        std::optional<Term> elected;
+        size_t depositions = 0;
+        for (Millis time; time < Millis(2000); time = time + Step) {
+            for (size_t i = 0; i < cluster.size(); i++) {
+                if (startsAt[i] >= time && startsAt[i] < time + Step)
+                    cluster.isolate(i, false);
+            }
+            cluster.advance(Step);
+            if (!cluster.leader())
+                continue;
+            const Term term = cluster.core(*cluster.leader()).term();
+            depositions += elected && *elected != term ? 1 : 0;
+            elected = term;
+        }
+        EXPECT_TRUE(elected.has_value()) << "seed " << seed;
+        EXPECT_EQ(depositions, 0U) << "seed " << seed;
+    }
+}
+
 TEST(RaftCore, transfersLeadership)
 {
     RaftCluster cluster(3, 8);
