Read the table anew when a leader goes on from its disk

A leader that goes on from its disk builds the state anew from the same records: the new table has the same number of changes and the configuration the same version, so the kept steps pointed to freed jobs and queues.

Change: positions in the changes of two tables have no value in common, and a configuration has a revision that differs after each rebuild. WaitingStepsTest.aTableThatWasBuiltAnewIsReadAnew guards it.

No job is late now before it would be by its own estimates.

--- a/Source/Basilgap/Scheduling/Lateness.cpp
+++ b/Source/Basilgap/Scheduling/Lateness.cpp
@@ -48,7 +48,9 @@
         const uint64_t expectedMs = durations == nullptr
             ? step.estimate_ms()
             : static_cast<uint64_t>(durations->expectedDuration(work, ref).count());
-        ends[i] = { begin.allMs + expectedMs, begin.remainingMs + (isDone ? 0 : expectedMs) };
+        // A job is not late before it would be by its own estimates, whatever the forecast says.
+        const uint64_t objectiveMs = std::max<uint64_t>(expectedMs, step.estimate_ms());
+        ends[i] = { begin.allMs + objectiveMs, begin.remainingMs + (isDone ? 0 : expectedMs) };
         const double taskWork = static_cast<double>(expectedMs * step.millicores());
         allWork += taskWork * step.count();
         doneWork += taskWork * work.occurrences[occurrence][i].done;
--- a/Source/Basilgap/Scheduling/WaitingSteps.cpp
+++ b/Source/Basilgap/Scheduling/WaitingSteps.cpp
@@ -49,9 +49,9 @@
     const std::function<void(state::WorkSerial)> &callback)
 {
     // Queues and accounts have changed, or the lateness of jobs, which otherwise only grows.
-    if (config.version() != configVersion_ || wallMs + MaxClockStepMs < readAtMs_)
+    if (config.revision() != configRevision_ || wallMs + MaxClockStepMs < readAtMs_)
         reset();
-    configVersion_ = config.version();
+    configRevision_ = config.revision();
     readAtMs_ = wallMs;
     changed_.clear();
     const auto collect = [this](state::WorkSerial work) { changed_.push_back(work); };
--- a/Source/Basilgap/Scheduling/WaitingSteps.h
+++ b/Source/Basilgap/Scheduling/WaitingSteps.h
@@ -66,7 +66,7 @@
     uint64_t position_ = 0;
     TimedChanges timed_;
     std::vector<state::WorkSerial> changed_;
-    uint64_t configVersion_ = 0;
+    uint64_t configRevision_ = 0;
     uint64_t readAtMs_ = 0;
 };
 
--- a/Source/Basilgap/State/WorkChanges.cpp
+++ b/Source/Basilgap/State/WorkChanges.cpp
@@ -1,5 +1,7 @@
 #include "Basilgap/State/WorkChanges.h"
 
+#include <atomic>
+
 namespace basilgap::state {
 
 namespace {
@@ -8,8 +10,17 @@
 // jobs again.
 constexpr size_t MaxChanges = 8192;
 
+// More positions than one table uses in the life of a process.
+constexpr uint64_t PositionsPerTable = uint64_t(1) << 40;
+
+std::atomic<uint64_t> nextFirst{ 1 };
+
 } // namespace
 
+WorkChanges::WorkChanges()
+    : first_(nextFirst.fetch_add(PositionsPerTable))
+{}
+
 void WorkChanges::record(WorkSerial work)
 {
     works_.push_back(work);
--- a/Source/Basilgap/State/WorkChanges.h
+++ b/Source/Basilgap/State/WorkChanges.h
@@ -13,6 +13,10 @@
 class WorkChanges
 {
 public:
+    // Positions of different objects have no value in common, so that a reader notices that the
+    // table was replaced.
+    WorkChanges();
+
     void record(WorkSerial work);
     // Readers have to read all jobs again.
     void invalidate();
@@ -25,7 +29,7 @@
 
 private:
     // Position of the first of works_.
-    uint64_t first_ = 1;
+    uint64_t first_;
     std::deque<WorkSerial> works_;
 };
 
--- a/Source/Basilgap/State/WorkConfigState.cpp
+++ b/Source/Basilgap/State/WorkConfigState.cpp
@@ -1,9 +1,16 @@
 #include "Basilgap/State/WorkConfigState.h"
 
 #include <algorithm>
+#include <atomic>
 
 namespace basilgap::state {
 
+namespace {
+
+std::atomic<uint64_t> nextRevision{ 1 };
+
+} // namespace
+
 schema::CommandOutcome WorkConfigState::apply(const schema::PutWorkConfig &command)
 {
     schema::CommandOutcome outcome;
@@ -56,6 +63,7 @@
 
 void WorkConfigState::rebuildIndexes()
 {
+    revision_ = nextRevision.fetch_add(1);
     queues_.clear();
     byHost_.clear();
     accounts_.clear();
--- a/Source/Basilgap/State/WorkConfigState.h
+++ b/Source/Basilgap/State/WorkConfigState.h
@@ -25,6 +25,9 @@
 
     bool isConfigured() const { return current_.version() > 0; }
     uint64_t version() const { return current_.version(); }
+    // Differs whenever queues and accounts may have been replaced, also by a restored snapshot with
+    // the same version. Not replicated.
+    uint64_t revision() const { return revision_; }
     const std::string &document() const { return current_.document(); }
     const schema::WorkConfig &config() const { return current_.config(); }
     bool isZoneOut(const ZoneName &zone) const { return zonesOut_.contains(zone); }
@@ -44,6 +47,7 @@
     void rebuildIndexes();
 
     schema::PutWorkConfig current_;
+    uint64_t revision_ = 0;
     std::set<ZoneName> zonesOut_;
     std::map<std::string, schema::UpkeepWave> waves_;
     std::unordered_map<std::string, int> queues_;
--- a/Source/UnitTests/Scheduling/WaitingStepsTest.cpp
+++ b/Source/UnitTests/Scheduling/WaitingStepsTest.cpp
@@ -158,6 +158,28 @@
     EXPECT_EQ(waiting.ordered().size(), 3U);
 }
 
+// Guards against use of freed jobs and queues: a leader that goes on from its disk builds the state
+// anew, and the same records lead to the same number of changes and the same version.
+TEST_F(WaitingStepsTest, aTableThatWasBuiltAnewIsReadAnew)
+{
+    const auto build = [this] {
+        submitted = 0;
+        table = state::WorkTable();
+        config = state::WorkConfigState();
+        configure(1, 2);
+        for (int i = 0; i < 3; i++)
+            submit();
+        waiting.refresh(table, config, nowMs);
+    };
+    build();
+    build();
+    ASSERT_EQ(waiting.ordered().size(), 3U);
+    for (const WaitingStep &step : waiting.ordered()) {
+        EXPECT_EQ(step.work, table.find(step.ref.work));
+        EXPECT_EQ(step.queue, config.findQueue(step.work->queue));
+    }
+}
+
 // Guards against readers that fall behind the changes that are kept.
 TEST_F(WaitingStepsTest, aReaderThatFellBehindReadsAllJobs)
 {
