Build the admission figures after the first turn of a new leader

Cause: a new leader read all active jobs for admission before its first message left, some 40 ms on a host of 0.4 core, and the other replicas elected another leader meanwhile.

Change: the figures are built in the first tick. Nothing is refused for 2 s after a change of leader anyway.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -51,7 +51,6 @@
     if (options_.forecastUses.expectedDuration)
         speeds_.useForecast(&forecast_);
     reconcileSessions();
-    rebuildAdmission();
     tickTimer_.startRepeating(TickInterval);
 }
 
@@ -306,6 +305,8 @@
     if (lastTickAt_ > Millis())
         activity_.maxTickDelay = std::max(activity_.maxTickDelay, now - lastTickAt_ - TickInterval);
     lastTickAt_ = now;
+    if (!isAdmissionBuilt_)
+        rebuildAdmission();
     advicePool_.tick(now);
     // A leader without confirmation by a quorum must not renew leases, because its successor treats
     // them as expired. After a freeze it would also judge runs by outdated reports.
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -217,6 +217,7 @@
     // Of all workers in the last round, also of those out of reach.
     state::Resources registeredCapacity_;
     scheduling::AdmissionForecast admission_;
+    bool isAdmissionBuilt_ = false;
     // Submitted jobs whose log record is not applied yet, with the number of calls for each.
     std::map<std::string, uint32_t> pendingSubmissions_;
     std::map<state::WorkerNumber, std::unique_ptr<WorkerSession>> sessions_;
--- a/Source/Basilgap/Dispatch/WorkDispatcherAdmission.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherAdmission.cpp
@@ -19,8 +19,11 @@
 
 } // namespace
 
+// Not before the first turn of the event loop, as the other replicas wait for the first message of
+// a new leader, and elect another one if all jobs are read before it is sent.
 void WorkDispatcher::rebuildAdmission()
 {
+    isAdmissionBuilt_ = true;
     for (const state::WorkSerial serial : state_.works().active())
         refreshAdmission(serial);
 }
