--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -20,6 +20,19 @@
 
 } // namespace
 
+const char *toText(LeaseSource source)
+{
+    switch (source) {
+    case LeaseSource::None:
+        return "none";
+    case LeaseSource::Start:
+        return "start";
+    case LeaseSource::Poll:
+        return "poll";
+    }
+    return "unknown";
+}
+
 WorkerSession::WorkerSession(Options options, Millis now)
     : options_(std::move(options))
     , nextPollAt_(now)
@@ -125,9 +138,35 @@
     return *time + options_.times.leaseDuration;
 }
 
-void WorkerSession::recordLeaseEnd(Millis leaseEnd)
+void WorkerSession::recordLeaseEnd(Millis leaseEnd, LeaseSource source, Millis now)
+{
+    if (leaseEnd <= latestLeaseEnd_)
+        return;
+    latestLeaseEnd_ = leaseEnd;
+    leaseSource_ = source;
+    leaseSentAt_ = now;
+}
+
+void WorkerSession::logLeaseExpiry(Millis now) const
 {
-    latestLeaseEnd_ = std::max(latestLeaseEnd_, leaseEnd);
+    LogEvent("lease-expired")
+        .with("worker", options_.endpoint.id)
+        .with("born", options_.incarnationStartMs)
+        .with("runs", runs_.size())
+        .with("clock", workerTime(now).value_or(Millis()))
+        .with("clockAgeMs", now - workerClockAt_)
+        .with("leaseEnd", latestLeaseEnd_)
+        .with("source", toText(leaseSource_))
+        .with("sourceAgeMs", now - leaseSentAt_)
+        .with("silentMs", now - lastAnswerAt_);
+}
+
+uint32_t WorkerSession::unansweredStarts() const
+{
+    uint32_t sum = 0;
+    for (const auto &[task, known] : runs_)
+        sum += known.unansweredSends;
+    return sum;
 }
 
 // True once no lease granted by this or an earlier leader can still be valid.
@@ -185,7 +224,7 @@
     }
     if (!fitsCapacity(task))
         return withholdStart(task, known, now);
-    recordLeaseEnd(*leaseEnd);
+    recordLeaseEnd(*leaseEnd, LeaseSource::Start, now);
     known->checkpoint = state->checkpoint;
     known->sendCount++;
     const uint32_t run = known->run;
@@ -331,7 +370,9 @@
             .with("step", task.step.step)
             .with("task", task.index)
             .with("run", run)
-            .with("worker", options_.endpoint.id);
+            .with("worker", options_.endpoint.id)
+            .with("born", options_.incarnationStartMs)
+            .with("sends", known.unansweredSends);
         stopIndeterminateRun(task, &known, now);
         return setSuspect(true);
     }
@@ -445,6 +486,8 @@
     if (now <= answerDue || !hasLeaseExpired(now))
         return;
     lingeringRuns_.clear();
+    if (!runs_.empty())
+        logLeaseExpiry(now);
     for (const auto &[task, known] : std::map(runs_))
         endLostRun(task, schema::RUN_LAPSED);
 }
@@ -585,7 +628,16 @@
     if (superseded_)
         return;
     superseded_ = true;
-    LogEvent("worker-reborn").with("worker", options_.endpoint.id).with("runs", runs_.size());
+    LogEvent("worker-reborn")
+        .with("worker", options_.endpoint.id)
+        .with("runs", runs_.size())
+        .with("born", options_.incarnationStartMs)
+        .with("clock", workerTime(now).value_or(Millis()))
+        .with("leaseEnd", latestLeaseEnd_)
+        .with("source", toText(leaseSource_))
+        .with("sourceAgeMs", now - leaseSentAt_)
+        .with("pendingPolls", pendingPolls_)
+        .with("unansweredStarts", unansweredStarts());
     for (const auto &[task, known] : std::map(runs_)) {
         if (known.isListed && known.unansweredSends == 0) {
             endLostRun(task, schema::RUN_LOST);
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -189,6 +189,11 @@
     }
 };
 
+// The call that last extended a worker's lease, as far as the leader knows.
+enum class LeaseSource { None, Start, Poll };
+
+const char *toText(LeaseSource source);
+
 // The leader's side of one incarnation of a worker: renews its lease, polls its runs, sends orders,
 // and determines when a run has certainly ended.
 class WorkerSession
@@ -315,7 +320,12 @@
     void adoptRuns(Millis now);
     bool hasLeaseExpired(Millis now) const;
     std::optional<Millis> nextLeaseEnd(Millis now) const;
-    void recordLeaseEnd(Millis leaseEnd);
+    void recordLeaseEnd(Millis leaseEnd, LeaseSource source, Millis now);
+    void logLeaseExpiry(Millis now) const;
+    void logFirstAnswer(const PollAnswer &answer) const;
+    void logOtherIncarnation(const PollAnswer &answer);
+    // Sends of starts that were not answered, over all runs.
+    uint32_t unansweredStarts() const;
     std::optional<TaskName> nameOf(const StepTaskRef &task) const;
     std::optional<StepTaskRef> taskOf(const TaskName &name) const;
     void setSuspect(bool suspect);
@@ -344,6 +354,11 @@
     Millis workerClockAt_;
     // Latest lease end that was sent, on the worker's clock.
     Millis latestLeaseEnd_;
+    // The call that sent it, and the local time of that call.
+    LeaseSource leaseSource_ = LeaseSource::None;
+    Millis leaseSentAt_;
+    // An answer of another incarnation has been logged.
+    bool hasLoggedOtherIncarnation_ = false;
     uint64_t ackedEndSequence_ = 0;
     uint64_t highestEndSequence_ = 0;
     // Until then no poll is sent while listed ends are not acknowledged.
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -1,6 +1,7 @@
 // Polls the worker and applies its reports of running and ended runs.
 
 #include <algorithm>
+#include <utility>
 
 #include "Basilgap/Common/EventLog.h"
 #include "Basilgap/Dispatch/WorkerSession.h"
@@ -41,7 +42,7 @@
     // lease expires.
     const auto leaseEnd = suspect_ ? std::nullopt : nextLeaseEnd(now);
     if (leaseEnd)
-        recordLeaseEnd(*leaseEnd);
+        recordLeaseEnd(*leaseEnd, LeaseSource::Poll, now);
     isImmediate = isImmediate || suspect_ || !synced_ || hasStoppedRun() || hasStrayRun_;
     const Millis normalWait = options_.callLoss.isLossy(now)
         ? std::min(
@@ -89,6 +90,8 @@
     const bool isSameIncarnation = !answer.incarnationStartMs || options_.incarnationStartMs == 0
         || *answer.incarnationStartMs == options_.incarnationStartMs;
     if (answer.result != OrderResult::Accepted || !isSameIncarnation) {
+        if (!isSameIncarnation)
+            logOtherIncarnation(answer);
         // A worker that was already suspect does not count: its silence does not mean that
         // answers get lost.
         if (answer.result == OrderResult::Unanswered && !suspect_)
@@ -96,6 +99,8 @@
         nextPollAt_ = now + retryAfter(now);
         return setSuspect(true);
     }
+    if (newestAnsweredPoll_ == 0)
+        logFirstAnswer(answer);
     lastAnswerAt_ = now;
     lastHeardAt_ = now;
     if (answer.workerClock)
@@ -119,6 +124,31 @@
     nextPollAt_ = std::max(nextPollAt_, now + pollDelay_);
 }
 
+void WorkerSession::logFirstAnswer(const PollAnswer &answer) const
+{
+    LogEvent("worker-heard")
+        .with("worker", options_.endpoint.id)
+        .with("born", options_.incarnationStartMs)
+        .with("clock", answer.workerClock.value_or(Millis()))
+        .with("runs", runs_.size())
+        .with("running", answer.running.size())
+        .with("ended", answer.ended.size());
+}
+
+// A worker that restarts under its id receives the calls that were meant for its earlier
+// incarnation.
+void WorkerSession::logOtherIncarnation(const PollAnswer &answer)
+{
+    if (std::exchange(hasLoggedOtherIncarnation_, true))
+        return;
+    LogEvent("other-incarnation")
+        .with("worker", options_.endpoint.id)
+        .with("born", options_.incarnationStartMs)
+        .with("answeredBorn", *answer.incarnationStartMs)
+        .with("clock", answer.workerClock.value_or(Millis()))
+        .with("running", answer.running.size());
+}
+
 void WorkerSession::applyEnds(const PollAnswer &answer)
 {
     for (const EndReport &report : answer.ended) {
