Play calls that reach a later incarnation of their worker in the session model

A worker that restarts under its id carries out calls that were meant for its earlier incarnation, also late ones. Four new scenarios keep them, with tasks longer than the longest lease, links that are cut and tickets that hold for one incarnation. The workers also report when they forget an end, unless their lease has expired since, and the cell reports a start of that task before or after it.

--- a/Source/UnitTests/Dispatch/ModelLeader.cpp
+++ b/Source/UnitTests/Dispatch/ModelLeader.cpp
@@ -305,8 +305,13 @@
         const WorkerNumber worker(start.worker());
         const bool isCurrent = state->phase == state::RunPhase::Running && state->run == start.run()
             && state->worker == worker;
-        if (isCurrent && sessions_.contains(worker))
-            sessions_.at(worker)->start(task, start.run(), "", options_.time.now());
+        const auto session = sessions_.find(worker);
+        if (!isCurrent || session == sessions_.end())
+            continue;
+        const std::string ticket = options_.usesTickets
+            ? std::to_string(session->second->incarnationStartMs())
+            : std::string();
+        session->second->start(task, start.run(), ticket, options_.time.now());
     }
 }
 
--- a/Source/UnitTests/Dispatch/ModelLeader.h
+++ b/Source/UnitTests/Dispatch/ModelLeader.h
@@ -26,6 +26,8 @@
         state::WorkTable &table;
         uint64_t fencingToken = 0;
         std::function<int64_t(const state::StepTaskRef &)> millicoresOf;
+        // Whether starts carry a ticket for the worker's present incarnation.
+        bool usesTickets = false;
         // Null if the leader makes all calls itself.
         ModelRelays *relays = nullptr;
     };
--- a/Source/UnitTests/Dispatch/ModelNetwork.cpp
+++ b/Source/UnitTests/Dispatch/ModelNetwork.cpp
@@ -87,17 +87,20 @@
             return answer(answerOf<Answer>(OrderResult::Unavailable));
         execute(target, answer);
     };
-    // A call that is carried out late was received by the incarnation of its connection.
-    time_.after(time_.millisBetween(0, MaxUsualDelayMs), [this, worker, late, carryOut] {
-        ModelWorker &target = *workers_.at(worker);
-        if (!target.isUp() || !target.isLinkUp())
-            return;
-        const uint64_t incarnation = target.incarnationStartMs();
-        time_.after(late, [&target, incarnation, carryOut] {
-            if (target.isUp() && target.incarnationStartMs() == incarnation)
-                carryOut(target);
+    // Without the option, a late call is lost with the incarnation that received it.
+    const bool isKeptOverRestarts = trouble_.isCarriedOutAfterRestarts;
+    time_.after(time_.millisBetween(0, MaxUsualDelayMs),
+        [this, worker, late, carryOut, isKeptOverRestarts] {
+            ModelWorker &target = *workers_.at(worker);
+            if (!target.isLinkUp() || (!target.isUp() && !isKeptOverRestarts))
+                return;
+            const uint64_t incarnation = target.incarnationStartMs();
+            time_.after(late, [&target, incarnation, carryOut, isKeptOverRestarts] {
+                if (target.isUp()
+                    && (isKeptOverRestarts || target.incarnationStartMs() == incarnation))
+                    carryOut(target);
+            });
         });
-    });
 }
 
 void ModelNetwork::start(const WorkerEndpoint &worker, const StartOrder &order, Millis timeout,
--- a/Source/UnitTests/Dispatch/ModelNetwork.h
+++ b/Source/UnitTests/Dispatch/ModelNetwork.h
@@ -20,6 +20,8 @@
     // The call waits in the leader's process before it is sent.
     int64_t queued = 0;
     int64_t unavailable = 0;
+    // Calls that are carried out late reach a worker also if it has restarted under its id since.
+    bool isCarriedOutAfterRestarts = false;
 };
 
 // Carries the calls of one leader to the workers. A call outlives the leader that made it.
--- a/Source/UnitTests/Dispatch/ModelWorker.cpp
+++ b/Source/UnitTests/Dispatch/ModelWorker.cpp
@@ -50,8 +50,15 @@
     return true;
 }
 
+void ModelWorker::recordLeaseExpiry()
+{
+    if (clock() > leaseEnd_)
+        lastEndBeforeExpiry_ = lastEndSequence_;
+}
+
 void ModelWorker::extendLease(Millis end)
 {
+    recordLeaseExpiry();
     leaseEnd_ = std::max(leaseEnd_, std::min(end, clock() + MaxLease));
     checkLease();
 }
@@ -82,6 +89,9 @@
         extendLease(order.leaseEnd);
         return { OrderResult::StaleRun, clock() };
     }
+    // A ticket is valid during one incarnation.
+    if (!order.ticket.empty() && order.ticket != std::to_string(incarnationStartMs_))
+        return { OrderResult::NoTicket, clock() };
     options_.onStart(order.task, order.run);
     const TaskModel model = options_.model(order.task);
     int64_t used = model.millicores;
@@ -136,8 +146,14 @@
         answer.result = OrderResult::Fenced;
         return done(answer);
     }
-    std::erase_if(
-        ended_, [&order](const EndReport &end) { return end.sequence <= order.ackedEndSequence; });
+    recordLeaseExpiry();
+    std::erase_if(ended_, [this, &order](const EndReport &end) {
+        const bool isAcknowledged = end.sequence <= order.ackedEndSequence;
+        if (isAcknowledged && end.outcome == schema::RUN_DONE
+            && end.sequence > lastEndBeforeExpiry_)
+            options_.onEndAcknowledged(end.task, end.run);
+        return isAcknowledged;
+    });
     if (order.leaseEnd)
         extendLease(*order.leaseEnd);
     if (!ended_.empty() || order.wait == Millis())
@@ -183,6 +199,7 @@
     ended_.clear();
     waitingPolls_.clear();
     lastEndSequence_ = 0;
+    lastEndBeforeExpiry_ = 0;
     highestToken_ = 0;
     leaseEnd_ = Millis();
     options_.time.after(downtime, [this, onUp = std::move(onUp)] {
--- a/Source/UnitTests/Dispatch/ModelWorker.h
+++ b/Source/UnitTests/Dispatch/ModelWorker.h
@@ -34,6 +34,10 @@
         // Called before a run starts, and after one has ended.
         std::function<void(const TaskName &, uint32_t run)> onStart;
         std::function<void(const TaskName &, uint32_t run, schema::RunOutcome)> onEnd;
+        // Called when an end that was listed is acknowledged, unless the lease has expired since
+        // the end.
+        std::function<void(const TaskName &, uint32_t run)> onEndAcknowledged = [](const TaskName &,
+                                                                                    uint32_t) {};
         std::function<void(const std::string &)> onViolation;
     };
 
@@ -76,6 +80,7 @@
     // False if the order's token is lower than one seen before.
     bool seeToken(uint64_t token);
     void extendLease(Millis end);
+    void recordLeaseExpiry();
     void checkLease();
     void answerPolls();
     PollAnswer currentAnswer() const;
@@ -94,6 +99,8 @@
     std::map<TaskName, uint32_t> closedRuns_;
     std::vector<EndReport> ended_;
     uint64_t lastEndSequence_ = 0;
+    // The lease has expired since the end with this number.
+    uint64_t lastEndBeforeExpiry_ = 0;
     uint64_t lastPollNumber_ = 0;
     std::vector<WaitingPoll> waitingPolls_;
 };
--- a/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
@@ -15,6 +15,7 @@
 constexpr int64_t WorkerMillicores = 8000;
 constexpr Millis TroubledTime{ 30000 };
 constexpr Millis CalmTime{ 40000 };
+constexpr Millis LongCalmTime{ 200000 };
 constexpr size_t MaxActiveJobs = 12;
 constexpr Millis GangTimeout{ 3000 };
 // Between the ends of a gang's members.
@@ -29,6 +30,11 @@
     bool preempts = false;
     bool restartsWorkers = false;
     bool cutsLinks = false;
+    // Tasks may take longer than the longest lease.
+    bool hasLongTasks = false;
+    bool usesTickets = false;
+    // Checks that no task starts again after a worker has forgotten an end of it as done.
+    bool checksAcknowledgements = false;
     bool hasGangs = false;
     bool hasRelays = false;
     bool killsRelays = false;
@@ -52,8 +58,14 @@
                 .millicores = WorkerMillicores,
                 .model = [this](const TaskName &task) { return modelOf(task); },
                 .onStart = [this](const TaskName &task, uint32_t run) { checkStart(task, run); },
-                .onEnd = [this](const TaskName &task, uint32_t run,
-                             schema::RunOutcome outcome) { breakGang(task, run, outcome); },
+                .onEnd =
+                    [this](const TaskName &task, uint32_t run, schema::RunOutcome outcome) {
+                        if (outcome == schema::RUN_DONE)
+                            doneEnds_[{ task, run }] = {};
+                        breakGang(task, run, outcome);
+                    },
+                .onEndAcknowledged = [this](const TaskName &task,
+                                         uint32_t run) { checkAcknowledgement(task, run); },
                 .onViolation = [this](const std::string &text) { report(text); },
             });
             registerIncarnation(*workers_[id]);
@@ -75,7 +87,7 @@
         if (relays_)
             relays_->setTrouble({});
         leader().setConfirmed(true);
-        time_.runUntil(time_.now() + CalmTime);
+        time_.runUntil(time_.now() + (scenario_.hasLongTasks ? LongCalmTime : CalmTime));
         if (!violations_.empty())
             return;
         if (!table_.active().empty())
@@ -218,6 +230,7 @@
                     return static_cast<int64_t>(
                         table_.find(task.step.work)->specOf(task.step).millicores());
                 },
+            .usesTickets = scenario_.usesTickets,
             .relays = relays_.get(),
         }));
         leader().setRelaying(scenario_.hasRelays);
@@ -284,7 +297,7 @@
         ModelWorker::TaskModel model{ .millicores = static_cast<int64_t>(step.millicores()) };
         if (step.gang())
             return model;
-        model.duration = time_.millisBetween(20, 4000);
+        model.duration = time_.millisBetween(20, scenario_.hasLongTasks ? 15000 : 4000);
         model.outcome = time_.chance(10) ? schema::RUN_FAILED : schema::RUN_DONE;
         return model;
     }
@@ -341,6 +354,23 @@
         const state::Work *work = table_.find(task.work);
         if (work->occurrences[0][0].tasks[task.index].phase == state::RunPhase::Done)
             report("TWICE: " + name + " starts after its end was logged");
+        for (auto done = doneEnds_.lower_bound({ task, 0 });
+             done != doneEnds_.end() && done->first.first == task; ++done) {
+            done->second.hasStartedSince = true;
+            if (done->second.isAcknowledged)
+                report("TWICE: " + name + " starts after its end was acknowledged");
+        }
+    }
+
+    void checkAcknowledgement(const TaskName &task, uint32_t run)
+    {
+        const auto done = doneEnds_.find({ task, run });
+        if (done == doneEnds_.end() || !scenario_.checksAcknowledgements)
+            return;
+        done->second.isAcknowledged = true;
+        if (done->second.hasStartedSince)
+            report("TWICE: the end of run " + std::to_string(run) + " of " + task.work + "."
+                + std::to_string(task.index) + " is acknowledged after another start");
     }
 
     Scenario scenario_;
@@ -353,6 +383,13 @@
     std::vector<std::string> violations_;
     // Members of a gang's run that have started, by job.
     std::map<std::pair<std::string, uint32_t>, uint32_t> startedMembers_;
+    struct DoneEnd
+    {
+        bool isAcknowledged = false;
+        bool hasStartedSince = false;
+    };
+    // Runs that have ended as done.
+    std::map<std::pair<TaskName, uint32_t>, DoneEnd> doneEnds_;
     uint64_t jobs_ = 0;
     size_t starts_ = 0;
     bool isCalm_ = false;
@@ -362,6 +399,16 @@
     .lost = 3, .answerLost = 5, .late = 5, .notSent = 2, .queued = 10, .unavailable = 1
 };
 
+// A worker that restarts under its id carries out calls that were meant for its earlier
+// incarnation.
+constexpr NetworkTrouble LossyOverRestarts{ .lost = 3,
+    .answerLost = 5,
+    .late = 5,
+    .notSent = 2,
+    .queued = 10,
+    .unavailable = 1,
+    .isCarriedOutAfterRestarts = true };
+
 // MODEL_SEEDS in the environment sets another number of seeds, for a long run by hand.
 uint64_t seedCount()
 {
@@ -467,6 +514,63 @@
     playSeeds({ .trouble = Lossy, .preempts = true, .restartsWorkers = true });
 }
 
+// Guards against renewals, acknowledgements and stops that were meant for an earlier incarnation of
+// a worker: the runs of the later one outlive the lease that the leader knows of.
+TEST(WorkerSessionModel, noTaskRunsTwiceWhileRestartedWorkersTakeCallsForTheirEarlierIncarnation)
+{
+    playSeeds({ .trouble = LossyOverRestarts,
+        .preempts = true,
+        .restartsWorkers = true,
+        .cutsLinks = true,
+        .hasLongTasks = true,
+        .usesTickets = true,
+        .checksAcknowledgements = true });
+}
+
+// Guards against ends that are lost with acknowledgements for an earlier incarnation, in queues
+// whose starts carry no ticket: the later incarnation carries out starts for the earlier one too.
+TEST(WorkerSessionModel, noTaskRunsTwiceWhileRestartedWorkersTakeStartsWithoutTickets)
+{
+    playSeeds({ .trouble = LossyOverRestarts,
+        .preempts = true,
+        .restartsWorkers = true,
+        .cutsLinks = true,
+        .hasLongTasks = true,
+        .checksAcknowledgements = true });
+}
+
+// The same while an earlier leader has made some of these calls.
+TEST(WorkerSessionModel,
+    noTaskRunsTwiceWhileLeadersChangeAndWorkersTakeCallsForTheirEarlierIncarnation)
+{
+    playSeeds({ .trouble = LossyOverRestarts,
+        .changesLeader = true,
+        .losesConfirmation = true,
+        .cancelsJobs = true,
+        .preempts = true,
+        .restartsWorkers = true,
+        .cutsLinks = true,
+        .hasLongTasks = true,
+        .usesTickets = true,
+        .checksAcknowledgements = true });
+}
+
+// The same for calls that relays make.
+TEST(WorkerSessionModel,
+    noTaskRunsTwiceWhileRelaysFreezeAndWorkersTakeCallsForTheirEarlierIncarnation)
+{
+    playSeeds({ .trouble = LossyOverRestarts,
+        .preempts = true,
+        .restartsWorkers = true,
+        .cutsLinks = true,
+        .hasLongTasks = true,
+        .usesTickets = true,
+        .checksAcknowledgements = true,
+        .hasRelays = true,
+        .killsRelays = true,
+        .freezesRelays = true });
+}
+
 TEST(WorkerSessionModel, noWorkerIsOverItsCapacityThroughRelays)
 {
     playSeeds({ .cancelsJobs = true, .preempts = true, .hasRelays = true });
