Refuse calls that were meant for a worker's earlier incarnation

Callers saw a task run twice at the same time (TWICE): the leader took the lease of a worker that was cut off for expired up to 1.06 s before the worker did, and started its tasks elsewhere.

Cause: a call without an answer may be carried out later, also by the next incarnation of the worker under the same id. It carries the end of a lease on the earlier incarnation's clock. Where that clock is ahead of the new one, the worker extends the lease of all it runs to the longest that it grants, and the session with the new incarnation does not know. In the same way a late acknowledgement makes the new incarnation forget ends.

Change: the fencing token is made of the term and the incarnation's number, so that an incarnation refuses calls for the earlier ones once it has taken one of its own. Only incarnations that follow another one under their id wait longer; the replicated state marks them. A superseded session stops its runs with the newest incarnation's token, and its refused calls depose no leader.

--- a/Source/Basilgap/Dispatch/Announcements.cpp
+++ b/Source/Basilgap/Dispatch/Announcements.cpp
@@ -71,6 +71,7 @@
     updated = announcement.life();
     updated.set_number(known.number());
     updated.set_announced_sequence(announcement.sequence());
+    updated.set_restarted(known.restarted());
     return updated;
 }
 
--- a/Source/Basilgap/Dispatch/Ports.cpp
+++ b/Source/Basilgap/Dispatch/Ports.cpp
@@ -2,6 +2,12 @@
 
 namespace basilgap::dispatch {
 
+uint64_t fencingTokenOf(uint64_t term, state::WorkerNumber incarnation)
+{
+    constexpr int IncarnationBits = 32;
+    return term << IncarnationBits | incarnation.value();
+}
+
 const char *toText(OrderResult result)
 {
     switch (result) {
--- a/Source/Basilgap/Dispatch/Ports.h
+++ b/Source/Basilgap/Dispatch/Ports.h
@@ -35,6 +35,12 @@
     bool operator==(const WorkerEndpoint &) const = default;
 };
 
+// The fencing token of orders to an incarnation of a worker. Orders of a later leader carry a
+// higher token than those of an earlier one. Of one leader's orders, those to a later incarnation
+// carry a higher token: a worker that restarts under its id receives calls that were meant for its
+// earlier incarnation, and refuses them once it has taken an order of its own.
+uint64_t fencingTokenOf(uint64_t term, state::WorkerNumber incarnation);
+
 struct StartOrder
 {
     TaskName task;
@@ -42,8 +48,7 @@
     std::string payload;
     // End of the lease on the worker's clock.
     Millis leaseEnd;
-    // Increases with every change of leader. A worker rejects orders with a lower token than the
-    // highest it has seen.
+    // A worker rejects orders with a lower token than the highest it has seen.
     uint64_t fencingToken = 0;
     std::string checkpoint;
     // Permit from the placement advice; empty if the queue needs none.
--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -200,26 +200,34 @@
             found->second->setAddress(incarnation.address());
         const schema::WorkerLife *newest = state_.works().newestIncarnation(incarnation.id());
         if (incarnation.gone() || newest == nullptr || newest->number() != incarnation.number())
-            sessions_.at(number)->supersede(now);
+            sessions_.at(number)->supersede(
+                tokenFor(newest == nullptr ? incarnation : *newest), now);
         if (newest == nullptr || newest->address() != incarnation.address())
             sessions_.at(number)->releaseMovedRuns();
     }
     callLoss_.setSessionCount(sessions_.size());
 }
 
+uint64_t WorkDispatcher::tokenFor(const schema::WorkerLife &incarnation) const
+{
+    return fencingTokenOf(
+        options_.replica.core().term().value(), state::WorkerNumber(incarnation.number()));
+}
+
 void WorkDispatcher::openSession(const schema::WorkerLife &incarnation, Millis now)
 {
     const state::WorkerNumber number(incarnation.number());
     // An earlier leader renewed leases only while a quorum confirmed it, which ended before this
-    // leader's term began. An incarnation that registered later holds none of those leases.
-    const auto lease = static_cast<double>(options_.times.leaseDuration.count());
-    const Millis longestLease(static_cast<int64_t>(lease / (1.0 - options_.times.maxClockDrift)));
+    // leader's term began. It ordered runs only on an incarnation that had answered it, which has
+    // refused calls for an earlier incarnation since.
+    const Millis longestLease = WorkerSession::longestEarlierLease(options_.times, incarnation);
     sessions_[number] = std::make_unique<WorkerSession>(
         WorkerSession::Options{
             .number = number,
             .endpoint = { incarnation.id(), incarnation.address(), incarnation.zone() },
             .incarnationStartMs = incarnation.born_ms(),
-            .fencingToken = options_.replica.core().term().value(),
+            .isRestart = incarnation.restarted(),
+            .fencingToken = tokenFor(incarnation),
             .graceEnd = leaderSince_ + longestLease + Millis(500),
             .times = options_.times,
             .callLoss = callLoss_,
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -154,6 +154,7 @@
     void giveUpGang(const StepTaskRef &member, uint32_t run);
     void reconcileSessions();
     void openSession(const schema::WorkerLife &incarnation, Millis now);
+    uint64_t tokenFor(const schema::WorkerLife &incarnation) const;
     void recordEnd(state::WorkerNumber worker, const EndedRun &ended);
     void compareWithForecast(const EndedRun &ended);
     // Logs what is known about the task's part in crashes of its workers.
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -29,6 +29,8 @@
         return "start";
     case LeaseSource::Poll:
         return "poll";
+    case LeaseSource::EarlierCall:
+        return "earlier-call";
     }
     return "unknown";
 }
@@ -42,6 +44,14 @@
     adoptRuns(now);
 }
 
+Millis WorkerSession::longestEarlierLease(const SessionTimes &times, const schema::WorkerLife &life)
+{
+    const Millis lease =
+        life.restarted() ? std::max(times.leaseDuration, times.maxLease) : times.leaseDuration;
+    return Millis(
+        static_cast<int64_t>(static_cast<double>(lease.count()) / (1.0 - times.maxClockDrift)));
+}
+
 // Adopts runs that an earlier leader has logged. It is not known whether they have started.
 void WorkerSession::adoptRuns(Millis now)
 {
@@ -377,9 +387,7 @@
         return setSuspect(true);
     }
     case OrderResult::Fenced:
-        fenced_ = true;
-        options_.events.onFenced();
-        return;
+        return noteFenced();
     case OrderResult::NoTicket:
         options_.events.onTicketRefused(task);
         break;
@@ -447,10 +455,8 @@
             if (found == runs_.end() || found->second.run != run)
                 return;
             found->second.isStopPending = false;
-            if (answer.result == OrderResult::Fenced) {
-                fenced_ = true;
-                return options_.events.onFenced();
-            }
+            if (answer.result == OrderResult::Fenced)
+                return noteFenced();
             // No start for this worker can be carried out at an address that another one has.
             if (superseded_ && answer.result == OrderResult::WrongWorker)
                 return endLostRun(task, schema::RUN_LOST);
@@ -623,8 +629,19 @@
     return sum;
 }
 
-void WorkerSession::supersede(Millis now)
+// A superseded session's calls are refused by the later incarnation, which has seen a higher token
+// of the same leader.
+void WorkerSession::noteFenced()
 {
+    if (superseded_)
+        return;
+    fenced_ = true;
+    options_.events.onFenced();
+}
+
+void WorkerSession::supersede(uint64_t fencingToken, Millis now)
+{
+    options_.fencingToken = std::max(options_.fencingToken, fencingToken);
     if (superseded_)
         return;
     superseded_ = true;
@@ -639,20 +656,28 @@
         .with("pendingPolls", pendingPolls_)
         .with("unansweredStarts", unansweredStarts());
     for (const auto &[task, known] : std::map(runs_)) {
-        if (known.isListed && known.unansweredSends == 0) {
+        if (known.isListed && known.unansweredSends == 0)
             endLostRun(task, schema::RUN_LOST);
-            continue;
-        }
-        // A start may have reached the new incarnation, or may still reach it, so the run is
-        // stopped there first.
-        const bool wasWanted = !mustStop(task, runs_.at(task));
-        runs_.at(task).knownState = KnownRunState::Indeterminate;
-        stop(task, now);
-        if (wasWanted)
-            options_.events.onStartGivenUp(task, known.run);
+        else
+            stopSupersededRun(task, now);
     }
 }
 
+// A start may have reached the newest incarnation, or may still reach it, so the run is stopped
+// there before it is released.
+void WorkerSession::stopSupersededRun(const StepTaskRef &task, Millis now)
+{
+    const auto found = runs_.find(task);
+    if (found == runs_.end())
+        return;
+    const bool wasWanted = !mustStop(task, found->second);
+    const uint32_t run = found->second.run;
+    found->second.knownState = KnownRunState::Indeterminate;
+    stop(task, now);
+    if (wasWanted)
+        options_.events.onStartGivenUp(task, run);
+}
+
 void WorkerSession::releaseMovedRuns()
 {
     if (!superseded_ || fenced_)
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -22,6 +22,8 @@
 {
     // How long a worker's tasks may run after the last call that renewed the lease.
     Millis leaseDuration{ 3500 };
+    // The longest lease that a worker grants. It shortens longer ones.
+    Millis maxLease{ 10000 };
     // Maximum fraction by which a worker's steady clock may run slow.
     double maxClockDrift = 0.02;
     Millis orderTimeout{ 400 };
@@ -190,7 +192,13 @@
 };
 
 // The call that last extended a worker's lease, as far as the leader knows.
-enum class LeaseSource { None, Start, Poll };
+enum class LeaseSource {
+    None,
+    Start,
+    Poll,
+    // Any call that was meant for an earlier incarnation of the worker.
+    EarlierCall,
+};
 
 const char *toText(LeaseSource source);
 
@@ -204,6 +212,8 @@
         WorkerNumber number;
         WorkerEndpoint endpoint;
         uint64_t incarnationStartMs = 0;
+        // Calls that were meant for an earlier incarnation may reach this one.
+        bool isRestart = false;
         uint64_t fencingToken = 0;
         // All leases that an earlier leader may have granted have expired by this time.
         Millis graceEnd;
@@ -218,6 +228,10 @@
 
     WorkerSession(Options options, Millis now);
 
+    // How long a lease that an earlier leader has granted to the incarnation may last, by this
+    // leader's clock.
+    static Millis longestEarlierLease(const SessionTimes &times, const schema::WorkerLife &life);
+
     // Whether the worker answers and all of its runs are known. A run that is not in the table uses
     // capacity that the table counts as free.
     bool isUsable() const { return synced_ && !suspect_ && !hasStrayRun_; }
@@ -253,8 +267,9 @@
     std::optional<Millis> workerTime(Millis now) const;
     void setAddress(const std::string &address);
     // Called when a later incarnation of the worker has registered: the runs of this one have
-    // ended.
-    void supersede(Millis now);
+    // ended. Takes the fencing token of the newest incarnation, which carries out the stops of runs
+    // that may have started there.
+    void supersede(uint64_t fencingToken, Millis now);
     // Called when no later incarnation of the worker is at its address, so that no start can reach
     // one. Ends the runs of a superseded session.
     void releaseMovedRuns();
@@ -308,6 +323,8 @@
     void sendPendingStarts(Millis now);
     void sendDueStops(Millis now);
     void releaseSupersededRuns(Millis now);
+    void stopSupersededRun(const StepTaskRef &task, Millis now);
+    void noteFenced();
     void sendStop(const StepTaskRef &task, uint32_t run, const TaskName &name);
     void removeGoneLingeringRuns(const std::set<state::RunRef> &listed, Millis sentAt);
     void stopStrayRun(const TaskName &name, uint32_t run, Millis now);
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -83,10 +83,8 @@
     nextPollAt_ = std::max(now, sentAt + options_.times.minPollInterval);
     if (answer.result == OrderResult::Dropped)
         return;
-    if (answer.result == OrderResult::Fenced) {
-        fenced_ = true;
-        return options_.events.onFenced();
-    }
+    if (answer.result == OrderResult::Fenced)
+        return noteFenced();
     const bool isSameIncarnation = !answer.incarnationStartMs || options_.incarnationStartMs == 0
         || *answer.incarnationStartMs == options_.incarnationStartMs;
     if (answer.result != OrderResult::Accepted || !isSameIncarnation) {
@@ -103,8 +101,14 @@
         logFirstAnswer(answer);
     lastAnswerAt_ = now;
     lastHeardAt_ = now;
-    if (answer.workerClock)
+    if (answer.workerClock) {
         setClock(*answer.workerClock, now);
+        // Until this poll, the worker may have taken calls that were meant for its earlier
+        // incarnation. From now on it refuses them.
+        if (options_.isRestart && newestAnsweredPoll_ == 0)
+            recordLeaseEnd(
+                *answer.workerClock + options_.times.maxLease, LeaseSource::EarlierCall, now);
+    }
     const size_t lingeringRuns = lingeringRuns_.size();
     const bool hadStrayRun = hasStrayRun_;
     applyEnds(answer);
@@ -144,7 +148,7 @@
     LogEvent("other-incarnation")
         .with("worker", options_.endpoint.id)
         .with("born", options_.incarnationStartMs)
-        .with("answeredBorn", *answer.incarnationStartMs)
+        .with("answeredBorn", answer.incarnationStartMs.value_or(0))
         .with("clock", answer.workerClock.value_or(Millis()))
         .with("running", answer.running.size());
 }
--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -133,7 +133,11 @@
     nextWorker_ = std::max(nextWorker_, incarnation.number() + 1);
     if (newest == nullptr || newest->number() <= incarnation.number())
         newestIncarnations_[incarnation.id()] = number;
-    storeIncarnation(incarnation);
+    schema::WorkerLife stored = incarnation;
+    const bool isRestart = newest != nullptr && newest->number() < incarnation.number();
+    stored.set_restarted(incarnation.restarted() || isRestart
+        || (known != workers_.end() && known->second.restarted()));
+    storeIncarnation(stored);
     if (!incarnation.gone())
         return confirmCrash(lostWorkers_.takeReplacedBy(incarnation), stampMs);
     // A worker that does not come back counts as crashed.
--- a/Source/UnitTests/Dispatch/ModelLeader.cpp
+++ b/Source/UnitTests/Dispatch/ModelLeader.cpp
@@ -10,8 +10,8 @@
 constexpr Millis TickInterval{ 25 };
 constexpr int64_t MinCommitMs = 3;
 constexpr int64_t MaxCommitMs = 25;
-// As in WorkDispatcher: leases that an earlier leader granted have expired by then.
-constexpr Millis GraceTime{ 4072 };
+// As in WorkDispatcher.
+constexpr Millis GraceMargin{ 500 };
 
 state::StepTaskRef taskOf(const schema::RunEnd &end)
 {
@@ -44,7 +44,7 @@
 {
     return {
         .direct = network_,
-        .term = options_.fencingToken,
+        .term = options_.term,
         .send =
             [this](const std::string &relay, const schema::PeerMessage &message) {
                 return options_.relays->send(relayEnd_.get(), relay, message);
@@ -94,8 +94,10 @@
                     .number = number,
                     .endpoint = { incarnation.id(), "", "z1" },
                     .incarnationStartMs = incarnation.born_ms(),
-                    .fencingToken = options_.fencingToken,
-                    .graceEnd = leaderSince_ + GraceTime,
+                    .isRestart = incarnation.restarted(),
+                    .fencingToken = fencingTokenOf(options_.term, number),
+                    .graceEnd = leaderSince_
+                        + WorkerSession::longestEarlierLease({}, incarnation) + GraceMargin,
                     .times = {},
                     .callLoss = callLoss_,
                     .port = port_,
@@ -130,7 +132,10 @@
         }
         const schema::WorkerLife *newest = options_.table.newestIncarnation(incarnation.id());
         if (incarnation.gone() || newest == nullptr || newest->number() != incarnation.number())
-            sessions_.at(number)->supersede(options_.time.now());
+            sessions_.at(number)->supersede(
+                fencingTokenOf(options_.term,
+                    WorkerNumber(newest == nullptr ? number.value() : newest->number())),
+                options_.time.now());
     }
     callLoss_.setSessionCount(sessions_.size());
 }
--- a/Source/UnitTests/Dispatch/ModelLeader.h
+++ b/Source/UnitTests/Dispatch/ModelLeader.h
@@ -24,7 +24,7 @@
         ModelNetwork::Workers &workers;
         // The committed state.
         state::WorkTable &table;
-        uint64_t fencingToken = 0;
+        uint64_t term = 0;
         std::function<int64_t(const state::StepTaskRef &)> millicoresOf;
         // Whether starts carry a ticket for the worker's present incarnation.
         bool usesTickets = false;
--- /dev/null
+++ b/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
@@ -0,0 +1,104 @@
+// Sessions with workers that restart under their ids and receive calls that were meant for their
+// earlier incarnations.
+
+#include "WorkerSessionFixture.h"
+
+namespace basilgap::dispatch {
+namespace {
+
+class RestartedWorkerTest : public WorkerSessionTest
+{
+protected:
+    // The worker accepts and lists a run, and is not heard any more.
+    void startRunAndCutWorkerOff()
+    {
+        completeFirstPoll();
+        logStart(0, 1);
+        session->start(taskOf(0), 1, "", now);
+        port.starts.back().done({ OrderResult::Accepted, now });
+        advanceAndTick(MinPollIntervalMs);
+        port.polls.back().done(pollAnswer({ 0 }));
+    }
+
+    void tickFor(Millis time)
+    {
+        constexpr int64_t TickMs = 25;
+        for (int64_t passed = 0; passed < time.count(); passed += TickMs)
+            advanceAndTick(TickMs);
+    }
+
+    // Starts a run of which it is not known whether the worker has it.
+    void startUnlistedRun()
+    {
+        completeFirstPoll();
+        logStart(0, 1);
+        session->start(taskOf(0), 1, "", now);
+        port.starts.back().done({ OrderResult::Accepted, now });
+    }
+};
+
+// Guards against TWICE: a renewal for the earlier incarnation, with an end on that one's clock,
+// extended the lease of the later one to the longest that a worker grants.
+TEST_F(RestartedWorkerTest, runsMayOutliveTheLeasesThatTheirOwnSessionHasSent)
+{
+    isRestart = true;
+    openSession();
+    const Millis firstAnswerAt = now;
+    startRunAndCutWorkerOff();
+    tickFor(firstAnswerAt + SessionTimes().maxLease - now);
+    EXPECT_TRUE(ends.empty());
+    tickFor(Millis(1000));
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].outcome, schema::RUN_LAPSED);
+}
+
+TEST_F(RestartedWorkerTest, runsOfAWorkerWithoutAnEarlierIncarnationLapseWithTheirLease)
+{
+    openSession();
+    startRunAndCutWorkerOff();
+    tickFor(SessionTimes().leaseDuration + SessionTimes().pollWait + Millis(500));
+    EXPECT_EQ(ends.size(), 1U);
+}
+
+// Guards against TWICE: a new leader that never hears the worker took its lease for one of the
+// earlier leader's own renewals.
+TEST_F(RestartedWorkerTest, aNewLeaderAllowsForTheLongestLeaseOfARestartedWorker)
+{
+    schema::WorkerLife life;
+    EXPECT_EQ(WorkerSession::longestEarlierLease({}, life), Millis(3571));
+    life.set_restarted(true);
+    EXPECT_EQ(WorkerSession::longestEarlierLease({}, life), Millis(10204));
+    EXPECT_EQ(WorkerSession::longestEarlierLease({ .maxLease = Millis(2000) }, life), Millis(3571));
+}
+
+// Guards against TWICE: an earlier incarnation's late poll, or a stale start, was not refused by
+// the later one.
+TEST_F(RestartedWorkerTest, ordersToALaterIncarnationCarryAHigherToken)
+{
+    EXPECT_LT(fencingTokenOf(3, WorkerNumber(7)), fencingTokenOf(3, WorkerNumber(8)));
+    EXPECT_LT(fencingTokenOf(3, WorkerNumber(UINT32_MAX)), fencingTokenOf(4, WorkerNumber(1)));
+}
+
+// Guards against a leader that takes itself for deposed: a restarted worker refuses the calls that
+// were under way to its earlier incarnation.
+TEST_F(RestartedWorkerTest, refusedCallsOfASupersededSessionDeposeNoLeader)
+{
+    openSession();
+    startUnlistedRun();
+    logStart(1, 1);
+    session->start(taskOf(1), 1, "", now);
+    advanceAndTick(MinPollIntervalMs);
+    session->supersede(LaterFencingToken, now);
+    const size_t stops = port.stops.size();
+    port.polls.back().done({ .result = OrderResult::Fenced });
+    port.starts.back().done({ OrderResult::Fenced, now });
+    port.stops.back().done({ OrderResult::Fenced, now });
+    EXPECT_FALSE(fenced);
+    EXPECT_TRUE(ends.empty()) << "the earlier sends may have been carried out";
+    advanceAndTick(SessionTimes().stopRetryInterval.count());
+    EXPECT_GT(port.stops.size(), stops) << "the runs must still be stopped";
+    EXPECT_EQ(port.stops.back().order.fencingToken, LaterFencingToken);
+}
+
+} // namespace
+} // namespace basilgap::dispatch
--- a/Source/UnitTests/Dispatch/WorkerSessionFixture.h
+++ b/Source/UnitTests/Dispatch/WorkerSessionFixture.h
@@ -8,6 +8,8 @@
 namespace basilgap::dispatch {
 
 constexpr uint64_t FencingToken = 7;
+// Of the same leader's orders to a later incarnation.
+constexpr uint64_t LaterFencingToken = 8;
 constexpr uint64_t IncarnationStartMs = 1000;
 const int64_t MinPollIntervalMs = SessionTimes().minPollInterval.count();
 constexpr const char *WorkId = "5c0e7a21d94b36f8";
@@ -48,6 +50,7 @@
                 .number = WorkerNumber(1),
                 .endpoint = { "w1", "127.0.0.1:1" },
                 .incarnationStartMs = IncarnationStartMs,
+                .isRestart = isRestart,
                 .fencingToken = FencingToken,
                 .graceEnd = graceEnd,
                 .times = {},
@@ -161,6 +164,8 @@
     std::vector<EndedRun> ends;
     bool fenced = false;
     bool isLeaderConfirmed = true;
+    // For openSession().
+    bool isRestart = false;
     Millis pollDelay;
     Millis now{ 100000 };
 };
--- a/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
@@ -224,7 +224,7 @@
             .time = time_,
             .workers = workers_,
             .table = table_,
-            .fencingToken = leaders_.size() + 1,
+            .term = leaders_.size() + 1,
             .millicoresOf =
                 [this](const StepTaskRef &task) {
                     return static_cast<int64_t>(
--- a/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionTest.cpp
@@ -150,7 +150,7 @@
     now += Millis(5);
     port.starts.back().done({ OrderResult::Accepted, now });
     now += Millis(5);
-    session->supersede(now);
+    session->supersede(LaterFencingToken, now);
     ASSERT_EQ(ends.size(), 1U);
     EXPECT_EQ(ends[0].task, taskOf(0));
     EXPECT_EQ(ends[0].workerLoss, schema::WORKER_LOST_LATER);
@@ -185,7 +185,7 @@
     now += Millis(5);
     port.starts.back().done({ OrderResult::Accepted, now });
     now += Millis(3000);
-    session->supersede(now);
+    session->supersede(LaterFencingToken, now);
     ASSERT_EQ(port.stops.size(), 1U);
     port.stops[0].done({ OrderResult::Accepted, Millis(20) });
     advanceAndTick(SessionTimes().maxStopTime.count() + 1);
@@ -202,7 +202,7 @@
     logStart(0, 1);
     session->start(taskOf(0), 1, "", now);
     port.starts.back().done({ OrderResult::Accepted, now });
-    session->supersede(now);
+    session->supersede(LaterFencingToken, now);
     EXPECT_TRUE(ends.empty()) << "the next incarnation may have accepted the start";
     session->releaseMovedRuns();
     ASSERT_EQ(ends.size(), 1U);
@@ -217,7 +217,7 @@
     logStart(0, 1);
     session->start(taskOf(0), 1, "", now);
     port.starts.back().done({ OrderResult::Accepted, now });
-    session->supersede(now);
+    session->supersede(LaterFencingToken, now);
     ASSERT_EQ(port.stops.size(), 1U);
     port.stops[0].done({ OrderResult::WrongWorker, std::nullopt });
     ASSERT_EQ(ends.size(), 1U);
@@ -288,7 +288,7 @@
     now += Millis(5);
     port.polls.back().done(pollAnswer({ 0 }, 2));
     now += Millis(500);
-    session->supersede(now);
+    session->supersede(LaterFencingToken, now);
     ASSERT_EQ(ends.size(), 1U);
     EXPECT_EQ(ends[0].workerLoss, schema::WORKER_LOST_LATER);
 }
@@ -362,7 +362,7 @@
     advanceAndTick(MinPollIntervalMs);
     port.polls.back().done(pollAnswer({ 0 }));
     session->start(taskOf(1), 1, "", now);
-    session->supersede(now);
+    session->supersede(LaterFencingToken, now);
     ASSERT_EQ(ends.size(), 1U);
     EXPECT_EQ(ends[0].task, taskOf(0));
     ASSERT_EQ(port.stops.size(), 1U);
@@ -383,7 +383,7 @@
     logStart(0, 1);
     session->start(taskOf(0), 1, "", now);
     port.starts.back().done({ OrderResult::Accepted, now });
-    session->supersede(now);
+    session->supersede(LaterFencingToken, now);
     EXPECT_TRUE(ends.empty());
     EXPECT_EQ(port.stops.size(), 1U);
 }
@@ -399,7 +399,7 @@
     port.starts.back().done({ OrderResult::Accepted, now });
     advanceAndTick(MinPollIntervalMs);
     port.polls.back().done(pollAnswer({ 0 }));
-    session->supersede(now);
+    session->supersede(LaterFencingToken, now);
     EXPECT_TRUE(ends.empty());
     EXPECT_EQ(port.stops.size(), 1U);
 }
--- a/Source/UnitTests/State/WorkTableTest.cpp
+++ b/Source/UnitTests/State/WorkTableTest.cpp
@@ -468,6 +468,34 @@
 }
 
 // Callers ask for this number all the time, so it is kept and not counted.
+// Guards against TWICE: calls to an earlier incarnation reach a worker that has restarted under its
+// id, so all leaders must know that it has.
+TEST(WorkTable, aLaterIncarnationIsMarkedAsARestart)
+{
+    const auto registerLife = [](WorkTable *table, uint32_t number, const char *id, bool gone) {
+        schema::RunBatch batch;
+        schema::WorkerLife *life = batch.add_workers();
+        life->set_number(number);
+        life->set_id(id);
+        life->set_address("address");
+        life->set_born_ms(number);
+        life->set_gone(gone);
+        table->apply(batch, 1);
+    };
+    WorkTable table;
+    registerLife(&table, 1, "w1", false);
+    registerLife(&table, 2, "w2", false);
+    registerLife(&table, 3, "w1", false);
+    registerLife(&table, 1, "w1", true);
+    EXPECT_FALSE(table.newestIncarnation("w2")->restarted());
+    EXPECT_TRUE(table.newestIncarnation("w1")->restarted());
+    registerLife(&table, 3, "w1", false);
+    EXPECT_TRUE(table.newestIncarnation("w1")->restarted()) << "a later record keeps the mark";
+    WorkTable restored;
+    restored.restore(table.save());
+    EXPECT_TRUE(restored.newestIncarnation("w1")->restarted());
+}
+
 TEST(WorkTable, unstartedCountFollowsStartsCancellationsAndSnapshots)
 {
     const QueueName queue("queue");
