Count a stop only on the newest incarnation of a worker

A run whose start may have reached a restarted worker is released once that worker has taken its stop. After one more restart the stop is forgotten, while the start may still be carried out: two runs of one task. A stop that was under way to the incarnation before counted in the same way.

A superseded session now sends its stops again when a later incarnation has registered, and takes an answer only to a stop with the newest token. Found by a review; both new tests failed before (the session released the run).

--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -448,7 +448,8 @@
 void WorkerSession::sendStop(const StepTaskRef &task, uint32_t run, const TaskName &name)
 {
     options_.port.stop(options_.endpoint, StopOrder{ name, run, options_.fencingToken },
-        options_.times.orderTimeout, guarded([this, task, run](const OrderAnswer &answer) {
+        options_.times.orderTimeout,
+        guarded([this, task, run, token = options_.fencingToken](const OrderAnswer &answer) {
             const Millis now = options_.clock();
             noteHeard(answer, now);
             const auto found = runs_.find(task);
@@ -460,7 +461,8 @@
             // No start for this worker can be carried out at an address that another one has.
             if (superseded_ && answer.result == OrderResult::WrongWorker)
                 return endLostRun(task, schema::RUN_LOST);
-            if (answer.result != OrderResult::Accepted)
+            // A stop that an earlier incarnation has taken holds no start back on a later one.
+            if (answer.result != OrderResult::Accepted || token != options_.fencingToken)
                 return;
             // Only the answer to a poll sent after the stop shows whether the run had started.
             if (found->second.knownState != KnownRunState::Stopped) {
@@ -641,9 +643,16 @@
 
 void WorkerSession::supersede(uint64_t fencingToken, Millis now)
 {
+    const bool isLaterIncarnation = fencingToken > options_.fencingToken;
     options_.fencingToken = std::max(options_.fencingToken, fencingToken);
-    if (superseded_)
+    if (superseded_) {
+        // What the last incarnation has stopped may still start on this one.
+        for (const auto &[task, known] : std::map(runs_)) {
+            if (isLaterIncarnation)
+                stopSupersededRun(task, now);
+        }
         return;
+    }
     superseded_ = true;
     LogEvent("worker-reborn")
         .with("worker", options_.endpoint.id)
--- a/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
@@ -100,5 +100,37 @@
     EXPECT_EQ(port.stops.back().order.fencingToken, LaterFencingToken);
 }
 
+// Guards against TWICE: a run was released because the incarnation before the present one had taken
+// its stop, and started on the present one.
+TEST_F(RestartedWorkerTest, aStopCountsOnlyOnTheNewestIncarnation)
+{
+    openSession();
+    startUnlistedRun();
+    session->supersede(LaterFencingToken, now);
+    port.stops.back().done({ OrderResult::Accepted, std::nullopt });
+    session->supersede(LaterFencingToken + 1, now);
+    advanceAndTick(SessionTimes().maxStopTime.count() + 1);
+    EXPECT_TRUE(ends.empty());
+    EXPECT_EQ(port.stops.back().order.fencingToken, LaterFencingToken + 1);
+    port.stops.back().done({ OrderResult::Accepted, std::nullopt });
+    advanceAndTick(SessionTimes().maxStopTime.count() + 1);
+    EXPECT_EQ(ends.size(), 1U);
+}
+
+// The same for a stop that was under way when the worker restarted.
+TEST_F(RestartedWorkerTest, theAnswerToAStopOfAnEarlierIncarnationDoesNotCount)
+{
+    openSession();
+    startUnlistedRun();
+    session->stop(taskOf(0), now);
+    session->supersede(LaterFencingToken, now);
+    ASSERT_EQ(port.stops.size(), 1U);
+    port.stops[0].done({ OrderResult::Accepted, std::nullopt });
+    advanceAndTick(SessionTimes().maxStopTime.count() + 1);
+    EXPECT_TRUE(ends.empty());
+    ASSERT_EQ(port.stops.size(), 2U);
+    EXPECT_EQ(port.stops[1].order.fencingToken, LaterFencingToken);
+}
+
 } // namespace
 } // namespace basilgap::dispatch
