Stop runs of an earlier leader on a restarted worker

A superseded session released a listed run at once when all sends of its start had been answered. It knows only its own sends: the run of an earlier leader may have a start without an answer, which a restarted worker still carries out. Such runs are now stopped there first. Found by a review; the new test failed before.

--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -665,7 +665,9 @@
         .with("pendingPolls", pendingPolls_)
         .with("unansweredStarts", unansweredStarts());
     for (const auto &[task, known] : std::map(runs_)) {
-        if (known.isListed && known.unansweredSends == 0)
+        // It is not known whether an earlier leader has sent a start more than once.
+        const bool isStartSettled = known.sendCount > 0 && known.unansweredSends == 0;
+        if (known.isListed && isStartSettled)
             endLostRun(task, schema::RUN_LOST);
         else
             stopSupersededRun(task, now);
--- a/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
@@ -132,5 +132,18 @@
     EXPECT_EQ(port.stops[1].order.fencingToken, LaterFencingToken);
 }
 
+// Guards against TWICE: an earlier leader may have sent the start more than once, and an unanswered
+// send may still reach the restarted worker.
+TEST_F(RestartedWorkerTest, runsOfAnEarlierLeaderAreStoppedOnTheLaterIncarnation)
+{
+    logStart(0, 1);
+    openSession();
+    advanceAndTick(0);
+    port.polls.back().done(pollAnswer({ 0 }));
+    session->supersede(LaterFencingToken, now);
+    EXPECT_TRUE(ends.empty());
+    EXPECT_EQ(port.stops.size(), 1U);
+}
+
 } // namespace
 } // namespace basilgap::dispatch
