Use a worker only after an answer that names its incarnation

An answer to a poll without a start time made a worker usable, though it does not show which incarnation has seen the session's token: with it the proof falls that calls for the earlier one are refused. The platform's workers always name it. Found by a review; the new test failed before.

--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -85,10 +85,10 @@
         return;
     if (answer.result == OrderResult::Fenced)
         return noteFenced();
-    const bool isSameIncarnation = !answer.incarnationStartMs || options_.incarnationStartMs == 0
-        || *answer.incarnationStartMs == options_.incarnationStartMs;
+    const bool isSameIncarnation = options_.incarnationStartMs == 0
+        || answer.incarnationStartMs == options_.incarnationStartMs;
     if (answer.result != OrderResult::Accepted || !isSameIncarnation) {
-        if (!isSameIncarnation)
+        if (answer.result == OrderResult::Accepted)
             logOtherIncarnation(answer);
         // A worker that was already suspect does not count: its silence does not mean that
         // answers get lost.
--- a/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
@@ -145,5 +145,17 @@
     EXPECT_EQ(port.stops.size(), 1U);
 }
 
+// Guards against TWICE: only an answer that names its incarnation shows which one has seen the
+// session's token.
+TEST_F(RestartedWorkerTest, anAnswerWithoutAStartTimeMakesNoWorkerUsable)
+{
+    openSession();
+    advanceAndTick(0);
+    PollAnswer answer = pollAnswer({});
+    answer.incarnationStartMs.reset();
+    port.polls.back().done(answer);
+    EXPECT_FALSE(session->isUsable());
+}
+
 } // namespace
 } // namespace basilgap::dispatch
