Release runs whose restarted worker was dropped

A run whose start may have reached a restarted worker was released only by that worker's answer to its stop, or once another worker had its address. If the worker never answered, it was dropped after 12 s of silence, and the run stayed in the table for good: its job was never done (LOST).

Such runs are now released with the drop, which waits for the longest lease of a restarted worker where that is more than 12 s.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -202,7 +202,10 @@
         if (incarnation.gone() || newest == nullptr || newest->number() != incarnation.number())
             sessions_.at(number)->supersede(
                 tokenFor(newest == nullptr ? incarnation : *newest), now);
-        if (newest == nullptr || newest->address() != incarnation.address())
+        // A later incarnation is dropped only after a silence that outlasts its lease.
+        const bool isSuccessorDropped =
+            incarnation.gone() && newest != nullptr && newest->number() == incarnation.number();
+        if (newest == nullptr || isSuccessorDropped || newest->address() != incarnation.address())
             sessions_.at(number)->releaseMovedRuns();
     }
     callLoss_.setSessionCount(sessions_.size());
@@ -361,9 +364,12 @@
     std::vector<state::WorkerNumber> dropped;
     for (const auto &[number, session] : sessions_) {
         const schema::WorkerLife *incarnation = state_.works().findIncarnation(number);
-        const bool isLost = session->isSuspect() && session->runs().empty()
-            && now - session->lastAnswerAt() > MaxWorkerSilence;
-        if (!isLost || incarnation == nullptr || incarnation->gone()
+        if (incarnation == nullptr || incarnation->gone() || !session->isSuspect()
+            || !session->runs().empty())
+            continue;
+        const Millis maxSilence = std::max(
+            MaxWorkerSilence, WorkerSession::longestEarlierLease(options_.times, *incarnation));
+        if (now - session->lastAnswerAt() <= maxSilence
             || !workersBeingDropped_.insert(number).second)
             continue;
         LogEvent("worker-dropped")
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -271,7 +271,7 @@
     // that may have started there.
     void supersede(uint64_t fencingToken, Millis now);
     // Called when no later incarnation of the worker is at its address, so that no start can reach
-    // one. Ends the runs of a superseded session.
+    // one, or when the later one has been dropped. Ends the runs of a superseded session.
     void releaseMovedRuns();
 
     const std::map<StepTaskRef, SessionRun> &runs() const { return runs_; }
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -214,12 +214,12 @@
         ASSERT_TRUE(runUntil([this] { return accepted_ == 1; }));
     }
 
-    void announceWorker()
+    void announceWorker(uint64_t incarnationStartMs = IncarnationStartMs)
     {
         schema::RpcRequest request;
         schema::WorkerLife *life = request.mutable_announcement()->mutable_life();
         life->set_id("w1");
-        life->set_born_ms(IncarnationStartMs);
+        life->set_born_ms(incarnationStartMs);
         life->set_address("127.0.0.1:1");
         life->set_zone("z1");
         life->set_pool("pool");
@@ -385,6 +385,29 @@
     EXPECT_EQ(worker_.endCount(), 4U);
 }
 
+// Guards against LOST: a run that may have started on a restarted worker waited for ever for that
+// worker to take its stop, also once the worker was dropped for its silence.
+TEST_F(WorkDispatcherTest, aRunIsReleasedOnceTheRestartedWorkerThatMayHaveItIsDropped)
+{
+    worker_.holdStartOf(0);
+    worker_.loseStopsOf(0);
+    submit(1);
+    ASSERT_TRUE(runWorkerUntil([this] { return worker_.holdsStartOf(0); }));
+    announceWorker(IncarnationStartMs + 1);
+    const state::WorkTable &table = replica_->state().works();
+    ASSERT_TRUE(runWorkerUntil([this, &table] {
+        return table.newestIncarnation("w1")->born_ms() > IncarnationStartMs
+            && worker_.stopCount() > 0;
+    }));
+    EXPECT_EQ(phaseCount(state::RunPhase::Running), 1U);
+    schema::Command command;
+    schema::WorkerLife *dropped = command.mutable_runs()->add_workers();
+    *dropped = *table.newestIncarnation("w1");
+    dropped->set_gone(true);
+    propose(std::move(command));
+    EXPECT_TRUE(runWorkerUntil([this] { return phaseCount(state::RunPhase::Waiting) == 1; }));
+}
+
 // Guards against LOST: a task whose percentage rises slowly was stopped as hanging after three
 // seconds each time, and never done.
 TEST_F(WorkDispatcherTest, aTaskWhosePercentageRisesSlowlyIsDone)
