Read a worker's clock only from answers that name its incarnation

Answers to starts and stops do not name the incarnation that gave them, yet set the session's clock. One whose clock is behind kept its runs from lapsing until it had caught up.

The clock now comes from answers to polls alone; other answers show that the worker lives only if their clock fits. Found by a review; the new test failed before.

--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -14,6 +14,9 @@
 // Changes that require a stop are reported as they happen; this finds what was missed.
 constexpr Millis StopCheckInterval{ 500 };
 
+// Longest time from the reading of a worker's clock to the arrival of the answer.
+constexpr Millis MaxClockSampleDelay{ 1000 };
+
 // Assumed speed limit, in percent, of a backfill task that an earlier leader started. Throttling
 // continues from this value.
 constexpr uint32_t AdoptedSpeedPercent = 50;
@@ -114,13 +117,26 @@
 
 void WorkerSession::noteHeard(const OrderAnswer &answer, Millis now)
 {
-    // Another worker or incarnation at the address has a clock of its own.
-    if (!answer.workerClock || answer.result == OrderResult::WrongWorker || superseded_)
+    // Another worker or incarnation at the address has a clock of its own, and only answers to
+    // polls name theirs.
+    if (!answer.workerClock || answer.result == OrderResult::WrongWorker || superseded_
+        || !isOwnClock(*answer.workerClock, now))
         return;
-    setClock(*answer.workerClock, now);
     lastHeardAt_ = now;
 }
 
+// Whether the time fits the incarnation's clock as it was last read.
+bool WorkerSession::isOwnClock(Millis workerClock, Millis now) const
+{
+    const auto expected = workerTime(now);
+    if (!expected)
+        return true;
+    const Millis drift(static_cast<int64_t>(
+        static_cast<double>((now - workerClockAt_).count()) * options_.times.maxClockDrift));
+    return workerClock <= *expected + MaxClockSampleDelay
+        && workerClock + drift + MaxClockSampleDelay >= *expected;
+}
+
 bool WorkerSession::hasFreshRun(Millis now) const
 {
     return std::any_of(runs_.begin(), runs_.end(), [&](const auto &entry) {
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -329,6 +329,7 @@
     // The number up to which the next poll acknowledges ends.
     uint64_t endsToAck() const;
     void boundEarlierLeases(Millis workerClock, Millis now);
+    bool isOwnClock(Millis workerClock, Millis now) const;
     void applyRunning(const PollAnswer &answer, Millis sentAt, Millis now);
     void endMissingRuns(const std::set<StepTaskRef> &listed, Millis sentAt);
     static void recordProgress(SessionRun *known, int percent, Millis now);
--- a/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
@@ -205,6 +205,21 @@
     EXPECT_EQ(port.polls.back().order.ackedEndSequence, 0U);
 }
 
+// Guards against TWICE and LOST: the answer to a start set the session's clock to that of another
+// incarnation. Far ahead of it, all leases seemed to have expired; far behind, none ever did.
+TEST_F(RestartedWorkerTest, answersToOrdersDoNotSetTheClock)
+{
+    for (const Millis offset : { Millis(100000), Millis(-50000) }) {
+        openSession();
+        startUnlistedRun();
+        const auto before = session->workerTime(now);
+        logStart(1, 1);
+        session->start(taskOf(1), 1, "", now);
+        port.starts.back().done({ OrderResult::Accepted, now + offset });
+        EXPECT_EQ(session->workerTime(now), before);
+    }
+}
+
 // Guards against TWICE: the longest lease was not counted if the first answer told no clock.
 TEST_F(RestartedWorkerTest, anAnswerWithoutAClockMakesNoWorkerUsable)
 {
