Count the longest lease for every worker that registers under a leader

A worker whose earlier incarnation had been dropped and forgotten was not marked as restarted, so that calls for that one could still lengthen its lease unnoticed. Found by a review, by reading; a new leader still goes by the mark for the workers that it takes over.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -52,6 +52,7 @@
     if (options_.forecastUses.expectedDuration)
         speeds_.useForecast(&forecast_);
     reconcileSessions();
+    hasTakenOver_ = true;
     tickTimer_.startRepeating(TickInterval);
 }
 
@@ -229,7 +230,8 @@
             .number = number,
             .endpoint = { incarnation.id(), incarnation.address(), incarnation.zone() },
             .incarnationStartMs = incarnation.born_ms(),
-            .isRestart = incarnation.restarted(),
+            // A worker whose earlier incarnation was forgotten isn't marked as restarted.
+            .isRestart = incarnation.restarted() || hasTakenOver_,
             .fencingToken = tokenFor(incarnation),
             .graceEnd = leaderSince_ + longestLease + Millis(500),
             .times = options_.times,
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -287,6 +287,8 @@
     bool fenced_ = false;
     Millis leaderSince_;
     uint64_t term_ = 0;
+    // The sessions with the incarnations that an earlier leader has registered are open.
+    bool hasTakenOver_ = false;
     // The wall clock and the clock of the state when this replica began to lead.
     Millis wallAtStart_;
     uint64_t stateMsAtStart_ = 0;
--- a/Source/UnitTests/Dispatch/ModelLeader.cpp
+++ b/Source/UnitTests/Dispatch/ModelLeader.cpp
@@ -37,6 +37,7 @@
     if (options_.relays != nullptr)
         options_.relays->connect(relayEnd_);
     reconcile();
+    hasTakenOver_ = true;
     options_.time.after(TickInterval, [this] { tick(); });
 }
 
@@ -94,7 +95,7 @@
                     .number = number,
                     .endpoint = { incarnation.id(), "", "z1" },
                     .incarnationStartMs = incarnation.born_ms(),
-                    .isRestart = incarnation.restarted(),
+                    .isRestart = incarnation.restarted() || hasTakenOver_,
                     .fencingToken = fencingTokenOf(options_.term, number),
                     .graceEnd = leaderSince_
                         + WorkerSession::longestEarlierLease({}, incarnation) + GraceMargin,
--- a/Source/UnitTests/Dispatch/ModelLeader.h
+++ b/Source/UnitTests/Dispatch/ModelLeader.h
@@ -81,6 +81,7 @@
     std::vector<schema::RunEnd> pendingEnds_;
     std::set<WorkerNumber> workersWithListedEnds_;
     Millis leaderSince_;
+    bool hasTakenOver_ = false;
     bool isConfirmed_ = true;
     bool isFenced_ = false;
     bool isFrozen_ = false;
