Apply the backlog of a new leader over several turns

A replica applied them in one turn of the event loop, before it led and before its next heartbeat. If that takes longer than the election timeout (350 to 650 ms), the others elect another leader, which does the same; the first one logs "leading" and learns of the higher term with its next heartbeat. Followers stand still alike.

Change: a replica that does not lead applies records for 10 ms in a turn, and the rest in the next ones. It leads once it has applied all that is committed, as before. A leader applies everything at once, as before.

ReplicaTest.eventLoopTurnsWhileManyRecordsAreApplied had 200 records in a turn.

--- a/Source/Basilgap/Control/Replica.cpp
+++ b/Source/Basilgap/Control/Replica.cpp
@@ -1,5 +1,6 @@
 #include "Basilgap/Control/Replica.h"
 
+#include <iterator>
 #include <utility>
 
 #include "Basilgap/Common/EventLog.h"
@@ -13,6 +14,11 @@
 constexpr Millis TickInterval{ 20 };
 constexpr Millis ProbeInterval{ 200 };
 
+// How long a replica that does not lead applies records in one turn of the event loop. After a
+// restart all records since the last snapshot are committed at once, and a new leader must send
+// heartbeats meanwhile.
+constexpr Millis MaxApplyTime{ 10 };
+
 } // namespace
 
 Result<std::unique_ptr<Replica>> Replica::start(network::EventLoop &loop, Options options)
@@ -71,6 +77,7 @@
     if (persistentState.snapshotMeta.index() > 0)
         state_.restore(*persistentState.snapshotState);
     appliedIndex_ = LogIndex(persistentState.snapshotMeta.index());
+    unapplied_.clear();
     startCore(std::move(persistentState));
     durableIndex_ = core_->lastIndex();
 }
@@ -269,7 +276,7 @@
             break;
         send(output.messagesBeforeSync);
         if (!output.install && !isSnapshotDue())
-            applyAll(std::exchange(output.committed, {}));
+            addCommitted(std::exchange(output.committed, {}));
         if (output.needsSync())
             startWrite(std::move(output));
         else
@@ -278,8 +285,9 @@
     if (isWriting_) {
         send(core_->takeMessagesBeforeSync());
         if (!isInstalling_ && !isSnapshotDue())
-            applyAll(core_->takeCommittedBeforeSync());
+            addCommitted(core_->takeCommittedBeforeSync());
     }
+    applyCommitted();
     updateRole();
     completeBarriers();
 }
@@ -293,10 +301,22 @@
     }
 }
 
-void Replica::applyAll(const std::vector<schema::LogRecord> &records)
+void Replica::addCommitted(std::vector<schema::LogRecord> records)
 {
-    for (const schema::LogRecord &record : records)
+    unapplied_.insert(unapplied_.end(), std::make_move_iterator(records.begin()),
+        std::make_move_iterator(records.end()));
+}
+
+void Replica::applyCommitted()
+{
+    const Millis end = steadyNow() + MaxApplyTime;
+    while (!unapplied_.empty()) {
+        const schema::LogRecord record = std::move(unapplied_.front());
+        unapplied_.pop_front();
         apply(record);
+        if (!isLeading_ && !unapplied_.empty() && steadyNow() >= end)
+            return scheduleFlush();
+    }
 }
 
 void Replica::apply(const schema::LogRecord &record)
--- a/Source/Basilgap/Control/Replica.h
+++ b/Source/Basilgap/Control/Replica.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -141,7 +142,8 @@
     void retryWrite();
     void reopen();
     void send(const std::vector<schema::RaftMessage> &messages);
-    void applyAll(const std::vector<schema::LogRecord> &records);
+    void addCommitted(std::vector<schema::LogRecord> records);
+    void applyCommitted();
     void apply(const schema::LogRecord &record);
     void completeBarriers();
     void refreshConfirmation();
@@ -187,6 +189,8 @@
     bool isConfirming_ = false;
     bool isLeading_ = false;
     LogIndex appliedIndex_;
+    // Committed records that are not applied yet.
+    std::deque<schema::LogRecord> unapplied_;
     // Index of the last record that is written and synced.
     LogIndex durableIndex_;
     // While true, the write thread uses the storage and the event loop must not.
--- a/Source/Basilgap/Control/ReplicaWriting.cpp
+++ b/Source/Basilgap/Control/ReplicaWriting.cpp
@@ -68,6 +68,7 @@
         durableIndex_ = LogIndex(output.append.back().index());
     core_->markPersisted(durableIndex_);
     finishOutput(output);
+    applyCommitted();
     if (storage_->isReserveReleased() && spaceError_.empty())
         setSpaceLow({ ErrorCode::Full, "write", options_.settings.data_folder(),
             "the reserve was released" });
@@ -80,12 +81,14 @@
 {
     send(output.messages);
     if (output.install) {
+        // They precede the snapshot.
+        unapplied_.clear();
         state_.restore(output.install->state());
         appliedIndex_ = LogIndex(output.install->meta().index());
         LogEvent("snapshot-installed").with("index", appliedIndex_.value());
         updateLinks();
     }
-    applyAll(output.committed);
+    addCommitted(output.committed);
 }
 
 void Replica::handleFailedWrite(const FinishedWrite &written)
--- a/Source/UnitTests/Control/ReplicaCellTest.cpp
+++ b/Source/UnitTests/Control/ReplicaCellTest.cpp
@@ -54,6 +54,10 @@
     schema::ControlSettings settings;
     std::unique_ptr<network::PeerServer> server;
     std::unique_ptr<Replica> replica;
+    // How long the host takes to apply a record. The event loops of the others turn meanwhile.
+    Millis applyTime;
+    bool isBusy = false;
+    uint64_t applied = 0;
 };
 
 // Cells of several replicas in this process, connected over the loopback interface.
@@ -153,6 +157,9 @@
         return std::nullopt;
     }
 
+    // How often a replica has begun to lead.
+    size_t leadershipGains() const { return leadershipGains_; }
+
     // Between the replicas of the group and the others every message is lost.
     void split(const std::set<std::string> &group) { group_ = group; }
     void heal() { group_.clear(); }
@@ -273,8 +280,7 @@
     bool runUntil(const std::function<bool()> &condition)
     {
         for (const Millis end = steadyNow() + MaxWait; steadyNow() < end;) {
-            for (Node &node : nodes_)
-                event_base_loop(node.loop.base(), EVLOOP_NONBLOCK);
+            turnLoops();
             if (condition())
                 return true;
             std::this_thread::sleep_for(TurnPause);
@@ -283,6 +289,27 @@
     }
 
 private:
+    void turnLoops()
+    {
+        for (Node &node : nodes_) {
+            if (!node.isBusy)
+                event_base_loop(node.loop.base(), EVLOOP_NONBLOCK);
+        }
+    }
+
+    void spendApplyTime(Node &node)
+    {
+        node.applied++;
+        if (node.applyTime == Millis())
+            return;
+        node.isBusy = true;
+        for (const Millis end = steadyNow() + node.applyTime; steadyNow() < end;) {
+            turnLoops();
+            std::this_thread::sleep_for(TurnPause);
+        }
+        node.isBusy = false;
+    }
+
     void listen()
     {
         Node &node = nodes_.emplace_back();
@@ -327,9 +354,10 @@
                 .disk = node.disk,
                 .membership = mode_,
                 .canBootstrap = canBootstrap,
-                .onLeadershipGained = [] {},
+                .onLeadershipGained = [this] { leadershipGains_++; },
                 .onLeadershipLost = [] {},
-                .onApplied = [](const schema::Command &, const schema::CommandOutcome &) {},
+                .onApplied = [this, &node](const schema::Command &,
+                                 const schema::CommandOutcome &) { spendApplyTime(node); },
                 .onLinkMessage = [](const ReplicaId &, const schema::PeerMessage &) {},
                 .onFatal = [](const Error &error) { ADD_FAILURE() << error.text(); },
             });
@@ -344,6 +372,7 @@
     // Addresses of the replicas that the cell starts with.
     std::vector<std::string> peers_;
     std::set<std::string> group_;
+    size_t leadershipGains_ = 0;
 };
 
 // Guards against a listed replica that counts as a dead voter although its host is up: it followed
@@ -400,6 +429,34 @@
     EXPECT_EQ(leader(), joined);
 }
 
+// Guards against leaders that are deposed one after the other after a power cut of all hosts: each
+// applied all records since its last snapshot before its next heartbeat, and the others elected
+// another one meanwhile.
+TEST_F(ReplicaCell, leaderThatHasMuchToApplyAfterAPowerCutIsNotDeposed)
+{
+    constexpr uint64_t Records = 200;
+    ASSERT_NO_FATAL_FAILURE(startCell(3, MembershipMode::Listed));
+    for (uint64_t i = 0; i < Records; i++) {
+        schema::Command command;
+        command.mutable_expire();
+        replica(*leader()).propose(std::move(command), [](const schema::CommandOutcome &) {});
+    }
+    ASSERT_TRUE(runUntil([this] { return haveSameRecords(); }));
+    for (size_t i = 0; i < 3; i++)
+        node(i).replica.reset();
+    for (size_t i = 0; i < 3; i++) {
+        node(i).applied = 0;
+        node(i).applyTime = Millis(5);
+        restart(i);
+    }
+    const size_t gainsBefore = leadershipGains();
+    ASSERT_TRUE(runUntil([&] {
+        return node(0).applied == Records && node(1).applied == Records
+            && node(2).applied == Records && leader();
+    }));
+    EXPECT_EQ(leadershipGains() - gainsBefore, 1U);
+}
+
 // Guards against a healthy voter that loses its vote to a request that its former disk sent and
 // that arrives late.
 TEST_F(ReplicaCell, listedVoterThatAnswersIsNotReplacedByAnotherIncarnation)
--- a/Source/UnitTests/Control/ReplicaTest.cpp
+++ b/Source/UnitTests/Control/ReplicaTest.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
+#include <chrono>
 #include <filesystem>
+#include <thread>
 
 #include <gtest/gtest.h>
 
@@ -42,6 +44,34 @@
     EXPECT_TRUE(runUntil([this] { return accepted_ == 31; }));
 }
 
+// Guards against a leader that falls silent after a restart: it applied all records since the last
+// snapshot in one turn of the event loop.
+TEST_F(ReplicaTest, eventLoopTurnsWhileManyRecordsAreApplied)
+{
+    constexpr int Records = 200;
+    constexpr auto ApplyTime = std::chrono::milliseconds(5);
+    // Half the time between two heartbeats.
+    constexpr int MaxRecordsInATurn = 10;
+    for (int i = 0; i < Records; i++)
+        propose();
+    ASSERT_TRUE(runUntil([this] { return accepted_ == Records; }));
+    replica_.reset();
+    int applied = 0;
+    int inTurn = 0;
+    int mostInTurn = 0;
+    onApplied_ = [&](const schema::Command &, const schema::CommandOutcome &) {
+        std::this_thread::sleep_for(ApplyTime);
+        applied++;
+        mostInTurn = std::max(mostInTurn, ++inTurn);
+    };
+    network::Timer turnTimer(loop_, [&inTurn] { inTurn = 0; });
+    turnTimer.startRepeating(Millis(1));
+    ASSERT_NO_FATAL_FAILURE(startReplica());
+    EXPECT_EQ(applied, Records) << "a new leader has applied all committed records";
+    EXPECT_LE(mostInTurn, MaxRecordsInATurn);
+    onApplied_ = [](const schema::Command &, const schema::CommandOutcome &) {};
+}
+
 TEST_F(ReplicaTest, acknowledgedRecordSurvivesARestart)
 {
     propose();
