Keep the syncs of the machine's disk out of a test of low disk space

Cause: each wait of WorkDispatcherDiskTest includes several syncs, and the fixture waits 10 s.

Change: the disk of this test doesn't sync. The test is about space and refusals; its checks and time-outs are as before, and the syncs themselves are tested in ReplicaDiskTest and LogStorageTest.

--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -522,6 +522,16 @@
         EXPECT_EQ(worker_.startCount(index, 2), 0U);
 }
 
+// Each wait of a test includes several syncs, which take seconds while others use the disk.
+class UnsyncedQuotaDisk : public standins::QuotaDisk
+{
+public:
+    using QuotaDisk::QuotaDisk;
+
+    int sync(int) override { return 0; }
+    int syncFolder(int) override { return 0; }
+};
+
 class WorkDispatcherDiskTest : public WorkDispatcherTest
 {
 protected:
@@ -551,7 +561,7 @@
         return call(request);
     }
 
-    standins::QuotaDisk quota_{ folder_ };
+    UnsyncedQuotaDisk quota_{ folder_ };
 };
 
 // Guards against LOST: with little disk space left, jobs and configurations were accepted until
