Give the advice calls of each leader ids of their own

Cause: the ids of advice calls began at 1 in every leader, a proxy sends its reply to whoever leads by then, and the pool compared only the id. A reply to a call of the earlier leader was taken for the reply to a call of the new one about another step.

Callers would see: tickets of one step on the starts of another, and workers taken for not eligible. By reading; not seen in a play.

Change: the ids of a pool start at a random number of 64 bits. The term was the other choice; it would go through the options of WorkDispatcher, and two pools of one term would still coincide. The messages are unchanged.

--- a/Source/Basilgap/Dispatch/AdvicePool.h
+++ b/Source/Basilgap/Dispatch/AdvicePool.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "Basilgap/Common/Hash.h"
 #include "Basilgap/Dispatch/Ports.h"
 #include "Basilgap/Network/PeerStream.h"
 
@@ -56,7 +57,8 @@
     bool isLocalCallPending_ = false;
     std::map<std::string, Proxy> proxies_;
     std::map<uint64_t, Call> pendingCalls_;
-    uint64_t nextCallId_ = 1;
+    // Starts at random: a proxy replies to the present leader, also to calls of an earlier one.
+    uint64_t nextCallId_ = randomNumber();
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
