End only the claim that a ClaimEnd names

Cause: a ClaimEnd named the key and the entry, not the claim. Repeated after it was applied (the entry resends calls without an answer, after a change of leader too), it ended a later claim of the same key by the same entry.

Callers would see: a request with an Idempotency-Key that runs twice, if it is sent again at another entry while it runs at the first: the key is free there. By reading, the same follows without a repetition when an entry has evicted an answer, a resend opens the key anew and the ClaimOpen times out: the release ended the claim of the request that ran.

Change: ClaimEnd carries the nonce of its ClaimOpen, and the table compares it.

The existing LocalClaimTable tests pass the new argument and are otherwise unchanged.

--- a/Source/Basilgap/Entry/ClaimService.cpp
+++ b/Source/Basilgap/Entry/ClaimService.cpp
@@ -105,7 +105,8 @@
     case LocalClaimTable::LookupResult::NotFound:
         break;
     }
-    claims_.open(key, bodyHash);
+    const uint64_t nonce = randomNumber();
+    claims_.open(key, bodyHash, nonce);
     schema::RpcRequest rpc;
     schema::ClaimOpen *open = rpc.mutable_command()->mutable_claim_open();
     open->set_team(key.team.value());
@@ -113,7 +114,7 @@
     open->set_body_hash(bodyHash);
     open->set_entry(options_.entry.value());
     open->set_entry_incarnation(options_.incarnation.value());
-    open->set_nonce(randomNumber());
+    open->set_nonce(nonce);
     const Millis left = request->deadline - steadyNow();
     auto sharedRequest = std::make_shared<RequestPointer>(std::move(request));
     options_.rpc.call(
@@ -164,6 +165,7 @@
     end->set_key_hash(key.hash);
     end->set_entry(options_.entry.value());
     end->set_not_run(true);
+    end->set_nonce(claims_.nonceOf(key));
     options_.rpc.call(std::move(rpc), ReleaseTimeout, [](const Result<schema::RpcReply> &) {});
 }
 
--- a/Source/Basilgap/Entry/LocalClaimTable.cpp
+++ b/Source/Basilgap/Entry/LocalClaimTable.cpp
@@ -10,9 +10,11 @@
 
 } // namespace
 
-void LocalClaimTable::open(const ClaimKey &key, const std::string &bodyHash)
+void LocalClaimTable::open(const ClaimKey &key, const std::string &bodyHash, uint64_t nonce)
 {
-    claims_[key].bodyHash = bodyHash;
+    Claim &claim = claims_[key];
+    claim.bodyHash = bodyHash;
+    claim.nonce = nonce;
 }
 
 LocalClaimTable::LookupResult LocalClaimTable::find(
@@ -26,6 +28,12 @@
     return found->second.outcome ? LookupResult::Finished : LookupResult::Running;
 }
 
+uint64_t LocalClaimTable::nonceOf(const ClaimKey &key) const
+{
+    const auto found = claims_.find(key);
+    return found == claims_.end() ? 0 : found->second.nonce;
+}
+
 void LocalClaimTable::join(const ClaimKey &key, Waiter waiter)
 {
     Claim &claim = claims_[key];
--- a/Source/Basilgap/Entry/LocalClaimTable.h
+++ b/Source/Basilgap/Entry/LocalClaimTable.h
@@ -38,12 +38,16 @@
 
     enum class LookupResult { NotFound, BodyMismatch, Running, Finished };
 
-    // Adds a claim. Only allowed if find() returned NotFound.
-    void open(const ClaimKey &key, const std::string &bodyHash);
+    // Adds a claim. Only allowed if find() returned NotFound. The nonce identifies the claim to the
+    // leader.
+    void open(const ClaimKey &key, const std::string &bodyHash, uint64_t nonce);
 
     // Looks up a claim. An empty body hash matches any body.
     LookupResult find(const ClaimKey &key, const std::string &bodyHash) const;
 
+    // The nonce of the claim; 0 if there is none.
+    uint64_t nonceOf(const ClaimKey &key) const;
+
     // Calls the waiter when the exchange ends, or immediately if it has ended.
     void join(const ClaimKey &key, Waiter waiter);
 
@@ -60,6 +64,7 @@
     struct Claim
     {
         std::string bodyHash;
+        uint64_t nonce = 0;
         std::optional<ClaimOutcome> outcome;
         std::vector<Waiter> waiters;
     };
--- a/Source/Basilgap/State/ClaimTable.cpp
+++ b/Source/Basilgap/State/ClaimTable.cpp
@@ -44,6 +44,8 @@
     const auto found = claims_.find(key);
     if (found == claims_.end() || found->second.entry() != command.entry())
         return {};
+    if (command.nonce() != 0 && command.nonce() != found->second.nonce())
+        return {};
     schema::ClaimState claim = found->second;
     erase(found);
     if (command.not_run())
--- a/Source/UnitTests/Entry/EntryComponentsTest.cpp
+++ b/Source/UnitTests/Entry/EntryComponentsTest.cpp
@@ -245,7 +245,7 @@
     LocalClaimTable table;
     const ClaimKey key{ TeamName("ghat"), "hash" };
     EXPECT_EQ(table.find(key, "body"), LocalClaimTable::LookupResult::NotFound);
-    table.open(key, "body");
+    table.open(key, "body", 1);
     EXPECT_EQ(table.find(key, "other"), LocalClaimTable::LookupResult::BodyMismatch);
     int joined = 0;
     table.join(key, [&](const ClaimOutcome &outcome) { joined += outcome.outcome == "ran"; });
@@ -254,7 +254,7 @@
     EXPECT_EQ(table.find(key, "body"), LocalClaimTable::LookupResult::Finished);
     table.expire(Millis(5000), Millis(1000));
     EXPECT_EQ(table.size(), 0U);
-    table.open(key, "body");
+    table.open(key, "body", 1);
     table.finish(key, { .outcome = "not-run", .answer = {} }, Millis(0));
     EXPECT_EQ(table.find(key, "body"), LocalClaimTable::LookupResult::NotFound);
 }
@@ -266,7 +266,7 @@
     large.answer.set_body(std::string(8 * 1024 * 1024, 'x'));
     for (int i = 0; i < 20; i++) {
         const ClaimKey key{ TeamName("ghat"), std::to_string(i) };
-        table.open(key, "body");
+        table.open(key, "body", 1);
         table.finish(key, large, Millis(i));
     }
     EXPECT_LE(table.size(), 8U);
--- a/Source/UnitTests/State/CellStateTest.cpp
+++ b/Source/UnitTests/State/CellStateTest.cpp
@@ -76,6 +76,39 @@
     EXPECT_EQ(state.apply(LogIndex(4), claim).code(), schema::CLAIMED);
 }
 
+// Guards against a request that runs twice because a late ClaimEnd released the key meanwhile.
+TEST(ClaimTable, repeatedEndDoesNotEndALaterClaimOfTheKey)
+{
+    CellState state;
+    state.apply(LogIndex(1), openSessionCommand("e1", 11));
+    schema::Command open = claimCommand("key", "body", "e1", 11);
+    schema::Command end = claimEndCommand("key", "e1");
+    open.mutable_claim_open()->set_nonce(77);
+    end.mutable_claim_end()->set_nonce(77);
+    ASSERT_EQ(state.apply(LogIndex(2), open).code(), schema::ACCEPTED);
+    state.apply(LogIndex(3), end);
+    open.mutable_claim_open()->set_nonce(78);
+    ASSERT_EQ(state.apply(LogIndex(4), open).code(), schema::ACCEPTED);
+    state.apply(LogIndex(5), end);
+    const schema::Command elsewhere = claimCommand("key", "body", "e2", 22);
+    EXPECT_EQ(state.apply(LogIndex(6), elsewhere).code(), schema::CLAIMED);
+    end.mutable_claim_end()->set_nonce(78);
+    state.apply(LogIndex(7), end);
+    EXPECT_EQ(state.apply(LogIndex(8), elsewhere).code(), schema::ACCEPTED);
+}
+
+TEST(ClaimTable, endWithoutANonceEndsAnyClaimOfItsEntry)
+{
+    CellState state;
+    state.apply(LogIndex(1), openSessionCommand("e1", 11));
+    schema::Command open = claimCommand("key", "body", "e1", 11);
+    open.mutable_claim_open()->set_nonce(77);
+    ASSERT_EQ(state.apply(LogIndex(2), open).code(), schema::ACCEPTED);
+    state.apply(LogIndex(3), claimEndCommand("key", "e1"));
+    EXPECT_EQ(
+        state.apply(LogIndex(4), claimCommand("key", "body", "e2", 22)).code(), schema::ACCEPTED);
+}
+
 TEST(ClaimTable, jobWithAKeyIsSubmittedOnce)
 {
     CellState state;
--- a/Source/UnitTests/State/Commands.cpp
+++ b/Source/UnitTests/State/Commands.cpp
@@ -64,6 +64,18 @@
     return command;
 }
 
+schema::Command claimEndCommand(const std::string &key, const std::string &entry)
+{
+    schema::Command command;
+    command.set_stamp_ms(StampMs);
+    schema::ClaimEnd *end = command.mutable_claim_end();
+    end->set_team("ghat");
+    end->set_key_hash(key);
+    end->set_entry(entry);
+    end->set_not_run(true);
+    return command;
+}
+
 schema::Command submitCommand(const std::string &team, uint32_t tasks, const std::string &key)
 {
     schema::Command command;
--- a/Source/UnitTests/State/Commands.h
+++ b/Source/UnitTests/State/Commands.h
@@ -12,6 +12,8 @@
 schema::Command openSessionCommand(const std::string &entry, uint64_t incarnation);
 schema::Command claimCommand(const std::string &key, const std::string &body,
     const std::string &entry, uint64_t incarnation);
+// The end of a claim whose request was not run, without a nonce.
+schema::Command claimEndCommand(const std::string &key, const std::string &entry);
 schema::Command submitCommand(const std::string &team, uint32_t tasks, const std::string &key);
 schema::Command startCommand(uint64_t job, uint32_t task, uint32_t worker);
 schema::Command endCommand(uint64_t job, uint32_t task, schema::TaskEnd end);
