Answer the poll of a worker only with orders for its incarnation

Cause: WorkerOrders named the worker and the sequence of its poll, not its incarnation, and each incarnation counts its polls from 1. Orders on their way to incarnation 1 answered a poll of incarnation 2 with the same sequence; pushed orders, which need no sequence, any confirmed poll.

Callers would see: a worker that was restarted with the same id carries out orders for its earlier incarnation, is refused in its place, or takes the lease that the leader renewed for it.

Change: orders and refusals carry the incarnation, and the entry drops those for another one. Orders without it (from a leader of an earlier version) are handled as before.

WorkerRelayTest.ordersForAnEarlierIncarnationDoNotAnswerAPollWithTheSameSequence, leaseOfAnEarlierIncarnationDoesNotConfirmAPoll, refusalOfAnEarlierIncarnationDoesNotAnswerAPoll, ordersPushedToAnEarlierIncarnationDoNotAnswerAConfirmedPoll and WorkerRegistry.ordersNameTheIncarnationThatReported failed before, with the field in the schema but not used, and pass. test-Entry whole: 30 passed, test-Control whole: 31 passed. That a refusal by the leader carries the incarnation has no test of its own.

--- a/Source/Basilgap/Control/LeaderJobs.cpp
+++ b/Source/Basilgap/Control/LeaderJobs.cpp
@@ -19,6 +19,7 @@
         }
         schema::WorkerOrders *refusal = answers->add_orders();
         refusal->set_worker(report.id());
+        refusal->set_incarnation(report.incarnation());
         refusal->set_sequence(report.sequence());
         if (worker.error().code == ErrorCode::NotFound) {
             refusal->set_need_full(true);
--- a/Source/Basilgap/Control/WorkerRegistry.cpp
+++ b/Source/Basilgap/Control/WorkerRegistry.cpp
@@ -146,6 +146,7 @@
 {
     schema::WorkerOrders orders;
     orders.set_worker(worker.id.value());
+    orders.set_incarnation(worker.incarnation.value());
     orders.set_sequence(worker.sequence);
     orders.set_lease_ms(static_cast<uint32_t>(WorkerLease.count()));
     const WorkerNumber number = state_.jobs().numberOf(worker.id);
--- a/Source/Basilgap/Entry/WorkerRelay.cpp
+++ b/Source/Basilgap/Entry/WorkerRelay.cpp
@@ -139,6 +139,9 @@
     if (found == polls_.end())
         return;
     Poll &poll = found->second;
+    // Each incarnation counts its polls from the start.
+    if (orders.has_incarnation() && orders.incarnation() != poll.report.incarnation())
+        return;
     const bool answersPoll = orders.sequence() == poll.report.sequence();
     if (orders.need_full() && answersPoll) {
         reported_.erase(worker);
