Register the incarnation of a worker before it runs tasks

Cause: the log named a worker by its id only, so a new leader could not tell which incarnation its tasks were started on, and accepted the first one that reported. If the worker was restarted around a change of leader, the later incarnation was given the tasks of the earlier one at once, and after four polls the tasks counted as lost, before the lease of the earlier one was over. Without a change of leader such a report was refused.

Callers would see: a task that runs twice at the same time, if the earlier incarnation still runs (frozen or cut off, and replaced).

Change: a registration carries the incarnation, starts and orders to start go only to a registered incarnation, and for one lease after a change of leader only the registered one is accepted. Tasks of an incarnation that does not return are lost at the end of that time, as before. Workers that an earlier version logged are accepted as before until they are registered again.

WorkerRegistryTest.laterIncarnationGetsNoTaskOfTheEarlierOneBeforeItsLeaseIsOver failed before (a start at every poll, TASK_LOST from the fourth) and passes. laterIncarnationGetsStartsOnceItIsRegistered and JobTable.snapshotKeepsTheIncarnationOfAWorker are for the new field and were not run on the code before.

--- a/Source/Basilgap/Control/WorkerRegistry.cpp
+++ b/Source/Basilgap/Control/WorkerRegistry.cpp
@@ -46,6 +46,9 @@
     if (found == workers_.end() && report.unchanged())
         return fail({ ErrorCode::NotFound, "worker-report", report.id(), "not known" });
     const Incarnation incarnation(report.incarnation());
+    if (found == workers_.end() && mayOtherIncarnationHoldLease(id, incarnation, now))
+        return fail({ ErrorCode::Conflict, "worker-report", report.id(),
+            "another incarnation may still hold its lease" });
     if (found != workers_.end() && found->second.incarnation != incarnation) {
         const Worker &known = found->second;
         if (incarnation < known.incarnation)
@@ -83,6 +86,20 @@
     return &worker;
 }
 
+bool WorkerRegistry::mayOtherIncarnationHoldLease(
+    const WorkerId &id, Incarnation incarnation, Millis now) const
+{
+    const auto registered = state_.jobs().incarnationOf(state_.jobs().numberOf(id));
+    return registered && *registered != incarnation
+        && now < leadershipStart_ + WorkerLease + WorkerLeaseMargin;
+}
+
+bool WorkerRegistry::isRegistered(const Worker &worker) const
+{
+    const WorkerNumber number = state_.jobs().numberOf(worker.id);
+    return number.value() != 0 && state_.jobs().incarnationOf(number) == worker.incarnation;
+}
+
 void WorkerRegistry::updateTasks(const schema::WorkerReport &report, Worker *worker)
 {
     std::map<TaskId, ReportedTask> tasks;
@@ -162,7 +179,7 @@
         const state::Task &task = *state_.jobs().find(id);
         const auto reported = worker.tasks.find(id);
         const bool started = reported != worker.tasks.end() && reported->second.epoch >= task.epoch;
-        if (started || job.isFinished() || stopping.contains(id)
+        if (started || !isRegistered(worker) || job.isFinished() || stopping.contains(id)
             || state_.config().isZoneOut(worker.zone))
             continue;
         schema::TaskStart *start = orders.add_start();
@@ -283,7 +300,7 @@
         // After half a lease of silence the worker is probably gone, so nothing is started there.
         const bool isSilent = now - worker.lastHeardAt > WorkerLease / 2;
         const size_t running = state_.jobs().runningOn(number).size();
-        if (number.value() == 0 || isSilent || state_.config().isZoneOut(worker.zone)
+        if (!isRegistered(worker) || isSilent || state_.config().isZoneOut(worker.zone)
             || !health.mayStart(number, running, now))
             continue;
         scheduling::PoolWorker usable{ .number = number,
@@ -314,11 +331,13 @@
     std::vector<schema::WorkerRegistration> registrations;
     uint32_t next = state_.jobs().nextWorker();
     for (const auto &[id, worker] : workers_) {
-        if (state_.jobs().numberOf(id).value() != 0)
+        if (isRegistered(worker))
             continue;
+        const WorkerNumber number = state_.jobs().numberOf(id);
         schema::WorkerRegistration registration;
-        registration.set_number(next++);
+        registration.set_number(number.value() != 0 ? number.value() : next++);
         registration.set_worker(id.value());
+        registration.set_incarnation(worker.incarnation.value());
         registrations.push_back(std::move(registration));
     }
     return registrations;
--- a/Source/Basilgap/Control/WorkerRegistry.h
+++ b/Source/Basilgap/Control/WorkerRegistry.h
@@ -99,7 +99,7 @@
     scheduling::WorkerPool usablePool(const scheduling::WorkerHealth &health, Millis now) const;
     state::Resources maxCapacity() const;
 
-    // Registrations of workers that have no number yet.
+    // Registrations of workers that have no number yet, or whose incarnation is another one.
     std::vector<schema::WorkerRegistration> newRegistrations() const;
 
     bool hasLease(const Worker &worker, Millis now) const { return now < worker.leaseEnd; }
@@ -107,6 +107,11 @@
     const std::map<WorkerId, Worker> &all() const { return workers_; }
 
 private:
+    // Whether another incarnation may hold a lease from an earlier leader.
+    bool mayOtherIncarnationHoldLease(
+        const WorkerId &id, Incarnation incarnation, Millis now) const;
+    // Whether the log names this incarnation, so that a next leader knows that it may run tasks.
+    bool isRegistered(const Worker &worker) const;
     void updateTasks(const schema::WorkerReport &report, Worker *worker);
     void countOverMemoryReports(Worker *worker);
     void countMissingPolls(Worker *worker);
--- a/Source/Basilgap/State/JobSnapshot.cpp
+++ b/Source/Basilgap/State/JobSnapshot.cpp
@@ -72,6 +72,8 @@
         auto *saved = snapshot.add_workers();
         saved->set_number(number.value());
         saved->set_worker(worker.value());
+        if (const auto incarnation = incarnationOf(number))
+            saved->set_incarnation(incarnation->value());
     }
     snapshot.set_next_job(nextJob_);
     return snapshot;
@@ -82,7 +84,7 @@
     *this = JobTable();
     nextJob_ = snapshot.next_job();
     for (const auto &worker : snapshot.workers())
-        registerWorker(WorkerNumber(worker.number()), WorkerId(worker.worker()));
+        registerWorker(worker);
     for (const auto &saved : snapshot.jobs()) {
         const Job &job = jobs_.emplace(JobId(saved.id()), restoreJob(saved)).first->second;
         for (uint32_t i = 0; i < job.tasks.size(); i++) {
--- a/Source/Basilgap/State/JobTable.cpp
+++ b/Source/Basilgap/State/JobTable.cpp
@@ -50,7 +50,7 @@
 schema::CommandOutcome JobTable::apply(const schema::TaskBatch &command, uint64_t stampMs)
 {
     for (const auto &worker : command.workers())
-        registerWorker(WorkerNumber(worker.number()), WorkerId(worker.worker()));
+        registerWorker(worker);
 
     // Ends are applied before starts: a start may use resources that an end in the same record
     // frees.
@@ -251,6 +251,12 @@
     return found == workerIds_.end() ? nullptr : &found->second;
 }
 
+std::optional<Incarnation> JobTable::incarnationOf(WorkerNumber number) const
+{
+    const auto found = workerIncarnations_.find(number);
+    return found == workerIncarnations_.end() ? std::nullopt : std::optional(found->second);
+}
+
 uint64_t JobTable::oldestFinishMs() const
 {
     return finished_.empty() ? 0 : finished_.begin()->first;
@@ -299,10 +305,14 @@
     reserved_.erase(task.worker);
 }
 
-void JobTable::registerWorker(WorkerNumber number, const WorkerId &worker)
+void JobTable::registerWorker(const schema::WorkerRegistration &registration)
 {
+    const WorkerNumber number(registration.number());
+    const WorkerId worker(registration.worker());
     workerIds_[number] = worker;
     workerNumbers_[worker] = number;
+    if (registration.has_incarnation())
+        workerIncarnations_[number] = Incarnation(registration.incarnation());
 }
 
 } // namespace basilgap::state
--- a/Source/Basilgap/State/JobTable.h
+++ b/Source/Basilgap/State/JobTable.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -82,6 +83,8 @@
 
     WorkerNumber numberOf(const WorkerId &worker) const;
     const WorkerId *workerOf(WorkerNumber number) const;
+    // The incarnation that was registered last; none if an earlier version logged the worker.
+    std::optional<Incarnation> incarnationOf(WorkerNumber number) const;
     const std::map<WorkerNumber, WorkerId> &workers() const { return workerIds_; }
     uint32_t nextWorker() const { return static_cast<uint32_t>(workerIds_.size()) + 1; }
 
@@ -103,12 +106,13 @@
     void updateIndexes(const Job &job);
     void addRunning(const Job &job, const TaskId &id, const Task &task);
     void removeRunning(const Job &job, const TaskId &id, const Task &task);
-    void registerWorker(WorkerNumber number, const WorkerId &worker);
+    void registerWorker(const schema::WorkerRegistration &registration);
 
     std::map<JobId, Job> jobs_;
     uint64_t nextJob_ = 1;
     std::map<WorkerNumber, WorkerId> workerIds_;
     std::unordered_map<WorkerId, WorkerNumber> workerNumbers_;
+    std::map<WorkerNumber, Incarnation> workerIncarnations_;
     std::map<TeamName, std::set<JobId>> waiting_;
     std::set<JobId> waitingUrgent_;
     std::map<JobId, uint32_t> waitingTasksOfJob_;
--- a/Source/UnitTests/Control/WorkerRegistryTest.cpp
+++ b/Source/UnitTests/Control/WorkerRegistryTest.cpp
@@ -1,11 +1,15 @@
 #include <gtest/gtest.h>
 
+#include "Basilgap/Common/LeaseTimes.h"
 #include "Basilgap/Control/WorkerRegistry.h"
 
 namespace basilgap::control {
 
 namespace {
 
+constexpr Millis LeaderChange{ 100'000 };
+constexpr uint64_t ManyPolls = 8;
+
 schema::WorkerReport reportOf(uint64_t incarnation, uint64_t sequence)
 {
     schema::WorkerReport report;
@@ -15,6 +19,55 @@
     return report;
 }
 
+schema::Command submitTask()
+{
+    schema::Command command;
+    schema::SubmitJob *submit = command.mutable_submit_job();
+    submit->set_team("ghat");
+    submit->mutable_spec()->set_name("job");
+    submit->mutable_spec()->set_tasks(1);
+    return command;
+}
+
+// An earlier leader has started a task on incarnation 1 of a worker; then another leader takes over
+// with a registry of its own.
+class WorkerRegistryTest : public testing::Test
+{
+protected:
+    WorkerRegistryTest()
+    {
+        WorkerRegistry earlierLeader(state_, Millis(0));
+        EXPECT_TRUE(earlierLeader.recordReport(reportOf(1, 1), nullptr, Millis(0)).has_value());
+        apply(submitTask());
+        schema::Command start;
+        for (const auto &registration : earlierLeader.newRegistrations())
+            *start.mutable_tasks()->add_workers() = registration;
+        start.mutable_tasks()->mutable_starts()->add_job(1);
+        start.mutable_tasks()->mutable_starts()->add_task(0);
+        start.mutable_tasks()->mutable_starts()->add_worker(1);
+        apply(start);
+        EXPECT_EQ(state_.jobs().runningOn(state_.jobs().numberOf(WorkerId("w1"))).size(), 1U);
+    }
+
+    void apply(const schema::Command &command) { state_.apply(LogIndex(++index_), command); }
+
+    // Logs what a leader logs about the workers of its registry.
+    void logRegistrations()
+    {
+        schema::Command command;
+        for (const auto &registration : registry_.newRegistrations())
+            *command.mutable_tasks()->add_workers() = registration;
+        apply(command);
+    }
+
+    int lostTasks(Millis now) { return registry_.collectEnds({}, &health_, now).end_size(); }
+
+    state::CellState state_;
+    uint64_t index_ = 0;
+    scheduling::WorkerHealth health_;
+    WorkerRegistry registry_{ state_, LeaderChange };
+};
+
 } // namespace
 
 TEST(WorkerRegistry, ordersNameTheIncarnationThatReported)
@@ -28,4 +81,53 @@
     EXPECT_EQ(orders.incarnation(), 2U);
 }
 
+// Guards against two runs of a task at the same time after a change of leader.
+TEST_F(WorkerRegistryTest, laterIncarnationGetsNoTaskOfTheEarlierOneBeforeItsLeaseIsOver)
+{
+    for (uint64_t poll = 1; poll <= ManyPolls; poll++) {
+        const Millis now = LeaderChange + Millis(100 * poll);
+        const auto worker = registry_.recordReport(reportOf(2, poll), nullptr, now);
+        if (worker) {
+            EXPECT_EQ(registry_.ordersFor(**worker, {}).start_size(), 0) << "poll " << poll;
+        }
+        EXPECT_EQ(lostTasks(now), 0) << "poll " << poll;
+        logRegistrations();
+    }
+    const Millis leaseEnd = LeaderChange + WorkerLease + WorkerLeaseMargin;
+    EXPECT_EQ(lostTasks(leaseEnd - Millis(1)), 0);
+    EXPECT_EQ(lostTasks(leaseEnd), 1);
+    EXPECT_TRUE(registry_.recordReport(reportOf(2, ManyPolls + 1), nullptr, leaseEnd).has_value());
+}
+
+// The log has to name an incarnation before it runs tasks, or the next leader would not know of it.
+TEST_F(WorkerRegistryTest, laterIncarnationGetsStartsOnceItIsRegistered)
+{
+    const Millis leaseEnd = LeaderChange + WorkerLease + WorkerLeaseMargin;
+    const auto worker = registry_.recordReport(reportOf(2, 1), nullptr, leaseEnd);
+    ASSERT_TRUE(worker.has_value()) << worker.error().text();
+    registry_.extendLease(WorkerId("w1"), leaseEnd);
+    EXPECT_EQ(registry_.ordersFor(**worker, {}).start_size(), 0);
+    EXPECT_EQ(registry_.usablePool(health_, leaseEnd).size(), 0U);
+    logRegistrations();
+    EXPECT_EQ(registry_.newRegistrations().size(), 0U);
+    EXPECT_EQ(registry_.ordersFor(**worker, {}).start_size(), 1);
+    EXPECT_EQ(registry_.usablePool(health_, leaseEnd).size(), 1U);
+
+    WorkerRegistry nextLeader(state_, leaseEnd);
+    EXPECT_FALSE(nextLeader.recordReport(reportOf(1, 9), nullptr, leaseEnd).has_value());
+    EXPECT_TRUE(nextLeader.recordReport(reportOf(2, 2), nullptr, leaseEnd).has_value());
+}
+
+TEST_F(WorkerRegistryTest, incarnationThatRunsTheTaskGoesOnAfterAChangeOfLeader)
+{
+    schema::WorkerReport report = reportOf(1, 2);
+    report.add_tasks()->set_job(1);
+    report.mutable_tasks(0)->set_epoch(1);
+    const auto worker = registry_.recordReport(report, nullptr, LeaderChange + Millis(100));
+    ASSERT_TRUE(worker.has_value()) << worker.error().text();
+    const schema::WorkerOrders orders = registry_.ordersFor(**worker, {});
+    EXPECT_EQ(orders.start_size() + orders.stop_size(), 0);
+    EXPECT_EQ(lostTasks(LeaderChange + Millis(100)), 0);
+}
+
 } // namespace basilgap::control
--- a/Source/UnitTests/State/CellStateTest.cpp
+++ b/Source/UnitTests/State/CellStateTest.cpp
@@ -145,6 +145,24 @@
     EXPECT_EQ(state.jobs().reservedOn(WorkerNumber(1)), Resources{});
 }
 
+TEST(JobTable, snapshotKeepsTheIncarnationOfAWorker)
+{
+    CellState state;
+    schema::Command command;
+    schema::WorkerRegistration *worker = command.mutable_tasks()->add_workers();
+    worker->set_number(1);
+    worker->set_worker("w1");
+    worker->set_incarnation(5);
+    worker = command.mutable_tasks()->add_workers();
+    worker->set_number(2);
+    worker->set_worker("w2");
+    state.apply(LogIndex(1), command);
+    JobTable restored;
+    restored.restore(state.jobs().save());
+    EXPECT_EQ(restored.incarnationOf(WorkerNumber(1)), Incarnation(5));
+    EXPECT_EQ(restored.incarnationOf(WorkerNumber(2)), std::nullopt);
+}
+
 RC_GTEST_PROP(CellStateProperty, restoredReplicaStaysEqual, ())
 {
     CellState state;
