Log the accounts whose steps are placed later as start-share

Cause: account-share said that it names the accounts whose steps are placed after those of others, but lists AccountShares, which decides no order. The planner asks StartShares. In a trial with one worker of eight cores, services of one account held the cell: account-share named that account, and none was over its start share.

Change: StartShares lists the accounts for which isOverShare() is true, at most ten in the log, with what each has started, its fair share and what all have started. It is a sample of the last round: an account that is over its share for less than a second may not be named.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -176,6 +176,7 @@
         const schema::QueueConfig &queue, const std::string &account,
         const schema::WorkSpec &spec) const;
     void logAccountShares() const;
+    void logStartShares() const;
 
     // WorkDispatcherCalls.cpp
     void answerQueueCall(const schema::RpcRequest &request, const ReplyCallback &reply);
--- a/Source/Basilgap/Dispatch/WorkDispatcherAdmission.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherAdmission.cpp
@@ -113,8 +113,8 @@
         stateNow());
 }
 
-// Logs the accounts whose steps are placed after those of the others, the furthest over their
-// shares first.
+// Logs the accounts that hold more than their share of a full cell, the furthest first. Their new
+// jobs may be refused; the order of their steps follows the start shares.
 void WorkDispatcher::logAccountShares() const
 {
     const Millis now = stateNow();
@@ -130,4 +130,18 @@
     }
 }
 
+// Logs the accounts whose steps rank one band of lateness later.
+void WorkDispatcher::logStartShares() const
+{
+    for (const scheduling::StartShareExcess &excess :
+        startShares_.accountsOverShare(MaxLoggedAccounts)) {
+        LogEvent("start-share")
+            .with("priority", excess.priority)
+            .with("account", excess.account.value())
+            .with("startedMillicores", excess.startedMillicores)
+            .with("fairMillicores", excess.fairMillicores)
+            .with("allMillicores", excess.allMillicores);
+    }
+}
+
 } // namespace basilgap::dispatch
--- a/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
@@ -253,6 +253,7 @@
         line.with("waiting" + std::to_string(priority), tasks);
     stageTimes_.log();
     logAccountShares();
+    logStartShares();
     forecastAccuracy_.log();
 }
 
--- a/Source/Basilgap/Scheduling/AccountShares.cpp
+++ b/Source/Basilgap/Scheduling/AccountShares.cpp
@@ -119,6 +119,18 @@
     return entry != nullptr && entry->isOverShare();
 }
 
+double AccountShares::usage(const state::AccountName &account) const
+{
+    const Entry *entry = find(account);
+    return entry == nullptr ? 0 : entry->usage;
+}
+
+double AccountShares::fairShare(const state::AccountName &account) const
+{
+    const Entry *entry = find(account);
+    return entry == nullptr ? 0 : entry->fair;
+}
+
 double AccountShares::entitlement(const state::AccountName &account) const
 {
     const Entry *entry = find(account);
--- a/Source/Basilgap/Scheduling/AccountShares.h
+++ b/Source/Basilgap/Scheduling/AccountShares.h
@@ -53,6 +53,11 @@
     // Whether its share is above the fair one and its credit is used up.
     bool isOverShare(const state::AccountName &account) const;
 
+    // Parts of the cell, from 0 to 1: what the account holds, and its fair share. 0 for an unknown
+    // account.
+    double usage(const state::AccountName &account) const;
+    double fairShare(const state::AccountName &account) const;
+
     // Part of the cell, from 0 to 1, that the account may use at any time: its fair share, but at
     // least its part by weight among all accounts, within its cap.
     double entitlement(const state::AccountName &account) const;
--- a/Source/Basilgap/Scheduling/StartShares.cpp
+++ b/Source/Basilgap/Scheduling/StartShares.cpp
@@ -58,14 +58,33 @@
     std::erase_if(shares_, [&views](const auto &entry) { return !views.contains(entry.first); });
     for (auto &[priority, view] : views) {
         view.now = now;
-        shares_[priority].update(view);
+        PriorityShares &shares = shares_[priority];
+        shares.startedMillicores = view.capacity.millicores;
+        shares.shares.update(view);
     }
 }
 
 bool StartShares::isOverShare(uint32_t priority, const state::AccountName &account) const
 {
     const auto shares = shares_.find(priority);
-    return shares != shares_.end() && shares->second.isOverShare(account);
+    return shares != shares_.end() && shares->second.shares.isOverShare(account);
+}
+
+std::vector<StartShareExcess> StartShares::accountsOverShare(size_t maxCount) const
+{
+    std::vector<StartShareExcess> over;
+    for (const auto &[priority, division] : shares_) {
+        const auto all = static_cast<double>(division.startedMillicores);
+        for (const state::AccountName &account :
+            division.shares.accountsOverShare(maxCount - over.size())) {
+            over.push_back({ .priority = priority,
+                .account = account,
+                .startedMillicores = std::llround(division.shares.usage(account) * all),
+                .fairMillicores = std::llround(division.shares.fairShare(account) * all),
+                .allMillicores = division.startedMillicores });
+        }
+    }
+    return over;
 }
 
 } // namespace basilgap::scheduling
--- a/Source/Basilgap/Scheduling/StartShares.h
+++ b/Source/Basilgap/Scheduling/StartShares.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <utility>
+#include <vector>
 
 #include "Basilgap/Common/Millis.h"
 #include "Basilgap/Scheduling/AccountShares.h"
@@ -13,6 +14,17 @@
 // Millicores by queue priority and account.
 using MillicoresByAccount = std::map<std::pair<uint32_t, state::AccountName>, int64_t>;
 
+// What puts an account over its share of what was started lately of a priority.
+struct StartShareExcess
+{
+    uint32_t priority = 0;
+    state::AccountName account;
+    // Decayed sums of the last round: of the account, its fair share, and of all accounts.
+    int64_t startedMillicores = 0;
+    int64_t fairMillicores = 0;
+    int64_t allMillicores = 0;
+};
+
 // Divides what is started of each priority among the accounts by their weights, while more waits
 // than is started. Running tasks alone don't show a flood of short tasks, as long as its tasks
 // wait. Load pattern: one account that sends many times its usual load of urgent jobs.
@@ -30,12 +42,23 @@
     // priority, while others wait. Never for jobs without an account, since these have no weight.
     bool isOverShare(uint32_t priority, const state::AccountName &account) const;
 
+    // The accounts that are over their share, at most that many: the most urgent priority first,
+    // and of one priority the furthest first.
+    std::vector<StartShareExcess> accountsOverShare(size_t maxCount) const;
+
 private:
+    struct PriorityShares
+    {
+        AccountShares shares;
+        // Of all accounts, in the last round.
+        int64_t startedMillicores = 0;
+    };
+
     void decay(Millis now);
 
     // Decaying sums of what was started.
     std::map<std::pair<uint32_t, state::AccountName>, double> started_;
-    std::map<uint32_t, AccountShares> shares_;
+    std::map<uint32_t, PriorityShares> shares_;
     Millis decayedAt_;
 };
 
