--- a/Source/FailureTests/ClientLimitsFailureTest.cpp
+++ b/Source/FailureTests/ClientLimitsFailureTest.cpp
@@ -1,3 +1,6 @@
+#include <thread>
+
+#include <nghttp2/nghttp2.h>
 #include <sys/resource.h>
 
 #include "FailureTests/TestCell.h"
@@ -52,6 +55,8 @@
         LocalCell::Host *host;
         std::string address;
         network::HttpRequest ordinary;
+        // Where the ordinary request goes; empty: to the same address.
+        std::string ordinaryAddress = "";
         // Resident memory of the process before the first crowd came.
         size_t firstBytes = 0;
     };
@@ -105,7 +110,9 @@
         EXPECT_TRUE(port.host->process.isRunning());
         EXPECT_LE(growth, MaxGrowthBytes);
         EXPECT_LE(after.descriptors, MaxDescriptors);
-        const auto answer = network::fetchAndWait(port.address, port.ordinary, AnswerTimeout);
+        const auto answer = network::fetchAndWait(
+            port.ordinaryAddress.empty() ? port.address : port.ordinaryAddress, port.ordinary,
+            AnswerTimeout);
         EXPECT_EQ(answer.end, network::ExchangeEnd::Complete) << "an ordinary request";
         EXPECT_GT(answer.response.status, 0);
     }
@@ -125,6 +132,155 @@
     return "POST /desk/x HTTP/1.1\r\nHost: h\r\n" + header + "\r\n\r\n";
 }
 
+// The same for the listeners for other processes of the cell, which speak HTTP/2. The crowd does
+// not have the cell's key.
+class PeerLimitsFailure : public ClientLimitsFailure
+{
+protected:
+    void checkPeerPorts(const ClientCrowd::Options &options)
+    {
+        ASSERT_NO_FATAL_FAILURE(start());
+        const std::vector<Port> adminPorts = { ports_[2], ports_[3] };
+        ports_.clear();
+        for (const Port &port : adminPorts) {
+            Port peer = port;
+            peer.name = port.host->id + "-peer";
+            peer.address = port.host->addresses.at("peer");
+            peer.ordinaryAddress = port.address;
+            check(peer, options);
+        }
+    }
+
+    // Starts the control processes with these indices again while a crowd is at the peer listener
+    // of each control process, and checks that they get into touch with the others.
+    void checkRestart(const std::vector<size_t> &restarted, const ClientCrowd::Options &options)
+    {
+        {
+            const LowDescriptorLimit limit;
+            startCell({ .controls = 3, .entries = 1 });
+        }
+        if (HasFatalFailure())
+            return;
+        std::map<std::string, size_t> firstBytes;
+        for (const LocalCell::Host &host : cell_->controls())
+            firstBytes[host.id] = standins::readProcessUse(host.process.pid()).residentBytes;
+        const RunningCrowds crowds(cell_->controls(), options);
+        std::this_thread::sleep_for(CrowdArrivalTime);
+        for (const size_t index : restarted)
+            cell_->controls()[index].process.kill();
+        startControls(restarted);
+        EXPECT_TRUE(waitUntil(
+            DefaultTimeout, [this] { return cell_->applyNext().response.status == 200; }));
+        for (LocalCell::Host &host : cell_->controls()) {
+            SCOPED_TRACE(host.id);
+            EXPECT_TRUE(waitUntil(DefaultTimeout, [&] { return isInTouch(host); }));
+            const ProcessUse use = standins::readProcessUse(host.process.pid());
+            const size_t growth = use.peakBytes - std::min(use.peakBytes, firstBytes[host.id]);
+            std::cout << host.id << ": memory " << firstBytes[host.id] / 1024 << " KiB + "
+                      << growth / 1024 << " KiB, descriptors " << use.descriptors
+                      << ", closed by all " << crowds.closedCount() << '\n';
+            EXPECT_TRUE(host.process.isRunning());
+            EXPECT_LE(growth, MaxGrowthBytes);
+            EXPECT_LE(use.descriptors, MaxDescriptors);
+        }
+    }
+
+    void startControls(const std::vector<size_t> &indices)
+    {
+        const LowDescriptorLimit limit;
+        for (const size_t index : indices)
+            cell_->startControl(index);
+    }
+
+    bool isInTouch(const LocalCell::Host &host) const
+    {
+        const std::string status = cell_->admin(host, "GET", "/v1/status").response.body;
+        return !jsonText(status, "leader").empty()
+            && standins::jsonNumber(status, "version") == static_cast<int64_t>(cell_->version());
+    }
+
+private:
+    // One crowd for each host, until the object is destroyed.
+    class RunningCrowds
+    {
+    public:
+        RunningCrowds(const std::vector<LocalCell::Host> &hosts, ClientCrowd::Options options)
+        {
+            options.reconnects = true;
+            options.duration = DefaultTimeout * 10;
+            for (const LocalCell::Host &host : hosts) {
+                options.address = host.addresses.at("peer");
+                crowds_.push_back(std::make_unique<ClientCrowd>(options));
+                threads_.emplace_back([crowd = crowds_.back().get()] { crowd->run(); });
+            }
+        }
+        ~RunningCrowds()
+        {
+            for (const auto &crowd : crowds_)
+                crowd->stop();
+            for (std::thread &thread : threads_)
+                thread.join();
+        }
+        RunningCrowds(const RunningCrowds &) = delete;
+        RunningCrowds &operator=(const RunningCrowds &) = delete;
+
+        size_t closedCount() const
+        {
+            size_t sum = 0;
+            for (const auto &crowd : crowds_)
+                sum += crowd->closedCount();
+            return sum;
+        }
+
+    private:
+        std::vector<std::unique_ptr<ClientCrowd>> crowds_;
+        std::vector<std::thread> threads_;
+    };
+
+    static constexpr std::chrono::milliseconds CrowdArrivalTime{ 1000 };
+};
+
+std::string frame(uint8_t type, uint8_t flags, uint8_t stream, const std::string &payload,
+    size_t announced = std::string::npos)
+{
+    const size_t length = announced == std::string::npos ? payload.size() : announced;
+    std::string bytes;
+    for (const int shift : { 16, 8, 0 })
+        bytes.push_back(static_cast<char>(length >> shift));
+    for (const uint8_t byte : { type, flags, uint8_t{ 0 }, uint8_t{ 0 }, uint8_t{ 0 }, stream })
+        bytes.push_back(static_cast<char>(byte));
+    return bytes + payload;
+}
+
+std::string preface()
+{
+    return NGHTTP2_CLIENT_MAGIC + frame(NGHTTP2_SETTINGS, NGHTTP2_FLAG_NONE, 0, "");
+}
+
+// A header block that is not ended: ":method: POST" from the static table, then fields `x: x...`
+// without indexing, one in each further frame.
+std::string beginHeaders()
+{
+    return frame(NGHTTP2_HEADERS, NGHTTP2_FLAG_NONE, 1, "\x83");
+}
+
+std::string continueHeaders()
+{
+    return frame(NGHTTP2_CONTINUATION, NGHTTP2_FLAG_NONE, 1,
+        std::string("\0\1x\x64", 4) + std::string(100, 'x'));
+}
+
+// They send a byte often enough not to be silent.
+ClientCrowd::Options slowOutsiders()
+{
+    return { .connections = SilentCrowd,
+        .opening = preface() + beginHeaders(),
+        .repeated = continueHeaders(),
+        .maxBytes = 1024 * 1024,
+        .bytesPerSend = 1,
+        .sendInterval = Millis(200) };
+}
+
 } // namespace
 
 // Guards against keeping a body over the limit until it is complete.
@@ -245,4 +401,81 @@
     }
 }
 
+TEST_F(PeerLimitsFailure, silentOutsiders)
+{
+    checkPeerPorts({ .connections = SilentCrowd, .maxBytes = 0, .duration = Millis(1500) });
+}
+
+TEST_F(PeerLimitsFailure, garbage)
+{
+    checkPeerPorts(
+        { .connections = Crowd, .repeated = std::string(1024, 'x'), .maxBytes = 8 * 1024 * 1024 });
+}
+
+TEST_F(PeerLimitsFailure, hugeFrames)
+{
+    checkPeerPorts({ .connections = Crowd,
+        .opening = preface() + frame(NGHTTP2_DATA, NGHTTP2_FLAG_NONE, 1, "", 0xffffff),
+        .repeated = "x",
+        .maxBytes = 8 * 1024 * 1024 });
+}
+
+// Frames of a type that receivers ignore.
+TEST_F(PeerLimitsFailure, endlessFrames)
+{
+    checkPeerPorts({ .connections = Crowd,
+        .opening = preface(),
+        .repeated = frame(0xff, NGHTTP2_FLAG_NONE, 0, std::string(16384, 'x')),
+        .maxBytes = 8 * 1024 * 1024 });
+}
+
+// Guards against keeping answers for outsiders that never read them.
+TEST_F(PeerLimitsFailure, pingsWithUnreadAnswers)
+{
+    checkPeerPorts({ .connections = Crowd,
+        .opening = preface(),
+        .repeated = frame(NGHTTP2_PING, NGHTTP2_FLAG_NONE, 0, "12345678"),
+        .maxBytes = 8 * 1024 * 1024 });
+}
+
+TEST_F(PeerLimitsFailure, endlessHeaderBlocks)
+{
+    checkPeerPorts({ .connections = Crowd,
+        .opening = preface() + beginHeaders(),
+        .repeated = continueHeaders(),
+        .maxBytes = 8 * 1024 * 1024 });
+}
+
+TEST_F(PeerLimitsFailure, headersSentOneByteAtATime)
+{
+    checkPeerPorts({ .connections = SilentCrowd,
+        .opening = preface() + beginHeaders(),
+        .repeated = continueHeaders(),
+        .maxBytes = 1024 * 1024,
+        .bytesPerSend = 1,
+        .sendInterval = Millis(20),
+        .duration = Millis(2500) });
+}
+
+// Guards against outsiders that take all places of the members.
+TEST_F(PeerLimitsFailure, aControlProcessRestartsAmongSilentOutsiders)
+{
+    checkRestart({ 0 }, { .connections = SilentCrowd });
+}
+
+TEST_F(PeerLimitsFailure, allControlProcessesRestartAmongSilentOutsiders)
+{
+    checkRestart({ 0, 1, 2 }, { .connections = SilentCrowd });
+}
+
+TEST_F(PeerLimitsFailure, aControlProcessRestartsAmongSlowOutsiders)
+{
+    checkRestart({ 0 }, slowOutsiders());
+}
+
+TEST_F(PeerLimitsFailure, allControlProcessesRestartAmongSlowOutsiders)
+{
+    checkRestart({ 0, 1, 2 }, slowOutsiders());
+}
+
 } // namespace basilgap::failuretests
--- a/Source/StandIns/ClientCrowd.cpp
+++ b/Source/StandIns/ClientCrowd.cpp
@@ -19,6 +19,7 @@
 constexpr size_t RunBytes = 256 * 1024;
 constexpr size_t KeptAnswerBytes = 512;
 constexpr Millis MaxStandstill{ 1000 };
+constexpr Millis ReconnectInterval{ 100 };
 // For the listener to read what is in its sockets.
 constexpr std::chrono::milliseconds SettleTime{ 500 };
 constexpr int PollMilliseconds = 20;
@@ -46,20 +47,30 @@
     client->socket = -1;
 }
 
-void ClientCrowd::connectAll()
+void ClientCrowd::connect(Client *client) const
 {
     sockaddr_storage storage{};
     const auto address = network::parseAddress(options_.address);
     if (!address)
         return;
     const int length = network::toSockaddr(*address, &storage);
-    for (Client &client : clients_) {
-        client.socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-        if (client.socket < 0)
-            continue;
+    client->socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (client->socket >= 0)
         ::connect(
-            client.socket, reinterpret_cast<sockaddr *>(&storage), static_cast<socklen_t>(length));
+            client->socket, reinterpret_cast<sockaddr *>(&storage), static_cast<socklen_t>(length));
+}
+
+void ClientCrowd::reconnect(Client *client, bool hasEnded, Millis now)
+{
+    if (client->socket >= 0 && hasEnded) {
+        closed_++;
+        close(client);
     }
+    if (client->socket >= 0 || now < client->nextConnectAt)
+        return;
+    client->sent = 0;
+    client->nextConnectAt = now + ReconnectInterval;
+    connect(client);
 }
 
 bool ClientCrowd::isFinished(const Client &client) const
@@ -113,14 +124,16 @@
 
 void ClientCrowd::run()
 {
-    connectAll();
+    for (Client &client : clients_)
+        connect(&client);
     const Millis end = steadyNow() + options_.duration;
     Millis lastProgress = steadyNow();
     std::vector<pollfd> polls(clients_.size());
-    for (Millis now = lastProgress; now < end && now - lastProgress < MaxStandstill;
+    for (Millis now = lastProgress;
+         now < end && !isStopped_ && (options_.reconnects || now - lastProgress < MaxStandstill);
          now = steadyNow()) {
         // Clients that send nothing wait until they are connected.
-        if (options_.maxBytes > 0
+        if (options_.maxBytes > 0 && !options_.reconnects
             && std::all_of(clients_.begin(), clients_.end(),
                 [this](const Client &client) { return isFinished(client); }))
             break;
@@ -135,6 +148,9 @@
             const bool sends = (polls[i].revents & POLLOUT) != 0 || mayHaveEnded;
             if (!isFinished(*client) && sends && send(client, now))
                 lastProgress = now;
+            const bool hasEnded = (polls[i].revents & (POLLERR | POLLHUP | POLLRDHUP)) != 0;
+            if (options_.reconnects)
+                reconnect(client, hasEnded, now);
         }
     }
     std::this_thread::sleep_for(SettleTime);
--- a/Source/StandIns/ClientCrowd.h
+++ b/Source/StandIns/ClientCrowd.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <string>
 #include <vector>
 
@@ -10,7 +11,7 @@
 
 namespace basilgap::standins {
 
-// Clients on raw sockets that exceed the limits of an HTTP listener. They stay connected until the
+// Clients on raw sockets that exceed the limits of a listener. They stay connected until the
 // object is destroyed.
 class ClientCrowd
 {
@@ -29,6 +30,9 @@
         Millis sendInterval{ 0 };
         // Whether answers are read.
         bool readsAnswers = false;
+        // Whether a connection that the listener has closed is opened again. Such a crowd goes on
+        // for the whole duration, or until stop() is called.
+        bool reconnects = false;
         // The crowd stops sending after this time.
         Millis duration{ 4000 };
     };
@@ -41,6 +45,8 @@
     // Connects and sends until all bytes are sent, no connection makes progress for a second, all
     // are closed by the listener, or the time is over.
     void run();
+    // Ends run(), from another thread.
+    void stop() { isStopped_ = true; }
 
     size_t sentBytes() const;
     // Connections that the listener has closed or refused.
@@ -54,10 +60,12 @@
         int socket = -1;
         size_t sent = 0;
         Millis nextSendAt{ 0 };
+        Millis nextConnectAt{ 0 };
         std::string answer;
     };
 
-    void connectAll();
+    void connect(Client *client) const;
+    void reconnect(Client *client, bool hasEnded, Millis now);
     void close(Client *client);
     bool send(Client *client, Millis now);
     bool read(Client *client);
@@ -68,7 +76,8 @@
     // What a connection sends from any position on: the opening, then a long run of `repeated`.
     std::string run_;
     std::vector<Client> clients_;
-    size_t closed_ = 0;
+    std::atomic<size_t> closed_ = 0;
+    std::atomic<bool> isStopped_ = false;
 };
 
 // Memory and descriptors of a running process.
