Keep places for members at the listeners for peers

Cause: connections that did not show the cell's key could take all 256 places and with them the descriptors, stayed as long as they sent a byte within 1.6 s, and could make a process keep answers to pings without a bound. Without descriptors the listener tried again at once and wrote a line each time.

Now such connections get a quarter of the places, at most 64, the oldest of them goes first, and each is closed after 1.6 to 2.1 s or 16 KiB without the key. A listener accepts 8 connections before it reads again, so that a member's first packet is read before many others come. After a failed accept it waits 100 ms. peer-refused is written once a second, with a count.

--- a/Source/Basilgap/Network/PeerServer.cpp
+++ b/Source/Basilgap/Network/PeerServer.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <event2/util.h>
 
+#include "Basilgap/Common/EventLog.h"
 #include "Basilgap/Network/SocketAddress.h"
 
 namespace basilgap::network {
@@ -13,6 +14,17 @@
 
 constexpr int ListenBacklog = 64;
 
+// Connections that have not shown the key, and the part of all places that they may take.
+constexpr size_t MaxNewcomers = 64;
+constexpr size_t NewcomerPart = 4;
+
+// Connections that are accepted before the others are read again, so that a member's key, which is
+// in its first packet, is read before many further connections come.
+constexpr size_t AcceptsInTurn = 8;
+
+constexpr Millis AcceptRetryTime{ 100 };
+constexpr Millis LogInterval{ 1000 };
+
 std::string peerText(sockaddr *peer)
 {
     char host[INET6_ADDRSTRLEN] = "";
@@ -31,6 +43,10 @@
 PeerServer::PeerServer(EventLoop &loop, Options options)
     : loop_(loop)
     , options_(std::move(options))
+    , acceptTimer_(loop, [this] {
+        acceptedInTurn_ = 0;
+        evconnlistener_enable(listener_);
+    })
 {}
 
 Result<std::unique_ptr<PeerServer>> PeerServer::listen(EventLoop &loop, Options options)
@@ -48,6 +64,7 @@
         length);
     if (server->listener_ == nullptr)
         return fail(systemError("listen", address));
+    evconnlistener_set_error_cb(server->listener_, onAcceptError);
     return server;
 }
 
@@ -89,11 +106,34 @@
     static_cast<PeerServer *>(self)->accept(socket, peerText(peer));
 }
 
-void PeerServer::accept(evutil_socket_t socket, const std::string &peer)
+// Without a descriptor the waiting connection stays readable, and the event loop would not rest.
+void PeerServer::onAcceptError(evconnlistener *, void *self)
+{
+    static_cast<PeerServer *>(self)->pauseAfterError(EVUTIL_SOCKET_ERROR());
+}
+
+void PeerServer::pauseAfterError(int error)
 {
-    if (streams_.size() >= options_.maxStreams) {
-        evutil_closesocket(socket);
+    evconnlistener_disable(listener_);
+    acceptTimer_.startOnce(AcceptRetryTime);
+    const Millis now = steadyNow();
+    if (now - errorLoggedAt_ < LogInterval)
         return;
+    errorLoggedAt_ = now;
+    LogEvent("peer-accept-failed", LogLevel::Error)
+        .with("error", evutil_socket_error_to_string(error));
+}
+
+void PeerServer::accept(evutil_socket_t socket, const std::string &peer)
+{
+    if (isFullForNewcomers()) {
+        PeerStream *oldest = oldestNewcomer();
+        if (oldest == nullptr) {
+            evutil_closesocket(socket);
+            return;
+        }
+        countRefusal(*oldest, "no-place");
+        remove(*oldest);
     }
     evutil_make_socket_nonblocking(socket);
     bufferevent *connection = bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE);
@@ -107,8 +147,47 @@
                     options_.onMessage(stream, std::move(message));
                 },
             .onOpen = [](PeerStream &) {},
-            .onClosed = [this](PeerStream &stream) { remove(stream); },
+            .onClosed =
+                [this](PeerStream &stream) {
+                    if (stream.refusal()[0] != '\0')
+                        countRefusal(stream, stream.refusal());
+                    remove(stream);
+                },
         }));
+    if (++acceptedInTurn_ < AcceptsInTurn)
+        return;
+    evconnlistener_disable(listener_);
+    acceptTimer_.startOnce(Millis(0));
+}
+
+bool PeerServer::isFullForNewcomers() const
+{
+    const auto newcomers = static_cast<size_t>(std::count_if(
+        streams_.begin(), streams_.end(), [](const auto &stream) { return !stream->isOpen(); }));
+    const size_t part = std::max<size_t>(1, options_.maxStreams / NewcomerPart);
+    return newcomers >= std::min(MaxNewcomers, part) || streams_.size() >= options_.maxStreams;
+}
+
+PeerStream *PeerServer::oldestNewcomer() const
+{
+    const auto found = std::find_if(
+        streams_.begin(), streams_.end(), [](const auto &stream) { return !stream->isOpen(); });
+    return found == streams_.end() ? nullptr : found->get();
+}
+
+void PeerServer::countRefusal(const PeerStream &stream, const std::string &reason)
+{
+    refusals_++;
+    const Millis now = steadyNow();
+    if (loggedRefusals_ != 0 && now - refusalLoggedAt_ < LogInterval)
+        return;
+    LogEvent("peer-refused", LogLevel::Warning)
+        .with("reason", reason)
+        .with("peer", stream.peer())
+        .with("count", refusals_ - loggedRefusals_)
+        .with("total", refusals_);
+    loggedRefusals_ = refusals_;
+    refusalLoggedAt_ = now;
 }
 
 void PeerServer::remove(PeerStream &stream)
--- a/Source/Basilgap/Network/PeerServer.h
+++ b/Source/Basilgap/Network/PeerServer.h
@@ -12,7 +12,8 @@
 
 namespace basilgap::network {
 
-// Accepts streams from other processes of the cell.
+// Accepts streams from other processes of the cell. Connections that have not shown the cell's key
+// get a bounded part of the places; a further one takes the place of the oldest of them.
 class PeerServer
 {
 public:
@@ -43,13 +44,25 @@
 private:
     PeerServer(EventLoop &loop, Options options);
     static void onAccept(evconnlistener *, evutil_socket_t socket, sockaddr *peer, int, void *self);
+    static void onAcceptError(evconnlistener *, void *self);
+    void pauseAfterError(int error);
     void accept(evutil_socket_t socket, const std::string &peer);
     void remove(PeerStream &stream);
+    bool isFullForNewcomers() const;
+    PeerStream *oldestNewcomer() const;
+    void countRefusal(const PeerStream &stream, const std::string &reason);
 
     EventLoop &loop_;
     Options options_;
     evconnlistener *listener_ = nullptr;
+    // In the order of their arrival.
     std::list<std::unique_ptr<PeerStream>> streams_;
+    size_t acceptedInTurn_ = 0;
+    Timer acceptTimer_;
+    uint64_t refusals_ = 0;
+    uint64_t loggedRefusals_ = 0;
+    Millis refusalLoggedAt_{ 0 };
+    Millis errorLoggedAt_{ 0 };
     uint64_t closedStreamsSentBytes_ = 0;
     uint64_t closedStreamsReceivedBytes_ = 0;
 };
--- a/Source/Basilgap/Network/PeerStream.cpp
+++ b/Source/Basilgap/Network/PeerStream.cpp
@@ -30,6 +30,9 @@
 constexpr Millis PingInterval{ 500 };
 constexpr Millis SilenceTimeout{ 1600 };
 
+// The key arrives within the first few hundred bytes of a stream.
+constexpr uint64_t MaxBytesBeforeKey = 16 * 1024;
+
 // Many round trips. The kernel resends a SYN to a host that was powered off only after a second.
 constexpr Millis ConnectTimeout{ 250 };
 
@@ -72,7 +75,8 @@
     : id_(nextStreamId())
     , options_(std::move(options))
     , connection_(connection)
-    , lastReceivedAt_(steadyNow())
+    , startedAt_(steadyNow())
+    , lastReceivedAt_(startedAt_)
     , closeTimer_(loop, [this] { options_.onClosed(*this); })
     , pingTimer_(loop, [this] { checkSilence(); })
     , connectTimer_(loop, [this] {
@@ -170,12 +174,8 @@
 
 void PeerStream::acceptRequest(int32_t stream)
 {
-    if (!isAuthorized_) {
-        LogEvent("peer-refused", LogLevel::Warning)
-            .with("step", "authorize")
-            .with("peer", options_.peer);
-        return close();
-    }
+    if (!isAuthorized_)
+        return refuse("authorize");
     const nghttp2_nv headers[] = { makeHeader(":status", "200") };
     nghttp2_data_provider provider{};
     provider.read_callback = readOutbound;
@@ -221,10 +221,23 @@
         close();
 }
 
+void PeerStream::refuse(const char *reason)
+{
+    if (!isClosed_)
+        refusal_ = reason;
+    close();
+}
+
 void PeerStream::checkSilence()
 {
     if (isClosed_)
         return;
+    // Bytes that do not show the key do not keep a connection open.
+    if (options_.role == Role::Server && !isOpen()) {
+        if (steadyNow() - startedAt_ > SilenceTimeout)
+            refuse("no-key");
+        return;
+    }
     const Millis silent = steadyNow() - lastReceivedAt_;
     if (silent > SilenceTimeout) {
         LogEvent("peer-silent", LogLevel::Warning)
@@ -250,6 +263,9 @@
     if (stream->isClosed_ || nghttp2_session_mem_recv(stream->session_, data, length) < 0)
         stream->close();
     stream->isReceiving_ = false;
+    const bool isHandshake = stream->options_.role == Role::Server && !stream->isOpen();
+    if (isHandshake && stream->receivedBytes_ > MaxBytesBeforeKey)
+        stream->refuse("bytes-before-key");
     evbuffer_drain(input, length);
     stream->flush();
 }
--- a/Source/Basilgap/Network/PeerStream.h
+++ b/Source/Basilgap/Network/PeerStream.h
@@ -51,6 +51,11 @@
     // Closes the stream; onClosed is called later from the event loop.
     void close();
 
+    // Whether the stream carries messages. On the server side the client has shown the cell's key.
+    bool isOpen() const { return streamId_ >= 0; }
+    // Why the server side closed a stream before it was open; empty if it did not.
+    const char *refusal() const { return refusal_; }
+
     // Whether the other host refused the connection.
     bool wasRefused() const { return isRefused_; }
 
@@ -84,6 +89,7 @@
     void receive(const uint8_t *data, size_t length);
     void deliver(const std::string &bytes);
     void flush();
+    void refuse(const char *reason);
     void checkSilence();
 
     uint64_t id_;
@@ -101,6 +107,8 @@
     schema::Hello hello_;
     uint64_t sentBytes_ = 0;
     uint64_t receivedBytes_ = 0;
+    const char *refusal_ = "";
+    Millis startedAt_;
     Millis lastReceivedAt_;
     Timer closeTimer_;
     Timer pingTimer_;
