Let newcomers at a listener for peers take a quarter of all places

Connections that have not shown the cell's key were bounded at 64 also where a listener has some 650 places. All processes of a large fleet connect at once after a restart, more than 64 of them, and would have pushed each other out. The crowd tests at the listeners (11 and 2) and test-Network pass.

--- a/Source/Basilgap/Network/PeerServer.cpp
+++ b/Source/Basilgap/Network/PeerServer.cpp
@@ -14,8 +14,8 @@
 
 constexpr int ListenBacklog = 64;
 
-// Connections that have not shown the key, and the part of all places that they may take.
-constexpr size_t MaxNewcomers = 64;
+// Connections that have not shown the key may take this part of all places. All processes of a
+// large fleet connect at once after a restart.
 constexpr size_t NewcomerPart = 4;
 
 // Connections that are accepted before the others are read again, so that a member's key, which is
@@ -165,7 +165,7 @@
     const auto newcomers = static_cast<size_t>(std::count_if(
         streams_.begin(), streams_.end(), [](const auto &stream) { return !stream->isOpen(); }));
     const size_t part = std::max<size_t>(1, options_.maxStreams / NewcomerPart);
-    return newcomers >= std::min(MaxNewcomers, part) || streams_.size() >= options_.maxStreams;
+    return newcomers >= part || streams_.size() >= options_.maxStreams;
 }
 
 PeerStream *PeerServer::oldestNewcomer() const
