--- a/Source/Basilgap/Network/PeerServer.cpp
+++ b/Source/Basilgap/Network/PeerServer.cpp
@@ -16,7 +16,7 @@
 
 // Connections that have not shown the key may take this part of all places. All processes of a
 // large fleet connect at once after a restart.
-constexpr size_t NewcomerPart = 4;
+constexpr size_t UnauthenticatedPart = 4;
 
 // Connections that are accepted before the others are read again, so that a member's key, which is
 // in its first packet, is read before many further connections come.
@@ -126,8 +126,8 @@
 
 void PeerServer::accept(evutil_socket_t socket, const std::string &peer)
 {
-    if (isFullForNewcomers()) {
-        PeerStream *oldest = oldestNewcomer();
+    if (isFullForUnauthenticated()) {
+        PeerStream *oldest = oldestUnauthenticated();
         if (oldest == nullptr) {
             evutil_closesocket(socket);
             return;
@@ -160,15 +160,15 @@
     acceptTimer_.startOnce(Millis(0));
 }
 
-bool PeerServer::isFullForNewcomers() const
+bool PeerServer::isFullForUnauthenticated() const
 {
-    const auto newcomers = static_cast<size_t>(std::count_if(
+    const auto unauthenticated = static_cast<size_t>(std::count_if(
         streams_.begin(), streams_.end(), [](const auto &stream) { return !stream->isOpen(); }));
-    const size_t part = std::max<size_t>(1, options_.maxStreams / NewcomerPart);
-    return newcomers >= part || streams_.size() >= options_.maxStreams;
+    const size_t part = std::max<size_t>(1, options_.maxStreams / UnauthenticatedPart);
+    return unauthenticated >= part || streams_.size() >= options_.maxStreams;
 }
 
-PeerStream *PeerServer::oldestNewcomer() const
+PeerStream *PeerServer::oldestUnauthenticated() const
 {
     const auto found = std::find_if(
         streams_.begin(), streams_.end(), [](const auto &stream) { return !stream->isOpen(); });
--- a/Source/Basilgap/Network/PeerServer.h
+++ b/Source/Basilgap/Network/PeerServer.h
@@ -48,8 +48,8 @@
     void pauseAfterError(int error);
     void accept(evutil_socket_t socket, const std::string &peer);
     void remove(PeerStream &stream);
-    bool isFullForNewcomers() const;
-    PeerStream *oldestNewcomer() const;
+    bool isFullForUnauthenticated() const;
+    PeerStream *oldestUnauthenticated() const;
     void countRefusal(const PeerStream &stream, const std::string &reason);
 
     EventLoop &loop_;
