Release a run of a restarted worker once the later incarnation has listed its ends

A start that was ordered on one incarnation may be carried out by the next, before that is registered. Its session stops the run there and released it as lost 500 ms after the stop was acknowledged, whether the later incarnation had been heard since or not. An end as done that was listed after that belonged to no run: it was dropped and acknowledged, and the task ran again (TWICE).

The session now releases the run once the newest incarnation has listed all of its ends in answer to a poll that was sent after the longest time that a stop takes.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -261,6 +261,9 @@
                                       uint32_t run) { giveUpGang(task, run); },
                 .onStartAccepted = [this](const StepTaskRef &task,
                                        Millis time) { recordStage(task, Stage::Start, time); },
+                .hasNewestListedEndsSince =
+                    [this, id = incarnation.id()](
+                        Millis time) { return hasNewestListedEndsSince(id, time); },
                 .pollDelay = [this, number] { return pollDelay(number); },
             },
             .wallClock = [this] { return stateNow(); },
@@ -268,6 +271,14 @@
         now);
 }
 
+bool WorkDispatcher::hasNewestListedEndsSince(const std::string &worker, Millis time) const
+{
+    const schema::WorkerLife *newest = state_.works().newestIncarnation(worker);
+    const auto session =
+        newest == nullptr ? sessions_.end() : sessions_.find(state::WorkerNumber(newest->number()));
+    return session != sessions_.end() && session->second->hasListedEndsSince(time);
+}
+
 void WorkDispatcher::applyOtherEnd(
     state::WorkerNumber worker, const StepTaskRef &task, const EndReport &report)
 {
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -531,7 +531,7 @@
 {
     for (const auto &[task, known] : std::map(runs_)) {
         if (known.knownState == KnownRunState::Stopped) {
-            if (now - known.knownStateSince > options_.times.maxStopTime)
+            if (isStoppedOnNewestIncarnation(known, now))
                 endLostRun(task, schema::RUN_LOST);
         } else if (!known.isStopPending
             && now - known.lastStopAt >= options_.times.stopRetryInterval) {
@@ -540,6 +540,13 @@
     }
 }
 
+// Whether the run can neither begin nor go on, nor has it an end that is not listed yet.
+bool WorkerSession::isStoppedOnNewestIncarnation(const SessionRun &known, Millis now) const
+{
+    const Millis stoppedAt = known.knownStateSince + options_.times.maxStopTime;
+    return now > stoppedAt && options_.events.hasNewestListedEndsSince(stoppedAt);
+}
+
 void WorkerSession::sendPendingStarts(Millis now)
 {
     hasPendingStarts_ = false;
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -125,6 +125,9 @@
     // The worker has accepted a start, this long after it was ordered.
     std::function<void(const StepTaskRef &, Millis)> onStartAccepted = [](const StepTaskRef &,
                                                                            Millis) {};
+    // Asked by a superseded session: whether the newest incarnation of the worker has listed all of
+    // its ends in answer to a poll that was sent after this time.
+    std::function<bool(Millis)> hasNewestListedEndsSince = [](Millis) { return true; };
     // Delay of the next poll after an answer.
     std::function<Millis()> pollDelay = [] { return Millis(0); };
 };
@@ -292,6 +295,8 @@
     uint64_t incarnationStartMs() const { return options_.incarnationStartMs; }
     uint64_t highestEndSequence() const { return highestEndSequence_; }
     Millis lastAnswerAt() const { return lastAnswerAt_; }
+    // Whether the worker has listed all of its ends in answer to a poll sent after this time.
+    bool hasListedEndsSince(Millis time) const { return allEndsAskedAt_ > time; }
     // Whether a run has started so recently that it may still crash the worker.
     bool hasFreshRun(Millis now) const;
 
@@ -341,6 +346,7 @@
     void sendPendingStarts(Millis now);
     void sendDueStops(Millis now);
     void releaseSupersededRuns(Millis now);
+    bool isStoppedOnNewestIncarnation(const SessionRun &known, Millis now) const;
     void stopSupersededRun(const StepTaskRef &task, Millis now);
     void noteFenced();
     void sendStop(const StepTaskRef &task, uint32_t run, const TaskName &name);
@@ -376,6 +382,8 @@
     // the list of runs.
     uint64_t lastPollNumber_ = 0;
     uint64_t newestAnsweredPoll_ = 0;
+    // When the last poll was sent whose answer listed all ends.
+    Millis allEndsAskedAt_;
     Millis nextPollAt_;
     // Delay before the next poll; its wait is shortened by the same time.
     Millis pollDelay_;
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -128,6 +128,8 @@
         newestAnsweredPoll_ = poll.number;
         applyRunning(answer, poll.sentAt, now);
     }
+    if (!answer.mayHaveMoreEnds)
+        allEndsAskedAt_ = std::max(allEndsAskedAt_, poll.sentAt);
     const bool wasSynced = synced_;
     // Until all ends are listed, it is not known which runs of an earlier leader have ended.
     synced_ = synced_ || (!answer.mayHaveMoreEnds && answer.workerClock);
--- a/Source/UnitTests/Dispatch/ModelLeader.cpp
+++ b/Source/UnitTests/Dispatch/ModelLeader.cpp
@@ -130,6 +130,15 @@
                         .onTicketRefused = [](const StepTaskRef &) {},
                         .onStartGivenUp = [this](const StepTaskRef &task,
                                               uint32_t run) { giveUpGang(task, run); },
+                        .hasNewestListedEndsSince =
+                            [this, id = incarnation.id()](Millis time) {
+                                const auto *newest = options_.table.newestIncarnation(id);
+                                const auto session = newest == nullptr
+                                    ? sessions_.end()
+                                    : sessions_.find(WorkerNumber(newest->number()));
+                                return session != sessions_.end()
+                                    && session->second->hasListedEndsSince(time);
+                            },
                     },
                     .clock = [this] { return options_.time.now(); },
                     .wallClock = [this] { return options_.time.now(); },
--- a/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
@@ -117,6 +117,27 @@
     EXPECT_EQ(ends.size(), 1U);
 }
 
+// Guards against TWICE: a run was released a fixed time after its stop, while its end as done was
+// not listed yet because answers of the later incarnation were lost.
+TEST_F(RestartedWorkerTest, aStoppedRunIsReleasedOnceTheLaterIncarnationHasListedItsEnds)
+{
+    openSession();
+    startUnlistedRun();
+    session->supersede(LaterFencingToken, now);
+    newestListedEndsAt = now;
+    port.stops.back().done({ OrderResult::Accepted, std::nullopt });
+    const Millis stoppedAt = now + SessionTimes().maxStopTime;
+    tickFor(Millis(5000));
+    EXPECT_TRUE(ends.empty()) << "no list was requested since the run has stopped";
+    newestListedEndsAt = stoppedAt;
+    advanceAndTick(1);
+    EXPECT_TRUE(ends.empty()) << "the run may have ended after this list";
+    newestListedEndsAt = now;
+    advanceAndTick(1);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].outcome, schema::RUN_LOST);
+}
+
 // The same for a stop that was under way when the worker restarted.
 TEST_F(RestartedWorkerTest, theAnswerToAStopOfAnEarlierIncarnationDoesNotCount)
 {
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -757,5 +757,49 @@
     EXPECT_EQ(submitAs("team", "00000000000000a3", 1).status(), 200U) << "it was accepted before";
 }
 
+// Guards against TWICE: a task was started again while the end of its run, which a later
+// incarnation of the worker had carried out, was not listed yet because answers to polls were lost.
+TEST_F(WorkDispatcherTest, anEndOnALaterIncarnationCountsAlsoIfPollsAreLostAfterTheStop)
+{
+    worker_.holdStartOf(0);
+    submit(1);
+    ASSERT_TRUE(runWorkerUntil([this] { return worker_.holdsStartOf(0); }));
+    worker_.answerHeldStart(0, OrderResult::Accepted);
+    announceWorker(IncarnationStartMs + 1);
+    const Millis lossTime = SessionTimes().maxStopTime + Millis(200);
+    const Millis end = steadyNow() + Millis(10000);
+    std::optional<Millis> stopTakenAt;
+    uint64_t laterToken = 0;
+    size_t starts = 0;
+    const auto answerPoll = [&](const FakeWorkerPort::Poll &poll) {
+        const bool isForLaterIncarnation = laterToken != 0 && poll.order.fencingToken >= laterToken;
+        if (!isForLaterIncarnation || steadyNow() - *stopTakenAt < lossTime)
+            return poll.done({});
+        PollAnswer answer;
+        answer.result = OrderResult::Accepted;
+        answer.workerClock = steadyNow();
+        answer.incarnationStartMs = IncarnationStartMs + 1;
+        if (poll.order.ackedEndSequence == 0)
+            answer.ended = { { 1, { WorkId, 0, 0, 0 }, 1, schema::RUN_DONE, "" } };
+        poll.done(answer);
+    };
+    EXPECT_TRUE(runUntil([&] {
+        for (auto &stop : std::exchange(port_.stops, {})) {
+            laterToken = stop.order.fencingToken;
+            stopTakenAt = stopTakenAt.value_or(steadyNow());
+            stop.done({ OrderResult::Accepted, steadyNow() });
+        }
+        for (auto &start : std::exchange(port_.starts, {})) {
+            starts++;
+            start.done({ OrderResult::Accepted, steadyNow() });
+        }
+        for (auto &poll : std::exchange(port_.polls, {}))
+            answerPoll(poll);
+        return phaseCount(state::RunPhase::Done) == 1 || steadyNow() >= end;
+    }));
+    EXPECT_EQ(phaseCount(state::RunPhase::Done), 1U);
+    EXPECT_EQ(starts, 0U);
+}
+
 } // namespace
 } // namespace basilgap::dispatch
--- a/Source/UnitTests/Dispatch/WorkerSessionFixture.h
+++ b/Source/UnitTests/Dispatch/WorkerSessionFixture.h
@@ -65,6 +65,7 @@
                     .onFenced = [this] { fenced = true; },
                     .maySendOrders = [this] { return isLeaderConfirmed; },
                     .onTicketRefused = [](const StepTaskRef &) {},
+                    .hasNewestListedEndsSince = [this](Millis time) { return newestListedEndsAt.value_or(now) > time; },
                     .pollDelay = [this] { return pollDelay; },
                 },
                 .clock = [this] { return now; },
@@ -170,6 +171,8 @@
     bool isLeaderConfirmed = true;
     // For openSession().
     bool isRestart = false;
+    // When the newest incarnation was last asked for a list of ends that was complete; absent: now.
+    std::optional<Millis> newestListedEndsAt;
     Millis pollDelay;
     Millis now{ 100000 };
 };
