Take a start that another incarnation has accepted for unanswered

The answer to a start names no incarnation. While a worker that has restarted under its id is not registered yet, its answer counted as the acceptance of the earlier incarnation: the run was confirmed, was not stopped, and its task was released with that one's lease while the run went on (TWICE). A ticket does not prevent this, since the advisor grants it for the life that it finds.

The clock in the answer tells: it starts anew with each incarnation. An acceptance whose clock does not fit the session's, between the sending of the start and its answer, now counts as no answer: the start is sent again, and then stopped before its task is released. The test fails without the change (the run is Confirmed, the worker not suspect); an acceptance that is handled 5 s late still counts.

--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -120,21 +120,23 @@
     // Another worker or incarnation at the address has a clock of its own, and only answers to
     // polls name theirs.
     if (!answer.workerClock || answer.result == OrderResult::WrongWorker || superseded_
-        || !isOwnClock(*answer.workerClock, now))
+        || !isOwnClock(*answer.workerClock, now, now))
         return;
     lastHeardAt_ = now;
 }
 
-// Whether the time fits the incarnation's clock as it was last read.
-bool WorkerSession::isOwnClock(Millis workerClock, Millis now) const
+// Whether the time, read from a worker's clock between the two moments, fits the incarnation's
+// clock as it was last read.
+bool WorkerSession::isOwnClock(Millis workerClock, Millis earliest, Millis latest) const
 {
-    const auto expected = workerTime(now);
-    if (!expected)
+    const auto from = workerTime(earliest);
+    const auto to = workerTime(latest);
+    if (!from || !to)
         return true;
     const Millis drift(static_cast<int64_t>(
-        static_cast<double>((now - workerClockAt_).count()) * options_.times.maxClockDrift));
-    return workerClock <= *expected + MaxClockSampleDelay
-        && workerClock + drift + MaxClockSampleDelay >= *expected;
+        static_cast<double>((latest - workerClockAt_).count()) * options_.times.maxClockDrift));
+    return workerClock <= *to + MaxClockSampleDelay
+        && workerClock + drift + MaxClockSampleDelay >= *from;
 }
 
 bool WorkerSession::hasFreshRun(Millis now) const
@@ -266,8 +268,8 @@
             .isStillWanted = [this, alive = std::weak_ptr<bool>(alive_), task,
                                  run] { return !alive.expired() && isStartWanted(task, run); },
         },
-        options_.times.startTimeout, guarded([this, task, run](const OrderAnswer &answer) {
-            handleStartAnswer(task, run, answer);
+        options_.times.startTimeout, guarded([this, task, run, now](const OrderAnswer &answer) {
+            handleStartAnswer(task, run, answer, now);
         }));
 }
 
@@ -349,7 +351,7 @@
 }
 
 void WorkerSession::handleStartAnswer(
-    const StepTaskRef &task, uint32_t run, const OrderAnswer &answer)
+    const StepTaskRef &task, uint32_t run, const OrderAnswer &answer, Millis sentAt)
 {
     const Millis now = options_.clock();
     noteHeard(answer, now);
@@ -365,11 +367,15 @@
         hasPendingStarts_ = hasPendingStarts_ || known.isStartPending;
         return;
     }
-    known.unansweredSends += answer.result == OrderResult::Unanswered ? 1 : 0;
+    // An incarnation that is not registered yet may have accepted the start.
+    const bool isAcceptedElsewhere = answer.result == OrderResult::Accepted && answer.workerClock
+        && !isOwnClock(*answer.workerClock, sentAt, now);
+    const OrderResult result = isAcceptedElsewhere ? OrderResult::Unanswered : answer.result;
+    known.unansweredSends += result == OrderResult::Unanswered ? 1 : 0;
     // An earlier unanswered send may still be carried out, whatever the answer to this one.
-    const bool mayStillRun = known.unansweredSends > 0 && answer.result != OrderResult::Accepted
-        && answer.result != OrderResult::Fenced;
-    switch (mayStillRun ? OrderResult::Unanswered : answer.result) {
+    const bool mayStillRun = known.unansweredSends > 0 && result != OrderResult::Accepted
+        && result != OrderResult::Fenced;
+    switch (mayStillRun ? OrderResult::Unanswered : result) {
     case OrderResult::Accepted:
         known.hasBegun = true;
         if (known.knownState == KnownRunState::Sent) {
@@ -388,7 +394,7 @@
         const bool mayRepeat = known.knownState == KnownRunState::Sent && !suspect_ && !superseded_
             && !mustStop(task, known);
         const bool isWorthwhile =
-            answer.result == OrderResult::Unanswered || answer.result == OrderResult::NotSent;
+            result == OrderResult::Unanswered || result == OrderResult::NotSent;
         if (mayRepeat && isWorthwhile && known.sendCount < options_.times.maxStartSends)
             return sendStart(task, &known, now);
         LogEvent("start-unanswered")
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -334,7 +334,7 @@
     // The number up to which the next poll acknowledges ends.
     uint64_t endsToAck() const;
     void boundEarlierLeases(Millis workerClock, Millis now);
-    bool isOwnClock(Millis workerClock, Millis now) const;
+    bool isOwnClock(Millis workerClock, Millis earliest, Millis latest) const;
     void applyRunning(const PollAnswer &answer, Millis sentAt, Millis now);
     void endMissingRuns(const std::set<StepTaskRef> &listed, Millis sentAt);
     static void recordProgress(SessionRun *known, int percent, Millis now);
@@ -342,7 +342,8 @@
     bool isStartWanted(const StepTaskRef &task, uint32_t run) const;
     // Whether the run must be stopped, or not be started.
     bool mustStop(const StepTaskRef &task, const SessionRun &known) const;
-    void handleStartAnswer(const StepTaskRef &task, uint32_t run, const OrderAnswer &answer);
+    void handleStartAnswer(
+        const StepTaskRef &task, uint32_t run, const OrderAnswer &answer, Millis sentAt);
     void sendPendingStarts(Millis now);
     void sendDueStops(Millis now);
     void releaseSupersededRuns(Millis now);
--- a/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
@@ -241,6 +241,38 @@
     }
 }
 
+// Guards against TWICE: a start that an incarnation which is not registered yet had accepted
+// counted as a run of the earlier one, which is not stopped when it is no longer listed.
+TEST_F(RestartedWorkerTest, aStartThatAnotherIncarnationHasAcceptedIsNotConfirmed)
+{
+    for (const Millis offset : { Millis(100000), Millis(-50000) }) {
+        openSession();
+        completeFirstPoll();
+        logStart(0, 1);
+        ends.clear();
+        session->start(taskOf(0), 1, "ticket of the later incarnation", now);
+        for (uint32_t sends = 0; sends < SessionTimes().maxStartSends; sends++)
+            port.starts.back().done({ OrderResult::Accepted, now + offset });
+        EXPECT_EQ(session->runs().at(taskOf(0)).knownState, KnownRunState::Indeterminate);
+        EXPECT_TRUE(session->isSuspect());
+        EXPECT_TRUE(ends.empty());
+    }
+}
+
+// The other side of the same: the answer may be handled late, and the clock may be slow.
+TEST_F(RestartedWorkerTest, aStartWhoseAcceptanceIsHandledLateIsConfirmed)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "ticket", now);
+    const Millis acceptedAt = now;
+    now += Millis(5000);
+    port.starts.back().done({ OrderResult::Accepted, acceptedAt });
+    EXPECT_EQ(session->runs().at(taskOf(0)).knownState, KnownRunState::Confirmed);
+    EXPECT_FALSE(session->isSuspect());
+}
+
 // Guards against TWICE: the longest lease was not counted if the first answer told no clock.
 TEST_F(RestartedWorkerTest, anAnswerWithoutAClockMakesNoWorkerUsable)
 {
