Hold a run on a silent worker while its start may still come without a ticket

In queues without an advisor a start carries no ticket, and any incarnation of the worker carries it out. A session whose worker was silent released all its runs with the lease, also one whose start nobody had answered: a worker that had restarted under its id, and was not registered yet, carried out the start while the task ran elsewhere (TWICE, KNOWN-RED).

Such a run is now kept for as long as a send of its start may be carried out (12 s by the users' failure tests; the protocol says "seconds"), and 2 s more, in which a worker that has restarted meanwhile is registered; its session then stops the run there. Settled starts, those with a ticket and runs that an earlier leader started before that lapse with the lease as before. What is left there is another matter: a stop that was taken by an incarnation which restarts before the start comes.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -266,6 +266,13 @@
                         Millis time) { return hasNewestListedEndsSince(id, time); },
                 .pollDelay = [this, number] { return pollDelay(number); },
             },
+            .needsTicket =
+                [this](const StepTaskRef &task) {
+                    const state::Work *work = state_.works().find(task.step.work);
+                    const schema::QueueConfig *queue =
+                        work == nullptr ? nullptr : state_.workConfig().findQueue(work->queue);
+                    return queue != nullptr && queue->has_advice();
+                },
             .wallClock = [this] { return stateNow(); },
         },
         now);
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -69,6 +69,9 @@
         setBackfillMillicores(task, &known);
         if (known.backfillMillicores > 0)
             known.speedPercent = AdoptedSpeedPercent;
+        if (!options_.needsTicket(task))
+            known.latestStartAt =
+                known.startedAt + options_.times.startTimeout + options_.times.maxCallDelay;
     }
 }
 
@@ -255,6 +258,8 @@
     recordLeaseEnd(*leaseEnd, LeaseSource::Start, now);
     known->checkpoint = state->checkpoint;
     known->sendCount++;
+    if (known->ticket.empty())
+        known->latestStartAt = now + options_.times.startTimeout + options_.times.maxCallDelay;
     const uint32_t run = known->run;
     options_.port.start(options_.endpoint,
         StartOrder{
@@ -336,6 +341,11 @@
     checkStops();
 }
 
+bool WorkerSession::mayStillStart(const SessionRun &known, Millis now)
+{
+    return known.latestStartAt && now < *known.latestStartAt;
+}
+
 bool WorkerSession::mustStop(const StepTaskRef &task, const SessionRun &known) const
 {
     const state::Work *work = options_.table.find(task.step.work);
@@ -363,6 +373,8 @@
         return;
     if (answer.result == OrderResult::Dropped) {
         known.sendCount--;
+        if (known.unansweredSends == 0)
+            known.latestStartAt.reset();
         known.isStartPending = known.knownState == KnownRunState::Sent;
         hasPendingStarts_ = hasPendingStarts_ || known.isStartPending;
         return;
@@ -372,6 +384,10 @@
         && !isOwnClock(*answer.workerClock, sentAt, now);
     const OrderResult result = isAcceptedElsewhere ? OrderResult::Unanswered : answer.result;
     known.unansweredSends += result == OrderResult::Unanswered ? 1 : 0;
+    if (known.unansweredSends == 0)
+        known.latestStartAt.reset();
+    else if (known.latestStartAt || isAcceptedElsewhere)
+        known.latestStartAt = now + options_.times.maxCallDelay;
     // An earlier unanswered send may still be carried out, whatever the answer to this one.
     const bool mayStillRun = known.unansweredSends > 0 && result != OrderResult::Accepted
         && result != OrderResult::Fenced;
@@ -516,9 +532,15 @@
     if (now <= answerDue || !hasLeaseExpired(now))
         return;
     lingeringRuns_.clear();
-    if (!runs_.empty())
+    std::vector<StepTaskRef> lapsed;
+    for (const auto &[task, known] : runs_) {
+        // A worker that restarts until then carries out the start, and is registered soon after.
+        if (!mayStillStart(known, now - options_.times.maxRegistrationDelay))
+            lapsed.push_back(task);
+    }
+    if (!lapsed.empty())
         logLeaseExpiry(now);
-    for (const auto &[task, known] : std::map(runs_))
+    for (const StepTaskRef &task : lapsed)
         endLostRun(task, schema::RUN_LAPSED);
 }
 
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -31,6 +31,12 @@
     // a worker starts a run only once. After that the run is stopped.
     Millis startTimeout{ 150 };
     uint32_t maxStartSends = 3;
+    // How long after it was sent an unanswered call may still be carried out. The workers' protocol
+    // says "seconds"; the users' failure tests delay calls by up to this.
+    Millis maxCallDelay{ 12000 };
+    // How long after its restart a worker that can reach the cell is registered: it announces
+    // itself each second.
+    Millis maxRegistrationDelay{ 2000 };
     Millis pollWait{ 1400 };
     // The wait while answers get lost, so that ends are not reported late.
     Millis lossyPollWait{ 200 };
@@ -161,6 +167,10 @@
     // This incarnation of the worker has listed the run. The answer to a start does not name the
     // incarnation that has accepted it.
     bool isListed = false;
+    // Until when a send of the start may be carried out by a later incarnation of the worker.
+    // Absent if none can be: there was no send, a ticket restricts it to this incarnation, or all
+    // have been carried out.
+    std::optional<Millis> latestStartAt;
     // The start is to be sent once orders may be sent again.
     bool isStartPending = false;
     std::string ticket;
@@ -229,6 +239,10 @@
         WorkerPort &port;
         const WorkTable &table;
         SessionEvents events;
+        // Whether starts of the task carry a ticket, which holds for one incarnation of the worker.
+        std::function<bool(const StepTaskRef &)> needsTicket = [](const StepTaskRef &) {
+            return false;
+        };
         std::function<Millis()> clock = steadyNow;
         std::function<Millis()> wallClock = wallNow;
     };
@@ -340,6 +354,8 @@
     static void recordProgress(SessionRun *known, int percent, Millis now);
     void applyEnds(const PollAnswer &answer);
     bool isStartWanted(const StepTaskRef &task, uint32_t run) const;
+    // Whether a later incarnation of the worker may still carry out the start.
+    static bool mayStillStart(const SessionRun &known, Millis now);
     // Whether the run must be stopped, or not be started.
     bool mustStop(const StepTaskRef &task, const SessionRun &known) const;
     void handleStartAnswer(
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -229,6 +229,10 @@
         SessionRun &known = found->second;
         known.isListed = true;
         known.hasBegun = true;
+        // Of the unanswered sends, the one that has started the run is settled.
+        if (known.knownState == KnownRunState::Sent && known.sendCount > 0
+            && known.unansweredSends <= 1)
+            known.latestStartAt.reset();
         if (known.knownState == KnownRunState::Sent) {
             known.knownState = KnownRunState::Confirmed;
             known.knownStateSince = now;
--- a/Source/UnitTests/Dispatch/ModelLeader.cpp
+++ b/Source/UnitTests/Dispatch/ModelLeader.cpp
@@ -140,6 +140,8 @@
                                     && session->second->hasListedEndsSince(time);
                             },
                     },
+                    .needsTicket =
+                        [this](const StepTaskRef &) { return options_.usesTickets; },
                     .clock = [this] { return options_.time.now(); },
                     .wallClock = [this] { return options_.time.now(); },
                 },
--- a/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
@@ -27,6 +27,15 @@
             advanceAndTick(TickMs);
     }
 
+    // The time from now until all runs of the worker, which is silent, have ended.
+    Millis timeToLapse()
+    {
+        const Millis silentSince = now;
+        while (!session->runs().empty() && now < silentSince + Millis(30000))
+            advanceAndTick(25);
+        return now - silentSince;
+    }
+
     // Starts a run of which it is not known whether the worker has it.
     void startUnlistedRun()
     {
@@ -273,6 +282,60 @@
     EXPECT_FALSE(session->isSuspect());
 }
 
+// Guards against TWICE: the task of a start without a ticket that nobody had answered was released
+// with the lease of a silent worker, which had restarted and carried out the start.
+TEST_F(RestartedWorkerTest, anUnansweredStartWithoutATicketOutlivesTheLeaseOfASilentWorker)
+{
+    const Millis latestStart = SessionTimes().maxCallDelay + SessionTimes().maxRegistrationDelay;
+    for (const std::string ticket : { "", "ticket" }) {
+        openSession();
+        completeFirstPoll();
+        logStart(0, 1);
+        session->start(taskOf(0), 1, ticket, now);
+        dropAllStartAnswers();
+        if (ticket.empty())
+            EXPECT_GE(timeToLapse(), latestStart);
+        else
+            EXPECT_LT(timeToLapse(), Millis(6000)) << "a ticket holds for one incarnation";
+    }
+}
+
+// The other side of the same: no start of such a run is under way.
+TEST_F(RestartedWorkerTest, anAnsweredStartWithoutATicketLapsesWithTheLease)
+{
+    openSession();
+    startUnlistedRun();
+    EXPECT_LT(timeToLapse(), Millis(6000));
+}
+
+// The worker has answered only the second of two sends: the first may still reach it.
+TEST_F(RestartedWorkerTest, aCopyOfAStartWithoutATicketOutlivesTheLeaseOfASilentWorker)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({});
+    port.starts.back().done({ OrderResult::Accepted, now });
+    advanceAndTick(MinPollIntervalMs);
+    port.polls.back().done(pollAnswer({ 0 }));
+    EXPECT_GE(timeToLapse(), SessionTimes().maxCallDelay);
+}
+
+// The same for starts that an earlier leader has sent just before.
+TEST_F(RestartedWorkerTest, recentStartsOfAnEarlierLeaderOutliveTheLeaseOfASilentWorker)
+{
+    logStart(0, 1, now);
+    for (const bool isTicketed : { false, true }) {
+        needsTicket = isTicketed;
+        openSession(now + SessionTimes().leaseDuration);
+        if (isTicketed)
+            EXPECT_LT(timeToLapse(), Millis(6000));
+        else
+            EXPECT_GE(timeToLapse(), SessionTimes().maxCallDelay);
+    }
+}
+
 // Guards against TWICE: the longest lease was not counted if the first answer told no clock.
 TEST_F(RestartedWorkerTest, anAnswerWithoutAClockMakesNoWorkerUsable)
 {
