--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -155,9 +155,8 @@
     void reconcileSessions();
     void openSession(const schema::WorkerLife &incarnation, Millis now);
     uint64_t tokenFor(const schema::WorkerLife &incarnation) const;
-    // As WorkerSession::hasListedEndsSince, of the newest incarnation.
-    bool hasNewestListedEndsSince(const std::string &worker, Millis time) const;
     // An incarnation has ended a run that may have been ordered on an earlier one.
+    bool hasNewestListedEndsSince(const std::string &worker, Millis time) const;
     void applyOtherEnd(
         state::WorkerNumber worker, const StepTaskRef &task, const EndReport &report);
     void recordEnd(state::WorkerNumber worker, const EndedRun &ended);
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -229,10 +229,7 @@
         SessionRun &known = found->second;
         known.isListed = true;
         known.hasBegun = true;
-        // Of the unanswered sends, the one that has started the run is settled.
-        if (known.knownState == KnownRunState::Sent && known.sendCount > 0
-            && known.unansweredSends <= 1)
-            known.latestStartAt.reset();
+        known.latestStartAt.reset();
         if (known.knownState == KnownRunState::Sent) {
             known.knownState = KnownRunState::Confirmed;
             known.knownStateSince = now;
@@ -269,8 +266,16 @@
         if (cannotRun)
             gone.push_back(task);
     }
-    for (const StepTaskRef &task : gone)
-        endRun(task, schema::RUN_LOST);
+    const Millis now = options_.clock();
+    for (const StepTaskRef &task : gone) {
+        SessionRun &known = runs_.at(task);
+        if (!mayStillStart(known, now)) {
+            endRun(task, schema::RUN_LOST);
+            continue;
+        }
+        known.knownState = KnownRunState::Absent;
+        known.knownStateSince = now;
+    }
 }
 
 void WorkerSession::removeGoneLingeringRuns(const std::set<state::RunRef> &listed, Millis sentAt)
