--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -155,8 +155,9 @@
     void reconcileSessions();
     void openSession(const schema::WorkerLife &incarnation, Millis now);
     uint64_t tokenFor(const schema::WorkerLife &incarnation) const;
-    // An incarnation has ended a run that may have been ordered on an earlier one.
+    // As WorkerSession::hasListedEndsSince, of the newest incarnation.
     bool hasNewestListedEndsSince(const std::string &worker, Millis time) const;
+    // An incarnation has ended a run that may have been ordered on an earlier one.
     void applyOtherEnd(
         state::WorkerNumber worker, const StepTaskRef &task, const EndReport &report);
     void recordEnd(state::WorkerNumber worker, const EndedRun &ended);
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -70,8 +70,8 @@
         if (known.backfillMillicores > 0)
             known.speedPercent = AdoptedSpeedPercent;
         if (!options_.needsTicket(task))
-            known.latestStartAt = std::min(now, known.startedAt + options_.times.maxStartDelay)
-                + options_.times.startTimeout + options_.times.maxCallDelay;
+            known.latestStartAt =
+                known.startedAt + options_.times.startTimeout + options_.times.maxCallDelay;
     }
 }
 
@@ -123,21 +123,23 @@
     // Another worker or incarnation at the address has a clock of its own, and only answers to
     // polls name theirs.
     if (!answer.workerClock || answer.result == OrderResult::WrongWorker || superseded_
-        || !isOwnClock(*answer.workerClock, now))
+        || !isOwnClock(*answer.workerClock, now, now))
         return;
     lastHeardAt_ = now;
 }
 
-// Whether the time fits the incarnation's clock as it was last read.
-bool WorkerSession::isOwnClock(Millis workerClock, Millis now) const
+// Whether the time, read from a worker's clock between the two moments, fits the incarnation's
+// clock as it was last read.
+bool WorkerSession::isOwnClock(Millis workerClock, Millis earliest, Millis latest) const
 {
-    const auto expected = workerTime(now);
-    if (!expected)
+    const auto from = workerTime(earliest);
+    const auto to = workerTime(latest);
+    if (!from || !to)
         return true;
     const Millis drift(static_cast<int64_t>(
-        static_cast<double>((now - workerClockAt_).count()) * options_.times.maxClockDrift));
-    return workerClock <= *expected + MaxClockSampleDelay
-        && workerClock + drift + MaxClockSampleDelay >= *expected;
+        static_cast<double>((latest - workerClockAt_).count()) * options_.times.maxClockDrift));
+    return workerClock <= *to + MaxClockSampleDelay
+        && workerClock + drift + MaxClockSampleDelay >= *from;
 }
 
 bool WorkerSession::hasFreshRun(Millis now) const
@@ -248,9 +250,6 @@
         return abandonStart(task, known, now);
     known->isStartPending = !options_.events.maySendOrders();
     if (known->isStartPending) {
-        const bool isOverdue = now - known->startedAt > options_.times.maxStartDelay;
-        if (known->ticket.empty() && known->sendCount == 0 && isOverdue)
-            return endRun(task, schema::RUN_LOST);
         hasPendingStarts_ = true;
         return;
     }
@@ -274,8 +273,8 @@
             .isStillWanted = [this, alive = std::weak_ptr<bool>(alive_), task,
                                  run] { return !alive.expired() && isStartWanted(task, run); },
         },
-        options_.times.startTimeout, guarded([this, task, run](const OrderAnswer &answer) {
-            handleStartAnswer(task, run, answer);
+        options_.times.startTimeout, guarded([this, task, run, now](const OrderAnswer &answer) {
+            handleStartAnswer(task, run, answer, now);
         }));
 }
 
@@ -342,12 +341,6 @@
     checkStops();
 }
 
-bool WorkerSession::isGangMember(const StepTaskRef &task) const
-{
-    const state::Work *work = options_.table.find(task.step.work);
-    return work != nullptr && work->specOf(task.step).gang();
-}
-
 bool WorkerSession::mayStillStart(const SessionRun &known, Millis now)
 {
     return known.latestStartAt && now < *known.latestStartAt;
@@ -368,7 +361,7 @@
 }
 
 void WorkerSession::handleStartAnswer(
-    const StepTaskRef &task, uint32_t run, const OrderAnswer &answer)
+    const StepTaskRef &task, uint32_t run, const OrderAnswer &answer, Millis sentAt)
 {
     const Millis now = options_.clock();
     noteHeard(answer, now);
@@ -380,20 +373,21 @@
         return;
     if (answer.result == OrderResult::Dropped) {
         known.sendCount--;
-        known.latestStartAt.reset();
+        if (known.unansweredSends == 0)
+            known.latestStartAt.reset();
         known.isStartPending = known.knownState == KnownRunState::Sent;
         hasPendingStarts_ = hasPendingStarts_ || known.isStartPending;
         return;
     }
-    // Without a ticket, an incarnation that is not registered yet may have accepted the start.
-    const bool isAcceptedElsewhere = answer.result == OrderResult::Accepted && known.ticket.empty()
-        && answer.workerClock && !isOwnClock(*answer.workerClock, now);
+    // An incarnation that is not registered yet may have accepted the start.
+    const bool isAcceptedElsewhere = answer.result == OrderResult::Accepted && answer.workerClock
+        && !isOwnClock(*answer.workerClock, sentAt, now);
     const OrderResult result = isAcceptedElsewhere ? OrderResult::Unanswered : answer.result;
     known.unansweredSends += result == OrderResult::Unanswered ? 1 : 0;
-    if (known.latestStartAt && known.unansweredSends > 0)
-        known.latestStartAt = now + options_.times.maxCallDelay;
-    else
+    if (known.unansweredSends == 0)
         known.latestStartAt.reset();
+    else if (known.latestStartAt || isAcceptedElsewhere)
+        known.latestStartAt = now + options_.times.maxCallDelay;
     // An earlier unanswered send may still be carried out, whatever the answer to this one.
     const bool mayStillRun = known.unansweredSends > 0 && result != OrderResult::Accepted
         && result != OrderResult::Fenced;
@@ -413,15 +407,11 @@
         return;
     case OrderResult::Unanswered: {
         options_.callLoss.recordLoss(now);
-        const bool isStillWanted =
-            known.knownState == KnownRunState::Sent && !superseded_ && !mustStop(task, known);
+        const bool mayRepeat = known.knownState == KnownRunState::Sent && !suspect_ && !superseded_
+            && !mustStop(task, known);
         const bool isWorthwhile =
             result == OrderResult::Unanswered || result == OrderResult::NotSent;
-        // A copy of a start without a ticket could be carried out after the run has ended, by a
-        // later incarnation that knows nothing of it.
-        const bool isRepeatable = !known.ticket.empty() || known.unansweredSends == 0;
-        if (isStillWanted && !suspect_ && isWorthwhile && isRepeatable
-            && known.sendCount < options_.times.maxStartSends)
+        if (mayRepeat && isWorthwhile && known.sendCount < options_.times.maxStartSends)
             return sendStart(task, &known, now);
         LogEvent("start-unanswered")
             .with("work", nameOf(task) ? nameOf(task)->work : "")
@@ -431,10 +421,7 @@
             .with("worker", options_.endpoint.id)
             .with("born", options_.incarnationStartMs)
             .with("sends", known.unansweredSends);
-        // The task can't be released before the start may no longer be carried out, so a run of
-        // its own is left to begin late. The other members of a gang would wait for it.
-        if (!isStillWanted || !mayStillStart(known, now) || isGangMember(task))
-            stopIndeterminateRun(task, &known, now);
+        stopIndeterminateRun(task, &known, now);
         return setSuspect(true);
     }
     case OrderResult::Fenced:
@@ -538,10 +525,8 @@
         checkSurvival(now);
     if (hasPendingStarts_)
         sendPendingStarts(now);
-    if (now >= nextStopCheck_) {
-        releaseAbsentRuns();
+    if (now >= nextStopCheck_)
         sendDueStops(now);
-    }
     const Millis answerDue = lastAnswerAt_ + options_.times.pollWait
         + options_.times.pollTimeoutMargin + options_.times.minPollInterval;
     if (now <= answerDue || !hasLeaseExpired(now))
@@ -549,7 +534,7 @@
     lingeringRuns_.clear();
     std::vector<StepTaskRef> lapsed;
     for (const auto &[task, known] : runs_) {
-        // A worker that has restarted since takes the start, and is registered soon.
+        // A worker that restarts until then carries out the start, and is registered soon after.
         if (!mayStillStart(known, now - options_.times.maxRegistrationDelay))
             lapsed.push_back(task);
     }
@@ -587,12 +572,7 @@
 bool WorkerSession::isStoppedOnNewestIncarnation(const SessionRun &known, Millis now) const
 {
     const Millis stoppedAt = known.knownStateSince + options_.times.maxStopTime;
-    if (now <= stoppedAt || mayStillStart(known, now))
-        return false;
-    // Only a start without a ticket may have been carried out there. An incarnation that answers
-    // after the last moment at which that can happen has not been replaced before.
-    return !known.latestStartAt
-        || options_.events.hasNewestListedEndsSince(std::max(stoppedAt, *known.latestStartAt));
+    return now > stoppedAt && options_.events.hasNewestListedEndsSince(stoppedAt);
 }
 
 void WorkerSession::sendPendingStarts(Millis now)
@@ -609,26 +589,11 @@
         sendStart(task, &runs_.at(task), now);
 }
 
-void WorkerSession::releaseAbsentRuns()
-{
-    std::vector<StepTaskRef> released;
-    for (const auto &[task, known] : runs_) {
-        if (known.knownState == KnownRunState::Absent && hasListedEndsSince(*known.latestStartAt))
-            released.push_back(task);
-    }
-    for (const StepTaskRef &task : released)
-        endRun(task, schema::RUN_LOST);
-}
-
 void WorkerSession::sendDueStops(Millis now)
 {
     nextStopCheck_ = now + StopCheckInterval;
     for (auto &[task, known] : runs_) {
-        const bool isStartOverdue = known.knownState == KnownRunState::Sent && known.latestStartAt
-            && !mayStillStart(known, now);
-        if (isStartOverdue)
-            stopIndeterminateRun(task, &known, now);
-        if (known.knownState == KnownRunState::Absent || !mustStop(task, known))
+        if (!mustStop(task, known))
             continue;
         nextStopCheck_ = now;
         if (!known.isStopPending && known.knownState != KnownRunState::Stopped
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -27,18 +27,16 @@
     // Maximum fraction by which a worker's steady clock may run slow.
     double maxClockDrift = 0.02;
     Millis orderTimeout{ 400 };
-    // An unanswered start with a ticket is sent again, up to maxStartSends times in all, which is
-    // safe because a worker starts a run only once, and only the incarnation that the ticket was
-    // granted for. After that the run is stopped.
+    // An unanswered start is sent again, up to maxStartSends times in all, which is safe because
+    // a worker starts a run only once. After that the run is stopped.
     Millis startTimeout{ 150 };
     uint32_t maxStartSends = 3;
     // How long after it was sent an unanswered call may still be carried out. The workers' protocol
     // says "seconds"; the users' failure tests delay calls by up to this.
     Millis maxCallDelay{ 12000 };
-    // How long after its restart a worker that can reach the cell is registered.
+    // How long after its restart a worker that can reach the cell is registered: it announces
+    // itself each second.
     Millis maxRegistrationDelay{ 2000 };
-    // A start without a ticket that can't be sent for this long is given up.
-    Millis maxStartDelay{ 1000 };
     Millis pollWait{ 1400 };
     // The wait while answers get lost, so that ends are not reported late.
     Millis lossyPollWait{ 200 };
@@ -150,8 +148,6 @@
     Indeterminate,
     // The worker has acknowledged the stop: the run can no longer start.
     Stopped,
-    // The worker neither has the run nor can it start it any more, but a later incarnation may.
-    Absent,
 };
 
 struct SessionRun
@@ -171,9 +167,9 @@
     // This incarnation of the worker has listed the run. The answer to a start does not name the
     // incarnation that has accepted it.
     bool isListed = false;
-    // Until when a send of the start may be carried out by any incarnation of the worker. Absent if
-    // none can be: there was no send, a ticket restricts it to one incarnation, or it has been
-    // carried out by this one.
+    // Until when a send of the start may be carried out by a later incarnation of the worker.
+    // Absent if none can be: there was no send, a ticket restricts it to this incarnation, or all
+    // have been carried out.
     std::optional<Millis> latestStartAt;
     // The start is to be sent once orders may be sent again.
     bool isStartPending = false;
@@ -352,20 +348,18 @@
     // The number up to which the next poll acknowledges ends.
     uint64_t endsToAck() const;
     void boundEarlierLeases(Millis workerClock, Millis now);
-    bool isOwnClock(Millis workerClock, Millis now) const;
+    bool isOwnClock(Millis workerClock, Millis earliest, Millis latest) const;
     void applyRunning(const PollAnswer &answer, Millis sentAt, Millis now);
     void endMissingRuns(const std::set<StepTaskRef> &listed, Millis sentAt);
     static void recordProgress(SessionRun *known, int percent, Millis now);
     void applyEnds(const PollAnswer &answer);
     bool isStartWanted(const StepTaskRef &task, uint32_t run) const;
-    bool isGangMember(const StepTaskRef &task) const;
-    // Whether the start may still be carried out, here or after a restart of the worker.
+    // Whether a later incarnation of the worker may still carry out the start.
     static bool mayStillStart(const SessionRun &known, Millis now);
     // Whether the run must be stopped, or not be started.
     bool mustStop(const StepTaskRef &task, const SessionRun &known) const;
-    void handleStartAnswer(const StepTaskRef &task, uint32_t run, const OrderAnswer &answer);
-    // Ends the runs that no later incarnation can start any more.
-    void releaseAbsentRuns();
+    void handleStartAnswer(
+        const StepTaskRef &task, uint32_t run, const OrderAnswer &answer, Millis sentAt);
     void sendPendingStarts(Millis now);
     void sendDueStops(Millis now);
     void releaseSupersededRuns(Millis now);
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -229,7 +229,10 @@
         SessionRun &known = found->second;
         known.isListed = true;
         known.hasBegun = true;
-        known.latestStartAt.reset();
+        // Of the unanswered sends, the one that has started the run is settled.
+        if (known.knownState == KnownRunState::Sent && known.sendCount > 0
+            && known.unansweredSends <= 1)
+            known.latestStartAt.reset();
         if (known.knownState == KnownRunState::Sent) {
             known.knownState = KnownRunState::Confirmed;
             known.knownStateSince = now;
@@ -266,16 +269,8 @@
         if (cannotRun)
             gone.push_back(task);
     }
-    const Millis now = options_.clock();
-    for (const StepTaskRef &task : gone) {
-        SessionRun &known = runs_.at(task);
-        if (!mayStillStart(known, now)) {
-            endRun(task, schema::RUN_LOST);
-            continue;
-        }
-        known.knownState = KnownRunState::Absent;
-        known.knownStateSince = now;
-    }
+    for (const StepTaskRef &task : gone)
+        endRun(task, schema::RUN_LOST);
 }
 
 void WorkerSession::removeGoneLingeringRuns(const std::set<state::RunRef> &listed, Millis sentAt)
