--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -69,6 +69,9 @@
         setBackfillMillicores(task, &known);
         if (known.backfillMillicores > 0)
             known.speedPercent = AdoptedSpeedPercent;
+        if (!options_.needsTicket(task))
+            known.latestStartAt =
+                known.startedAt + options_.times.startTimeout + options_.times.maxCallDelay;
     }
 }
 
@@ -120,21 +123,23 @@
     // Another worker or incarnation at the address has a clock of its own, and only answers to
     // polls name theirs.
     if (!answer.workerClock || answer.result == OrderResult::WrongWorker || superseded_
-        || !isOwnClock(*answer.workerClock, now))
+        || !isOwnClock(*answer.workerClock, now, now))
         return;
     lastHeardAt_ = now;
 }
 
-// Whether the time fits the incarnation's clock as it was last read.
-bool WorkerSession::isOwnClock(Millis workerClock, Millis now) const
+// Whether the time, read from a worker's clock between the two moments, fits the incarnation's
+// clock as it was last read.
+bool WorkerSession::isOwnClock(Millis workerClock, Millis earliest, Millis latest) const
 {
-    const auto expected = workerTime(now);
-    if (!expected)
+    const auto from = workerTime(earliest);
+    const auto to = workerTime(latest);
+    if (!from || !to)
         return true;
     const Millis drift(static_cast<int64_t>(
-        static_cast<double>((now - workerClockAt_).count()) * options_.times.maxClockDrift));
-    return workerClock <= *expected + MaxClockSampleDelay
-        && workerClock + drift + MaxClockSampleDelay >= *expected;
+        static_cast<double>((latest - workerClockAt_).count()) * options_.times.maxClockDrift));
+    return workerClock <= *to + MaxClockSampleDelay
+        && workerClock + drift + MaxClockSampleDelay >= *from;
 }
 
 bool WorkerSession::hasFreshRun(Millis now) const
@@ -253,6 +258,8 @@
     recordLeaseEnd(*leaseEnd, LeaseSource::Start, now);
     known->checkpoint = state->checkpoint;
     known->sendCount++;
+    if (known->ticket.empty())
+        known->latestStartAt = now + options_.times.startTimeout + options_.times.maxCallDelay;
     const uint32_t run = known->run;
     options_.port.start(options_.endpoint,
         StartOrder{
@@ -266,8 +273,8 @@
             .isStillWanted = [this, alive = std::weak_ptr<bool>(alive_), task,
                                  run] { return !alive.expired() && isStartWanted(task, run); },
         },
-        options_.times.startTimeout, guarded([this, task, run](const OrderAnswer &answer) {
-            handleStartAnswer(task, run, answer);
+        options_.times.startTimeout, guarded([this, task, run, now](const OrderAnswer &answer) {
+            handleStartAnswer(task, run, answer, now);
         }));
 }
 
@@ -334,6 +341,11 @@
     checkStops();
 }
 
+bool WorkerSession::mayStillStart(const SessionRun &known, Millis now)
+{
+    return known.latestStartAt && now < *known.latestStartAt;
+}
+
 bool WorkerSession::mustStop(const StepTaskRef &task, const SessionRun &known) const
 {
     const state::Work *work = options_.table.find(task.step.work);
@@ -349,7 +361,7 @@
 }
 
 void WorkerSession::handleStartAnswer(
-    const StepTaskRef &task, uint32_t run, const OrderAnswer &answer)
+    const StepTaskRef &task, uint32_t run, const OrderAnswer &answer, Millis sentAt)
 {
     const Millis now = options_.clock();
     noteHeard(answer, now);
@@ -361,15 +373,25 @@
         return;
     if (answer.result == OrderResult::Dropped) {
         known.sendCount--;
+        if (known.unansweredSends == 0)
+            known.latestStartAt.reset();
         known.isStartPending = known.knownState == KnownRunState::Sent;
         hasPendingStarts_ = hasPendingStarts_ || known.isStartPending;
         return;
     }
-    known.unansweredSends += answer.result == OrderResult::Unanswered ? 1 : 0;
+    // An incarnation that is not registered yet may have accepted the start.
+    const bool isAcceptedElsewhere = answer.result == OrderResult::Accepted && answer.workerClock
+        && !isOwnClock(*answer.workerClock, sentAt, now);
+    const OrderResult result = isAcceptedElsewhere ? OrderResult::Unanswered : answer.result;
+    known.unansweredSends += result == OrderResult::Unanswered ? 1 : 0;
+    if (known.unansweredSends == 0)
+        known.latestStartAt.reset();
+    else if (known.latestStartAt || isAcceptedElsewhere)
+        known.latestStartAt = now + options_.times.maxCallDelay;
     // An earlier unanswered send may still be carried out, whatever the answer to this one.
-    const bool mayStillRun = known.unansweredSends > 0 && answer.result != OrderResult::Accepted
-        && answer.result != OrderResult::Fenced;
-    switch (mayStillRun ? OrderResult::Unanswered : answer.result) {
+    const bool mayStillRun = known.unansweredSends > 0 && result != OrderResult::Accepted
+        && result != OrderResult::Fenced;
+    switch (mayStillRun ? OrderResult::Unanswered : result) {
     case OrderResult::Accepted:
         known.hasBegun = true;
         if (known.knownState == KnownRunState::Sent) {
@@ -388,7 +410,7 @@
         const bool mayRepeat = known.knownState == KnownRunState::Sent && !suspect_ && !superseded_
             && !mustStop(task, known);
         const bool isWorthwhile =
-            answer.result == OrderResult::Unanswered || answer.result == OrderResult::NotSent;
+            result == OrderResult::Unanswered || result == OrderResult::NotSent;
         if (mayRepeat && isWorthwhile && known.sendCount < options_.times.maxStartSends)
             return sendStart(task, &known, now);
         LogEvent("start-unanswered")
@@ -510,9 +532,15 @@
     if (now <= answerDue || !hasLeaseExpired(now))
         return;
     lingeringRuns_.clear();
-    if (!runs_.empty())
+    std::vector<StepTaskRef> lapsed;
+    for (const auto &[task, known] : runs_) {
+        // A worker that restarts until then carries out the start, and is registered soon after.
+        if (!mayStillStart(known, now - options_.times.maxRegistrationDelay))
+            lapsed.push_back(task);
+    }
+    if (!lapsed.empty())
         logLeaseExpiry(now);
-    for (const auto &[task, known] : std::map(runs_))
+    for (const StepTaskRef &task : lapsed)
         endLostRun(task, schema::RUN_LAPSED);
 }
 
@@ -531,7 +559,7 @@
 {
     for (const auto &[task, known] : std::map(runs_)) {
         if (known.knownState == KnownRunState::Stopped) {
-            if (now - known.knownStateSince > options_.times.maxStopTime)
+            if (isStoppedOnNewestIncarnation(known, now))
                 endLostRun(task, schema::RUN_LOST);
         } else if (!known.isStopPending
             && now - known.lastStopAt >= options_.times.stopRetryInterval) {
@@ -540,6 +568,13 @@
     }
 }
 
+// Whether the run can neither begin nor go on, nor has it an end that is not listed yet.
+bool WorkerSession::isStoppedOnNewestIncarnation(const SessionRun &known, Millis now) const
+{
+    const Millis stoppedAt = known.knownStateSince + options_.times.maxStopTime;
+    return now > stoppedAt && options_.events.hasNewestListedEndsSince(stoppedAt);
+}
+
 void WorkerSession::sendPendingStarts(Millis now)
 {
     hasPendingStarts_ = false;
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -31,6 +31,12 @@
     // a worker starts a run only once. After that the run is stopped.
     Millis startTimeout{ 150 };
     uint32_t maxStartSends = 3;
+    // How long after it was sent an unanswered call may still be carried out. The workers' protocol
+    // says "seconds"; the users' failure tests delay calls by up to this.
+    Millis maxCallDelay{ 12000 };
+    // How long after its restart a worker that can reach the cell is registered: it announces
+    // itself each second.
+    Millis maxRegistrationDelay{ 2000 };
     Millis pollWait{ 1400 };
     // The wait while answers get lost, so that ends are not reported late.
     Millis lossyPollWait{ 200 };
@@ -125,6 +131,9 @@
     // The worker has accepted a start, this long after it was ordered.
     std::function<void(const StepTaskRef &, Millis)> onStartAccepted = [](const StepTaskRef &,
                                                                            Millis) {};
+    // Asked by a superseded session: whether the newest incarnation of the worker has listed all of
+    // its ends in answer to a poll that was sent after this time.
+    std::function<bool(Millis)> hasNewestListedEndsSince = [](Millis) { return true; };
     // Delay of the next poll after an answer.
     std::function<Millis()> pollDelay = [] { return Millis(0); };
 };
@@ -158,6 +167,10 @@
     // This incarnation of the worker has listed the run. The answer to a start does not name the
     // incarnation that has accepted it.
     bool isListed = false;
+    // Until when a send of the start may be carried out by a later incarnation of the worker.
+    // Absent if none can be: there was no send, a ticket restricts it to this incarnation, or all
+    // have been carried out.
+    std::optional<Millis> latestStartAt;
     // The start is to be sent once orders may be sent again.
     bool isStartPending = false;
     std::string ticket;
@@ -226,6 +239,10 @@
         WorkerPort &port;
         const WorkTable &table;
         SessionEvents events;
+        // Whether starts of the task carry a ticket, which holds for one incarnation of the worker.
+        std::function<bool(const StepTaskRef &)> needsTicket = [](const StepTaskRef &) {
+            return false;
+        };
         std::function<Millis()> clock = steadyNow;
         std::function<Millis()> wallClock = wallNow;
     };
@@ -292,6 +309,8 @@
     uint64_t incarnationStartMs() const { return options_.incarnationStartMs; }
     uint64_t highestEndSequence() const { return highestEndSequence_; }
     Millis lastAnswerAt() const { return lastAnswerAt_; }
+    // Whether the worker has listed all of its ends in answer to a poll sent after this time.
+    bool hasListedEndsSince(Millis time) const { return allEndsAskedAt_ > time; }
     // Whether a run has started so recently that it may still crash the worker.
     bool hasFreshRun(Millis now) const;
 
@@ -329,18 +348,22 @@
     // The number up to which the next poll acknowledges ends.
     uint64_t endsToAck() const;
     void boundEarlierLeases(Millis workerClock, Millis now);
-    bool isOwnClock(Millis workerClock, Millis now) const;
+    bool isOwnClock(Millis workerClock, Millis earliest, Millis latest) const;
     void applyRunning(const PollAnswer &answer, Millis sentAt, Millis now);
     void endMissingRuns(const std::set<StepTaskRef> &listed, Millis sentAt);
     static void recordProgress(SessionRun *known, int percent, Millis now);
     void applyEnds(const PollAnswer &answer);
     bool isStartWanted(const StepTaskRef &task, uint32_t run) const;
+    // Whether a later incarnation of the worker may still carry out the start.
+    static bool mayStillStart(const SessionRun &known, Millis now);
     // Whether the run must be stopped, or not be started.
     bool mustStop(const StepTaskRef &task, const SessionRun &known) const;
-    void handleStartAnswer(const StepTaskRef &task, uint32_t run, const OrderAnswer &answer);
+    void handleStartAnswer(
+        const StepTaskRef &task, uint32_t run, const OrderAnswer &answer, Millis sentAt);
     void sendPendingStarts(Millis now);
     void sendDueStops(Millis now);
     void releaseSupersededRuns(Millis now);
+    bool isStoppedOnNewestIncarnation(const SessionRun &known, Millis now) const;
     void stopSupersededRun(const StepTaskRef &task, Millis now);
     void noteFenced();
     void sendStop(const StepTaskRef &task, uint32_t run, const TaskName &name);
@@ -376,6 +399,8 @@
     // the list of runs.
     uint64_t lastPollNumber_ = 0;
     uint64_t newestAnsweredPoll_ = 0;
+    // When the last poll was sent whose answer listed all ends.
+    Millis allEndsAskedAt_;
     Millis nextPollAt_;
     // Delay before the next poll; its wait is shortened by the same time.
     Millis pollDelay_;
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -128,6 +128,8 @@
         newestAnsweredPoll_ = poll.number;
         applyRunning(answer, poll.sentAt, now);
     }
+    if (!answer.mayHaveMoreEnds)
+        allEndsAskedAt_ = std::max(allEndsAskedAt_, poll.sentAt);
     const bool wasSynced = synced_;
     // Until all ends are listed, it is not known which runs of an earlier leader have ended.
     synced_ = synced_ || (!answer.mayHaveMoreEnds && answer.workerClock);
@@ -227,6 +229,10 @@
         SessionRun &known = found->second;
         known.isListed = true;
         known.hasBegun = true;
+        // Of the unanswered sends, the one that has started the run is settled.
+        if (known.knownState == KnownRunState::Sent && known.sendCount > 0
+            && known.unansweredSends <= 1)
+            known.latestStartAt.reset();
         if (known.knownState == KnownRunState::Sent) {
             known.knownState = KnownRunState::Confirmed;
             known.knownStateSince = now;
--- a/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
@@ -27,6 +27,15 @@
             advanceAndTick(TickMs);
     }
 
+    // The time from now until all runs of the worker, which is silent, have ended.
+    Millis timeToLapse()
+    {
+        const Millis silentSince = now;
+        while (!session->runs().empty() && now < silentSince + Millis(30000))
+            advanceAndTick(25);
+        return now - silentSince;
+    }
+
     // Starts a run of which it is not known whether the worker has it.
     void startUnlistedRun()
     {
@@ -117,6 +126,27 @@
     EXPECT_EQ(ends.size(), 1U);
 }
 
+// Guards against TWICE: a run was released a fixed time after its stop, while its end as done was
+// not listed yet because answers of the later incarnation were lost.
+TEST_F(RestartedWorkerTest, aStoppedRunIsReleasedOnceTheLaterIncarnationHasListedItsEnds)
+{
+    openSession();
+    startUnlistedRun();
+    session->supersede(LaterFencingToken, now);
+    newestListedEndsAt = now;
+    port.stops.back().done({ OrderResult::Accepted, std::nullopt });
+    const Millis stoppedAt = now + SessionTimes().maxStopTime;
+    tickFor(Millis(5000));
+    EXPECT_TRUE(ends.empty()) << "no list was requested since the run has stopped";
+    newestListedEndsAt = stoppedAt;
+    advanceAndTick(1);
+    EXPECT_TRUE(ends.empty()) << "the run may have ended after this list";
+    newestListedEndsAt = now;
+    advanceAndTick(1);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].outcome, schema::RUN_LOST);
+}
+
 // The same for a stop that was under way when the worker restarted.
 TEST_F(RestartedWorkerTest, theAnswerToAStopOfAnEarlierIncarnationDoesNotCount)
 {
@@ -220,6 +250,92 @@
     }
 }
 
+// Guards against TWICE: a start that an incarnation which is not registered yet had accepted
+// counted as a run of the earlier one, which is not stopped when it is no longer listed.
+TEST_F(RestartedWorkerTest, aStartThatAnotherIncarnationHasAcceptedIsNotConfirmed)
+{
+    for (const Millis offset : { Millis(100000), Millis(-50000) }) {
+        openSession();
+        completeFirstPoll();
+        logStart(0, 1);
+        ends.clear();
+        session->start(taskOf(0), 1, "ticket of the later incarnation", now);
+        for (uint32_t sends = 0; sends < SessionTimes().maxStartSends; sends++)
+            port.starts.back().done({ OrderResult::Accepted, now + offset });
+        EXPECT_EQ(session->runs().at(taskOf(0)).knownState, KnownRunState::Indeterminate);
+        EXPECT_TRUE(session->isSuspect());
+        EXPECT_TRUE(ends.empty());
+    }
+}
+
+// The other side of the same: the answer may be handled late, and the clock may be slow.
+TEST_F(RestartedWorkerTest, aStartWhoseAcceptanceIsHandledLateIsConfirmed)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "ticket", now);
+    const Millis acceptedAt = now;
+    now += Millis(5000);
+    port.starts.back().done({ OrderResult::Accepted, acceptedAt });
+    EXPECT_EQ(session->runs().at(taskOf(0)).knownState, KnownRunState::Confirmed);
+    EXPECT_FALSE(session->isSuspect());
+}
+
+// Guards against TWICE: the task of a start without a ticket that nobody had answered was released
+// with the lease of a silent worker, which had restarted and carried out the start.
+TEST_F(RestartedWorkerTest, anUnansweredStartWithoutATicketOutlivesTheLeaseOfASilentWorker)
+{
+    const Millis latestStart = SessionTimes().maxCallDelay + SessionTimes().maxRegistrationDelay;
+    for (const std::string ticket : { "", "ticket" }) {
+        openSession();
+        completeFirstPoll();
+        logStart(0, 1);
+        session->start(taskOf(0), 1, ticket, now);
+        dropAllStartAnswers();
+        if (ticket.empty())
+            EXPECT_GE(timeToLapse(), latestStart);
+        else
+            EXPECT_LT(timeToLapse(), Millis(6000)) << "a ticket holds for one incarnation";
+    }
+}
+
+// The other side of the same: no start of such a run is under way.
+TEST_F(RestartedWorkerTest, anAnsweredStartWithoutATicketLapsesWithTheLease)
+{
+    openSession();
+    startUnlistedRun();
+    EXPECT_LT(timeToLapse(), Millis(6000));
+}
+
+// The worker has answered only the second of two sends: the first may still reach it.
+TEST_F(RestartedWorkerTest, aCopyOfAStartWithoutATicketOutlivesTheLeaseOfASilentWorker)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    port.starts.back().done({});
+    port.starts.back().done({ OrderResult::Accepted, now });
+    advanceAndTick(MinPollIntervalMs);
+    port.polls.back().done(pollAnswer({ 0 }));
+    EXPECT_GE(timeToLapse(), SessionTimes().maxCallDelay);
+}
+
+// The same for starts that an earlier leader has sent just before.
+TEST_F(RestartedWorkerTest, recentStartsOfAnEarlierLeaderOutliveTheLeaseOfASilentWorker)
+{
+    logStart(0, 1, now);
+    for (const bool isTicketed : { false, true }) {
+        needsTicket = isTicketed;
+        openSession(now + SessionTimes().leaseDuration);
+        if (isTicketed)
+            EXPECT_LT(timeToLapse(), Millis(6000));
+        else
+            EXPECT_GE(timeToLapse(), SessionTimes().maxCallDelay);
+    }
+}
+
 // Guards against TWICE: the longest lease was not counted if the first answer told no clock.
 TEST_F(RestartedWorkerTest, anAnswerWithoutAClockMakesNoWorkerUsable)
 {
--- a/Source/UnitTests/Dispatch/WorkerSessionFixture.h
+++ b/Source/UnitTests/Dispatch/WorkerSessionFixture.h
@@ -65,8 +65,10 @@
                     .onFenced = [this] { fenced = true; },
                     .maySendOrders = [this] { return isLeaderConfirmed; },
                     .onTicketRefused = [](const StepTaskRef &) {},
+                    .hasNewestListedEndsSince = [this](Millis time) { return newestListedEndsAt.value_or(now) > time; },
                     .pollDelay = [this] { return pollDelay; },
                 },
+                .needsTicket = [this](const StepTaskRef &) { return needsTicket; },
                 .clock = [this] { return now; },
                 .wallClock = [this] { return now; },
             },
@@ -170,6 +172,9 @@
     bool isLeaderConfirmed = true;
     // For openSession().
     bool isRestart = false;
+    bool needsTicket = true;
+    // When the newest incarnation was last asked for a list of ends that was complete; absent: now.
+    std::optional<Millis> newestListedEndsAt;
     Millis pollDelay;
     Millis now{ 100000 };
 };
