Answer a worker's poll only by its own confirmation

What callers could see: two runs of a task. A worker counts its lease from the poll that was answered. Leader::handleDigest remembered accepted reports by the worker's id alone; when the confirmation of one poll arrived, it answered whatever report the worker had sent last, also that of a later incarnation, and reckoned with the lease of the earlier poll. The leader's lease then ends earlier than the worker's by the time between the two polls, and no quorum has confirmed the leader after the later one. The margin of 1 s covers a short time between them, a slow confirmation it doesn't.

The other directions were read and are closed: a report of an earlier incarnation is refused once a later one has reported (WorkerRegistry::recordReport), orders name the incarnation and the relay drops those for another one (WorkerRelay::applyOrders), and starts wait until the log names the incarnation (WorkerRegistry::ordersFor).

With the new check taken out, both WorkerRegistryTest.confirmation... fail: the lease of the later poll, and that of the later incarnation, is extended.

A report is named by worker, incarnation and sequence now. A confirmation whose report is no longer the worker's last extends nothing and is not answered; the later report has one of its own.

--- a/Source/Basilgap/Control/LeaderJobs.cpp
+++ b/Source/Basilgap/Control/LeaderJobs.cpp
@@ -9,12 +9,13 @@
 void Leader::handleDigest(network::PeerStream &stream, const schema::WorkerDigest &digest)
 {
     const Millis now = steadyNow();
-    auto accepted = std::make_shared<std::vector<WorkerId>>();
+    auto accepted = std::make_shared<std::vector<ReportId>>();
     auto answers = std::make_shared<schema::WorkerOrdersBatch>();
     for (const auto &report : digest.reports()) {
         const auto worker = jobs_.workers().recordReport(report, &stream, now);
         if (worker) {
-            accepted->emplace_back(report.id());
+            accepted->push_back(
+                { WorkerId(report.id()), Incarnation(report.incarnation()), report.sequence() });
             continue;
         }
         schema::WorkerOrders *refusal = answers->add_orders();
@@ -33,12 +34,10 @@
         guarded([this, accepted, answers, id = stream.id(), now](bool leads) {
             if (!leads)
                 return;
-            for (const WorkerId &worker : *accepted) {
-                const Worker *known = jobs_.workers().find(worker);
-                if (known == nullptr)
-                    continue;
-                jobs_.workers().extendLease(worker, now);
-                *answers->add_orders() = jobs_.workers().ordersFor(*known, jobs_.stopping());
+            for (const ReportId &report : *accepted) {
+                const Worker *worker = jobs_.workers().extendLease(report, now);
+                if (worker != nullptr)
+                    *answers->add_orders() = jobs_.workers().ordersFor(*worker, jobs_.stopping());
             }
             sendOrders(id, *answers);
         }));
--- a/Source/Basilgap/Control/WorkerRegistry.cpp
+++ b/Source/Basilgap/Control/WorkerRegistry.cpp
@@ -142,12 +142,16 @@
     worker->missingPolls = std::move(missingPolls);
 }
 
-void WorkerRegistry::extendLease(const WorkerId &worker, Millis received)
+const Worker *WorkerRegistry::extendLease(const ReportId &report, Millis received)
 {
-    const auto found = workers_.find(worker);
-    if (found != workers_.end())
-        found->second.leaseEnd =
-            std::max(found->second.leaseEnd, received + WorkerLease + WorkerLeaseMargin);
+    const auto found = workers_.find(report.worker);
+    if (found == workers_.end())
+        return nullptr;
+    Worker &worker = found->second;
+    if (worker.incarnation != report.incarnation || worker.sequence != report.sequence)
+        return nullptr;
+    worker.leaseEnd = std::max(worker.leaseEnd, received + WorkerLease + WorkerLeaseMargin);
+    return &worker;
 }
 
 void WorkerRegistry::streamClosed(const network::PeerStream *stream)
--- a/Source/Basilgap/Control/WorkerRegistry.h
+++ b/Source/Basilgap/Control/WorkerRegistry.h
@@ -65,6 +65,14 @@
     network::PeerStream *stream = nullptr;
 };
 
+// Names one report: each incarnation of a worker counts its reports from the start.
+struct ReportId
+{
+    WorkerId worker;
+    Incarnation incarnation;
+    uint64_t sequence = 0;
+};
+
 // Tracks the workers by their reports and leases, and compares the tasks that they run with the
 // tasks that they should run.
 class WorkerRegistry
@@ -79,9 +87,10 @@
     Result<Worker *> recordReport(
         const schema::WorkerReport &report, network::PeerStream *stream, Millis now);
 
-    // Extends the lease of a worker whose poll is answered. `received` is the arrival time of the
-    // poll.
-    void extendLease(const WorkerId &worker, Millis received);
+    // Extends the lease of the worker whose poll is answered. `received` is the arrival time of the
+    // poll. Returns null, and extends nothing, if the worker has reported again since, whichever
+    // its incarnation: it counts the lease from its last poll, so that one has to be confirmed.
+    const Worker *extendLease(const ReportId &report, Millis received);
 
     void streamClosed(const network::PeerStream *stream);
 
--- a/Source/UnitTests/Control/WorkerRegistryTest.cpp
+++ b/Source/UnitTests/Control/WorkerRegistryTest.cpp
@@ -19,6 +19,13 @@
     return report;
 }
 
+ReportId idOf(const schema::WorkerReport &report)
+{
+    return { .worker = WorkerId(report.id()),
+        .incarnation = Incarnation(report.incarnation()),
+        .sequence = report.sequence() };
+}
+
 schema::Command submitTask()
 {
     schema::Command command;
@@ -62,6 +69,15 @@
 
     int lostTasks(Millis now) { return registry_.collectEnds({}, &health_, now).end_size(); }
 
+    // Incarnation 1 polls without the task until that counts as lost. Returns the last sequence.
+    uint64_t reportUntilTheTaskIsLost(Millis now)
+    {
+        uint64_t poll = 1;
+        while (lostTasks(now) == 0 && poll < ManyPolls)
+            EXPECT_TRUE(registry_.recordReport(reportOf(1, ++poll), nullptr, now).has_value());
+        return poll;
+    }
+
     state::CellState state_;
     uint64_t index_ = 0;
     scheduling::WorkerHealth health_;
@@ -105,7 +121,7 @@
     const Millis leaseEnd = LeaderChange + WorkerLease + WorkerLeaseMargin;
     const auto worker = registry_.recordReport(reportOf(2, 1), nullptr, leaseEnd);
     ASSERT_TRUE(worker.has_value()) << worker.error().text();
-    registry_.extendLease(WorkerId("w1"), leaseEnd);
+    registry_.extendLease(idOf(reportOf(2, 1)), leaseEnd);
     EXPECT_EQ(registry_.ordersFor(**worker, {}).start_size(), 0);
     EXPECT_EQ(registry_.usablePool(health_, leaseEnd).size(), 0U);
     logRegistrations();
@@ -130,4 +146,28 @@
     EXPECT_EQ(lostTasks(LeaderChange + Millis(100)), 0);
 }
 
+// Guards against two runs of a task: a worker counts its lease from its last poll, so the leader
+// must not take that for confirmed when it has confirmed an earlier one only.
+TEST_F(WorkerRegistryTest, confirmationOfAPollExtendsNoLeaseAfterALaterOne)
+{
+    const Millis first = LeaderChange + Millis(100);
+    const Millis second = first + Millis(3000);
+    ASSERT_TRUE(registry_.recordReport(reportOf(1, 2), nullptr, first).has_value());
+    ASSERT_TRUE(registry_.recordReport(reportOf(1, 3), nullptr, second).has_value());
+    EXPECT_EQ(registry_.extendLease(idOf(reportOf(1, 2)), first), nullptr);
+    const Worker *worker = registry_.extendLease(idOf(reportOf(1, 3)), second);
+    ASSERT_NE(worker, nullptr);
+    EXPECT_EQ(worker->leaseEnd, second + WorkerLease + WorkerLeaseMargin);
+}
+
+TEST_F(WorkerRegistryTest, confirmationOfAPollExtendsNoLeaseOfALaterIncarnation)
+{
+    const Millis leaseEnd = LeaderChange + WorkerLease + WorkerLeaseMargin;
+    ASSERT_TRUE(registry_.recordReport(reportOf(1, 1), nullptr, leaseEnd).has_value());
+    ASSERT_TRUE(registry_.recordReport(reportOf(2, 1), nullptr, leaseEnd).has_value());
+    EXPECT_EQ(registry_.extendLease(idOf(reportOf(1, 1)), leaseEnd), nullptr);
+    EXPECT_EQ(registry_.find(WorkerId("w1"))->leaseEnd, leaseEnd);
+    EXPECT_NE(registry_.extendLease(idOf(reportOf(2, 1)), leaseEnd), nullptr);
+}
+
 } // namespace basilgap::control
