Count missed polls for each run of a task

What callers could see: two runs of a task. The polls were counted by the task's id: if the next run went to the same worker before it polled again, it counted as lost at the next plan, while its start was under way, and a third run was started.

Failing with the count by task (the former logic put back), passing after: WorkerRegistryTest.pollsWithoutTheEarlierRunDoNotCountAgainstTheNextOneOnTheSameWorker.

The count carries the epoch of the run; another epoch begins anew.

--- a/Source/Basilgap/Control/WorkerRegistry.cpp
+++ b/Source/Basilgap/Control/WorkerRegistry.cpp
@@ -132,14 +132,25 @@
 
 void WorkerRegistry::countMissingPolls(Worker *worker)
 {
-    std::map<TaskId, int> missingPolls;
+    std::map<TaskId, MissingRun> missingRuns;
     for (const TaskId &id : state_.jobs().runningOn(state_.jobs().numberOf(worker->id))) {
         const auto reported = worker->tasks.find(id);
         const uint32_t epoch = state_.jobs().find(id)->epoch;
-        if (reported == worker->tasks.end() || reported->second.epoch < epoch)
-            missingPolls[id] = worker->missingPolls[id] + 1;
+        if (reported != worker->tasks.end() && reported->second.epoch >= epoch)
+            continue;
+        const auto before = worker->missingRuns.find(id);
+        const bool isSameRun = before != worker->missingRuns.end() && before->second.epoch == epoch;
+        missingRuns[id] = { .epoch = epoch, .polls = isSameRun ? before->second.polls + 1 : 1 };
     }
-    worker->missingPolls = std::move(missingPolls);
+    worker->missingRuns = std::move(missingRuns);
+}
+
+bool WorkerRegistry::isMissing(const Worker &worker, const TaskId &task) const
+{
+    const auto missing = worker.missingRuns.find(task);
+    return missing != worker.missingRuns.end()
+        && missing->second.epoch == state_.jobs().find(task)->epoch
+        && missing->second.polls >= MissingPollsBeforeLost;
 }
 
 const Worker *WorkerRegistry::extendLease(const ReportId &report, Millis received)
@@ -248,9 +259,7 @@
     const uint32_t epoch = state_.jobs().find(id)->epoch;
     const auto reported = worker.tasks.find(id);
     if (reported == worker.tasks.end() || reported->second.epoch < epoch) {
-        const auto missingPolls = worker.missingPolls.find(id);
-        if (missingPolls != worker.missingPolls.end()
-            && missingPolls->second >= MissingPollsBeforeLost)
+        if (isMissing(worker, id))
             ends->add(id, schema::TASK_LOST, "the worker does not run the task", 0);
         return;
     }
--- a/Source/Basilgap/Control/WorkerRegistry.h
+++ b/Source/Basilgap/Control/WorkerRegistry.h
@@ -49,6 +49,14 @@
     int64_t peakMemoryMb = 0;
 };
 
+// A run that its worker has not reported yet.
+struct MissingRun
+{
+    uint32_t epoch = 0;
+    // Consecutive polls without it.
+    int polls = 0;
+};
+
 struct Worker
 {
     WorkerId id;
@@ -58,8 +66,7 @@
     RackName rack;
     state::Resources capacity;
     std::map<TaskId, ReportedTask> tasks;
-    // Consecutive polls in which a task that should run was missing.
-    std::map<TaskId, int> missingPolls;
+    std::map<TaskId, MissingRun> missingRuns;
     Millis lastHeardAt;
     Millis leaseEnd;
     network::PeerStream *stream = nullptr;
@@ -124,6 +131,8 @@
     void updateTasks(const schema::WorkerReport &report, Worker *worker);
     void countOverMemoryReports(Worker *worker);
     void countMissingPolls(Worker *worker);
+    // Whether the worker has had the chance to report the task's present run for too long.
+    bool isMissing(const Worker &worker, const TaskId &task) const;
     void addTaskEnd(const TaskId &id, WorkerNumber number, const std::set<TaskId> &stopping,
         scheduling::WorkerHealth *health, Millis now, TaskEndWriter *ends);
     void addReportedEnd(const TaskId &id, const ReportedTask &reported, WorkerNumber number,
--- a/Source/UnitTests/Control/WorkerRegistryTest.cpp
+++ b/Source/UnitTests/Control/WorkerRegistryTest.cpp
@@ -146,6 +146,25 @@
     EXPECT_EQ(lostTasks(LeaderChange + Millis(100)), 0);
 }
 
+// Guards against two runs of a task: polls without its earlier run counted against the next one on
+// the same worker, which was given up at once although its start was under way.
+TEST_F(WorkerRegistryTest, pollsWithoutTheEarlierRunDoNotCountAgainstTheNextOneOnTheSameWorker)
+{
+    const Millis now = LeaderChange + Millis(100);
+    const uint64_t missing = reportUntilTheTaskIsLost(now);
+    schema::Command restart;
+    *restart.mutable_tasks()->mutable_ends() = registry_.collectEnds({}, &health_, now);
+    restart.mutable_tasks()->mutable_starts()->add_job(1);
+    restart.mutable_tasks()->mutable_starts()->add_task(0);
+    restart.mutable_tasks()->mutable_starts()->add_worker(1);
+    apply(restart);
+    EXPECT_EQ(lostTasks(now), 0);
+    const auto worker = registry_.recordReport(reportOf(1, missing + 1), nullptr, now);
+    ASSERT_TRUE(worker.has_value()) << worker.error().text();
+    EXPECT_EQ(registry_.ordersFor(**worker, {}).start_size(), 1);
+    EXPECT_EQ(lostTasks(now), 0);
+}
+
 // Guards against two runs of a task: a worker counts its lease from its last poll, so the leader
 // must not take that for confirmed when it has confirmed an earlier one only.
 TEST_F(WorkerRegistryTest, confirmationOfAPollExtendsNoLeaseAfterALaterOne)
