Do not start a run that is being given up

What callers could see: two runs of a task. When the lease of a worker had run out, or a run was missing in four polls, the leader proposed its end as lost. Until that record was applied, the answer to a poll of the worker still started the run, and with a slow disk that is long. Afterwards the task was started elsewhere.

Failing before, passing after: WorkerRegistryTest.runThatItsWorkerDidNotReportIsNotStartedOnceItCountsAsLost (in a first form, before any change of logic, and in its present form with both conditions taken out) and runWhoseLeaseRanOutIsNotStartedWhileThatIsBeingRecorded (with both conditions taken out).

The registry remembers the ends that it handed out last, and starts neither these runs nor one that has been missing for so many polls that the next plan gives it up. A worker polls again only after it has read the answer before, so an earlier start is reported by then.

--- a/Source/Basilgap/Control/WorkerRegistry.cpp
+++ b/Source/Basilgap/Control/WorkerRegistry.cpp
@@ -31,6 +31,7 @@
     ends_->add_peak_memory_mb(static_cast<uint64_t>(peakMemoryMb));
     previousJob_ = job;
     previousTask_ = task.index;
+    tasks_.insert(task);
 }
 
 WorkerRegistry::WorkerRegistry(const state::CellState &state, Millis now)
@@ -195,6 +196,7 @@
         const auto reported = worker.tasks.find(id);
         const bool started = reported != worker.tasks.end() && reported->second.epoch >= task.epoch;
         if (started || !isRegistered(worker) || job.isFinished() || stopping.contains(id)
+            || ending_.contains(id) || isMissing(worker, id)
             || state_.config().isZoneOut(worker.zone))
             continue;
         schema::TaskStart *start = orders.add_start();
@@ -239,6 +241,7 @@
         for (const TaskId &id : tasks)
             addTaskEnd(id, number, stopping, health, now, &writer);
     }
+    ending_ = writer.tasks();
     return ends;
 }
 
--- a/Source/Basilgap/Control/WorkerRegistry.h
+++ b/Source/Basilgap/Control/WorkerRegistry.h
@@ -31,8 +31,11 @@
     void add(
         const TaskId &task, schema::TaskEnd end, const std::string &reason, int64_t peakMemoryMb);
 
+    const std::set<TaskId> &tasks() const { return tasks_; }
+
 private:
     schema::TaskEnds *ends_;
+    std::set<TaskId> tasks_;
     int64_t previousJob_ = 0;
     int64_t previousTask_ = 0;
 };
@@ -104,7 +107,8 @@
     // Orders that make the worker run what the cell state says.
     schema::WorkerOrders ordersFor(const Worker &worker, const std::set<TaskId> &stopping) const;
 
-    // Task ends that are known but not recorded in the cell state yet.
+    // Task ends that are known but not recorded in the cell state yet. Until the next call these
+    // runs are not started any more.
     schema::TaskEnds collectEnds(
         const std::set<TaskId> &stopping, scheduling::WorkerHealth *health, Millis now);
 
@@ -142,6 +146,8 @@
     const state::CellState &state_;
     Millis leadershipStart_;
     std::map<WorkerId, Worker> workers_;
+    // Tasks of the ends that were collected last.
+    std::set<TaskId> ending_;
 };
 
 } // namespace basilgap::control
--- a/Source/UnitTests/Control/WorkerRegistryTest.cpp
+++ b/Source/UnitTests/Control/WorkerRegistryTest.cpp
@@ -146,6 +146,29 @@
     EXPECT_EQ(lostTasks(LeaderChange + Millis(100)), 0);
 }
 
+// Guards against two runs of a task: its run counts as lost, but a start of that run goes out
+// before the log says so.
+TEST_F(WorkerRegistryTest, runThatItsWorkerDidNotReportIsNotStartedOnceItCountsAsLost)
+{
+    const Millis now = LeaderChange + Millis(100);
+    const uint64_t missing = reportUntilTheTaskIsLost(now);
+    EXPECT_EQ(registry_.ordersFor(*registry_.find(WorkerId("w1")), {}).start_size(), 0);
+    ASSERT_EQ(lostTasks(now), 1);
+    const auto worker = registry_.recordReport(reportOf(1, missing + 1), nullptr, now);
+    ASSERT_TRUE(worker.has_value()) << worker.error().text();
+    EXPECT_EQ(registry_.ordersFor(**worker, {}).start_size(), 0);
+}
+
+TEST_F(WorkerRegistryTest, runWhoseLeaseRanOutIsNotStartedWhileThatIsBeingRecorded)
+{
+    const Millis leaseEnd = LeaderChange + WorkerLease + WorkerLeaseMargin;
+    ASSERT_TRUE(registry_.recordReport(reportOf(1, 2), nullptr, LeaderChange).has_value());
+    ASSERT_EQ(lostTasks(leaseEnd), 1);
+    const auto worker = registry_.recordReport(reportOf(1, 3), nullptr, leaseEnd);
+    ASSERT_TRUE(worker.has_value()) << worker.error().text();
+    EXPECT_EQ(registry_.ordersFor(**worker, {}).start_size(), 0);
+}
+
 // Guards against two runs of a task: polls without its earlier run counted against the next one on
 // the same worker, which was given up at once although its start was under way.
 TEST_F(WorkerRegistryTest, pollsWithoutTheEarlierRunDoNotCountAgainstTheNextOneOnTheSameWorker)
