Refuse reports of incarnations before the registered one

What was seen: after a change of leader and 11 s without the worker, a late report of its earlier incarnation was taken for the worker. It was registered over the later one, and the later one was refused for a whole lease and lost its tasks. The comparison looked only at what had reported to the new leader, not at the incarnation in the log.

Failing before, passing after: WorkerRegistryTest.lateReportOfTheEarlierIncarnationDoesNotKeepTheRegisteredOneOut.

An incarnation lower than the registered one is refused, as it was already under a leader that knew the later one. A worker whose count of incarnations begins anew stays refused for longer than before: until it counts past the registered one, also after a change of leader.

--- a/Source/Basilgap/Control/WorkerRegistry.cpp
+++ b/Source/Basilgap/Control/WorkerRegistry.cpp
@@ -47,6 +47,9 @@
     if (found == workers_.end() && report.unchanged())
         return fail({ ErrorCode::NotFound, "worker-report", report.id(), "not known" });
     const Incarnation incarnation(report.incarnation());
+    if (wasLaterIncarnationRegistered(id, incarnation))
+        return fail({ ErrorCode::Conflict, "worker-report", report.id(),
+            "a later incarnation has registered" });
     if (found == workers_.end() && mayOtherIncarnationHoldLease(id, incarnation, now))
         return fail({ ErrorCode::Conflict, "worker-report", report.id(),
             "another incarnation may still hold its lease" });
@@ -95,6 +98,13 @@
         && now < leadershipStart_ + WorkerLease + WorkerLeaseMargin;
 }
 
+bool WorkerRegistry::wasLaterIncarnationRegistered(
+    const WorkerId &id, Incarnation incarnation) const
+{
+    const auto registered = state_.jobs().incarnationOf(state_.jobs().numberOf(id));
+    return registered && incarnation < *registered;
+}
+
 bool WorkerRegistry::isRegistered(const Worker &worker) const
 {
     const WorkerNumber number = state_.jobs().numberOf(worker.id);
--- a/Source/Basilgap/Control/WorkerRegistry.h
+++ b/Source/Basilgap/Control/WorkerRegistry.h
@@ -127,6 +127,7 @@
     const std::map<WorkerId, Worker> &all() const { return workers_; }
 
 private:
+    bool wasLaterIncarnationRegistered(const WorkerId &id, Incarnation incarnation) const;
     // Whether another incarnation may hold a lease from an earlier leader.
     bool mayOtherIncarnationHoldLease(
         const WorkerId &id, Incarnation incarnation, Millis now) const;
--- a/Source/UnitTests/Control/WorkerRegistryTest.cpp
+++ b/Source/UnitTests/Control/WorkerRegistryTest.cpp
@@ -146,6 +146,21 @@
     EXPECT_EQ(lostTasks(LeaderChange + Millis(100)), 0);
 }
 
+// Guards against a worker that gets no lease after a change of leader, because a report of its
+// earlier incarnation came late.
+TEST_F(WorkerRegistryTest, lateReportOfTheEarlierIncarnationDoesNotKeepTheRegisteredOneOut)
+{
+    const Millis leaseEnd = LeaderChange + WorkerLease + WorkerLeaseMargin;
+    ASSERT_TRUE(registry_.recordReport(reportOf(2, 1), nullptr, leaseEnd).has_value());
+    logRegistrations();
+    WorkerRegistry nextLeader(state_, leaseEnd);
+    const Millis late = leaseEnd + WorkerLease + WorkerLeaseMargin;
+    EXPECT_FALSE(nextLeader.recordReport(reportOf(1, 9), nullptr, late).has_value());
+    nextLeader.extendLease(idOf(reportOf(1, 9)), late);
+    EXPECT_TRUE(nextLeader.newRegistrations().empty());
+    EXPECT_TRUE(nextLeader.recordReport(reportOf(2, 2), nullptr, late).has_value());
+}
+
 // Guards against two runs of a task: its run counts as lost, but a start of that run goes out
 // before the log says so.
 TEST_F(WorkerRegistryTest, runThatItsWorkerDidNotReportIsNotStartedOnceItCountsAsLost)
