--- a/Source/Basilgap/Control/BackendRegistry.cpp
+++ b/Source/Basilgap/Control/BackendRegistry.cpp
@@ -14,13 +14,6 @@
         backends_[id] = { announcement, now };
 }
 
-void BackendRegistry::recordUnchangedAnnouncement(const BackendId &backend, Millis now)
-{
-    const auto found = backends_.find(backend);
-    if (found != backends_.end())
-        found->second.lastHeardAt = now;
-}
-
 bool BackendRegistry::isAlive(const Backend &backend, Millis now) const
 {
     return now - backend.lastHeardAt < BackendSilenceTimeout;
--- a/Source/Basilgap/Control/BackendRegistry.h
+++ b/Source/Basilgap/Control/BackendRegistry.h
@@ -23,8 +23,6 @@
 
     // Stores an announcement. One from an earlier incarnation of the backend server is ignored.
     void recordAnnouncement(const schema::Announcement &announcement, Millis now);
-    // The backend server repeated its last announcement without a change.
-    void recordUnchangedAnnouncement(const BackendId &backend, Millis now);
 
     bool isAlive(const Backend &backend, Millis now) const;
     // Whether entries may send requests to it.
--- a/Source/Basilgap/Control/EntrySessions.h
+++ b/Source/Basilgap/Control/EntrySessions.h
@@ -28,6 +28,8 @@
     std::vector<schema::TeamDemand> demand;
     std::map<uint32_t, schema::Holding> holdings;
     std::vector<uint32_t> doubtfulKeys;
+    // The last announcement that each backend server made to this entry.
+    std::map<BackendId, schema::Announcement> announcements;
     // Values last sent on the stream, so that only changes are sent.
     std::map<uint32_t, schema::AllotmentView> sentAllotments;
     std::map<uint32_t, schema::BackendView> sentBackends;
--- a/Source/Basilgap/Control/Leader.h
+++ b/Source/Basilgap/Control/Leader.h
@@ -67,6 +67,7 @@
     // LeaderSessions.cpp
     void handleRenew(network::PeerStream &stream, const schema::Renew &renew);
     void acceptRenewal(network::PeerStream &stream, const schema::Renew &renew, EntryNumber number);
+    void recordAnnouncements(EntryLink *link, const schema::Renew &renew, Millis now);
     void confirmRenewal(uint64_t stream, EntryNumber number, uint64_t sequence, Millis received);
     void addChanges(EntryLink *link, schema::RenewReply *reply);
     void addRunningCounts(const EntryLink &link, schema::RenewReply *reply) const;
--- a/Source/Basilgap/Control/LeaderSessions.cpp
+++ b/Source/Basilgap/Control/LeaderSessions.cpp
@@ -59,10 +59,7 @@
 {
     const Millis now = steadyNow();
     EntryLink &link = sessions_.recordRenewal(number, &stream, renew, now);
-    for (const auto &announcement : renew.announcements())
-        backends_.recordAnnouncement(announcement, now);
-    for (const auto &id : renew.heard())
-        backends_.recordUnchangedAnnouncement(BackendId(id), now);
+    recordAnnouncements(&link, renew, now);
     if (renew.announcements_size() > 0)
         nextAllotmentPlanAt_ = Millis();
     completeInForceWaiters();
@@ -73,6 +70,24 @@
     }));
 }
 
+// A backend server announces itself to all entries in turn, so what one of them heard again need
+// not be the last announcement of all.
+void Leader::recordAnnouncements(EntryLink *link, const schema::Renew &renew, Millis now)
+{
+    for (const auto &announcement : renew.announcements()) {
+        link->announcements[BackendId(announcement.id())] = announcement;
+        backends_.recordAnnouncement(announcement, now);
+    }
+    for (const auto &id : renew.heard()) {
+        const auto last = link->announcements.find(BackendId(id));
+        if (last != link->announcements.end())
+            backends_.recordAnnouncement(last->second, now);
+    }
+    if (renew.announcements_size() > 0)
+        std::erase_if(link->announcements,
+            [this](const auto &entry) { return backends_.find(entry.first) == nullptr; });
+}
+
 void Leader::confirmRenewal(uint64_t stream, EntryNumber number, uint64_t sequence, Millis received)
 {
     EntryLink *link = sessions_.find(number);
--- a/Source/UnitTests/Control/LeaderTest.cpp
+++ b/Source/UnitTests/Control/LeaderTest.cpp
@@ -188,4 +188,43 @@
     EXPECT_EQ(confirmedPolls(entry), std::vector<uint64_t>{ 2 });
 }
 
+// Guards against slots that are taken for free while requests run under them: a backend server
+// announces itself to all entries in turn, and one entry's "as before" is not another's.
+TEST_F(LeaderTest, announcementThatAnEntryHeardAgainIsThatEntrysLastOne)
+{
+    EntryLinkUnderTest &first = connect("e1");
+    EntryLinkUnderTest &second = connect("e2");
+    schema::Renew busy = renewalOf("e1", 1);
+    announce(&busy, 3, 2);
+    renew(first, busy);
+    schema::Renew idle = renewalOf("e2", 1);
+    announce(&idle, 3, 0);
+    renew(second, idle);
+    ASSERT_TRUE(runUntil([this] { return backendKey() != 0; }));
+    schema::Renew again = renewalOf("e1", 2);
+    again.add_heard("b1");
+    EXPECT_EQ(askForRunningCount(first, again).count(), 2U);
+}
+
+// Guards against a backend server that counts as heard because of its earlier incarnation.
+TEST_F(LeaderTest, announcementOfTheEarlierIncarnationIsNoSignOfTheLaterOne)
+{
+    EntryLinkUnderTest &first = connect("e1");
+    EntryLinkUnderTest &second = connect("e2");
+    schema::Renew earlier = renewalOf("e1", 1);
+    announce(&earlier, 3, 2);
+    renew(first, earlier);
+    schema::Renew later = renewalOf("e2", 1);
+    announce(&later, 4, 0);
+    renew(second, later);
+    ASSERT_TRUE(runUntil([this] { return backendKey() != 0; }));
+    const Millis silence{ 300 };
+    runFor(silence);
+    schema::Renew late = renewalOf("e1", 2);
+    late.add_heard("b1");
+    const schema::BackendRunning running = askForRunningCount(first, late);
+    EXPECT_EQ(running.count(), 0U);
+    EXPECT_GE(running.age_ms(), silence.count());
+}
+
 } // namespace basilgap::control
