Ignore renewals that an entry has overtaken on another connection

What was seen: a renewal that came late over a connection which the entry had given up moved its session back to it. Demand and holdings of the present connection were forgotten, changes were sent into the void, and the entry, which sends its state in full only on a new connection, did not repeat them.

Passing, and failing with the comparison taken out: LeaderTest.lateRenewalOnAnEarlierConnectionIsIgnored.

An entry counts its renewals over all connections; one with a lower sequence is ignored.

--- a/Source/Basilgap/Control/EntrySessions.cpp
+++ b/Source/Basilgap/Control/EntrySessions.cpp
@@ -27,6 +27,7 @@
         link.stream = stream;
     }
     link.lastHeardAt = now;
+    link.sequence = renew.sequence();
     link.reportedRevision = Revision(renew.revision());
     link.isStopping = renew.stopping();
     if (!renew.demand_unchanged())
@@ -100,6 +101,12 @@
     return result;
 }
 
+bool EntrySessions::isOutdated(EntryNumber number, const schema::Renew &renew) const
+{
+    const auto link = links_.find(number);
+    return link != links_.end() && renew.sequence() < link->second.sequence;
+}
+
 EntryLink *EntrySessions::find(EntryNumber number)
 {
     const auto found = links_.find(number);
--- a/Source/Basilgap/Control/EntrySessions.h
+++ b/Source/Basilgap/Control/EntrySessions.h
@@ -23,6 +23,8 @@
     EntryNumber number;
     network::PeerStream *stream = nullptr;
     Millis lastHeardAt;
+    // Of the last renewal. The entry counts them over all of its streams.
+    uint64_t sequence = 0;
     Revision reportedRevision;
     bool isStopping = false;
     std::vector<schema::TeamDemand> demand;
@@ -67,6 +69,9 @@
     // Open sessions to close: silent for too long and without a lease.
     std::vector<schema::SessionState> silentSessions(Millis now) const;
 
+    // Whether the entry has sent a later renewal, on whichever stream.
+    bool isOutdated(EntryNumber number, const schema::Renew &renew) const;
+
     EntryLink *find(EntryNumber number);
     std::map<EntryNumber, EntryLink> &links() { return links_; }
     const std::map<EntryNumber, EntryLink> &links() const { return links_; }
--- a/Source/Basilgap/Control/LeaderSessions.cpp
+++ b/Source/Basilgap/Control/LeaderSessions.cpp
@@ -57,6 +57,8 @@
 void Leader::acceptRenewal(
     network::PeerStream &stream, const schema::Renew &renew, EntryNumber number)
 {
+    if (sessions_.isOutdated(number, renew))
+        return;
     const Millis now = steadyNow();
     EntryLink &link = sessions_.recordRenewal(number, &stream, renew, now);
     recordAnnouncements(&link, renew, now);
--- a/Source/UnitTests/Control/LeaderTest.cpp
+++ b/Source/UnitTests/Control/LeaderTest.cpp
@@ -227,4 +227,19 @@
     EXPECT_GE(running.age_ms(), silence.count());
 }
 
+// Guards against a session that goes on over the connection that the entry has given up.
+TEST_F(LeaderTest, lateRenewalOnAnEarlierConnectionIsIgnored)
+{
+    EntryLinkUnderTest &earlier = connect("e1");
+    EntryLinkUnderTest &later = connect("e1");
+    renew(earlier, renewalOf("e1", 1));
+    schema::Renew reconnected = renewalOf("e1", 3);
+    reconnected.set_full(true);
+    announce(&reconnected, 3, 2);
+    renew(later, reconnected);
+    send(earlier, renewalOf("e1", 2));
+    ASSERT_NO_FATAL_FAILURE(runFor(ConfirmationTime));
+    EXPECT_EQ(confirmationOf(earlier, 2), nullptr);
+}
+
 } // namespace basilgap::control
