Keep the renewals that arrive while a session opens

What callers could see: a backend server that no entry used after a start of an entry. While the session of an entry was being opened, the leader dropped its further renewals. An entry sends each change once, so an announcement in them was lost until the backend server changed.

Failing before, passing after: LeaderTest.renewalsThatArriveWhileTheSessionOpensCount.

The renewals wait and are handled in the order of their arrival.

--- a/Source/Basilgap/Control/Leader.h
+++ b/Source/Basilgap/Control/Leader.h
@@ -46,6 +46,12 @@
         std::function<void(bool)> callback;
     };
 
+    struct WaitingRenewal
+    {
+        uint64_t stream = 0;
+        schema::Renew renew;
+    };
+
     struct PendingCancel
     {
         uint64_t job = 0;
@@ -111,7 +117,8 @@
     bool allotmentsInFlight_ = false;
     bool tasksInFlight_ = false;
     bool jobsDirty_ = true;
-    std::set<EntryId> openingSessions_;
+    // Renewals that wait until the session of their entry is open, in the order of their arrival.
+    std::map<EntryId, std::vector<WaitingRenewal>> openingSessions_;
     Millis nextAllotmentPlanAt_;
     Millis lastJobUpdateAt_;
     Millis nextExpiryAt_;
--- a/Source/Basilgap/Control/LeaderSessions.cpp
+++ b/Source/Basilgap/Control/LeaderSessions.cpp
@@ -37,7 +37,9 @@
     const schema::SessionState *session = state_.sessions().find(entry);
     if (session != nullptr && session->incarnation() == renew.incarnation())
         return acceptRenewal(stream, renew, EntryNumber(session->number()));
-    if (!openingSessions_.insert(entry).second)
+    std::vector<WaitingRenewal> &waiting = openingSessions_[entry];
+    waiting.push_back({ .stream = stream.id(), .renew = renew });
+    if (waiting.size() > 1)
         return;
     LogEvent("entry-session-opens").with("peer", entry.value());
     schema::Command command;
@@ -46,11 +48,17 @@
     open->set_incarnation(renew.incarnation());
     open->set_zone(renew.zone());
     open->set_peer_address(renew.peer_address());
-    replica_.propose(command, guarded([this, entry, renew, id = stream.id()](const auto &outcome) {
+    replica_.propose(command, guarded([this, entry](const auto &outcome) {
+        const std::vector<WaitingRenewal> arrived = std::move(openingSessions_[entry]);
         openingSessions_.erase(entry);
-        const auto found = streams_.find(id);
-        if (outcome.code() == schema::ACCEPTED && found != streams_.end())
-            handleRenew(*found->second, renew);
+        if (outcome.code() != schema::ACCEPTED)
+            return;
+        // An entry sends each change once, so none of its renewals may be left out.
+        for (const WaitingRenewal &renewal : arrived) {
+            const auto found = streams_.find(renewal.stream);
+            if (found != streams_.end())
+                handleRenew(*found->second, renewal.renew);
+        }
     }));
 }
 
--- a/Source/UnitTests/Control/LeaderTest.cpp
+++ b/Source/UnitTests/Control/LeaderTest.cpp
@@ -227,6 +227,17 @@
     EXPECT_GE(running.age_ms(), silence.count());
 }
 
+// Guards against a backend server that stays unknown: the entry sends what changed only once.
+TEST_F(LeaderTest, renewalsThatArriveWhileTheSessionOpensCount)
+{
+    EntryLinkUnderTest &entry = connect("e1");
+    send(entry, renewalOf("e1", 1));
+    schema::Renew next = renewalOf("e1", 2);
+    announce(&next, 3, 0);
+    renew(entry, next);
+    EXPECT_TRUE(runUntil([this] { return backendKey() != 0; }));
+}
+
 // Guards against a session that goes on over the connection that the entry has given up.
 TEST_F(LeaderTest, lateRenewalOnAnEarlierConnectionIsIgnored)
 {
