Let a late renewal of an entry's earlier process close no session

What was seen: a renewal of an entry's earlier incarnation that came late opened a session anew and closed that of the later one. Until its next renewal the claims of the later one counted as unknown, and its allotments were held back until they expired (both by reading). Incarnations of entries are random numbers and have no order.

Failing before, passing after: LeaderTest.lateRenewalOfTheEarlierIncarnationDoesNotCloseTheSessionOfTheLaterOne.

While an incarnation is connected and was heard within 1.5 s, another one is refused, and its connection closed, so that a live one sends its state in full when it comes back. An entry whose process died closes its connections; one that restarts after a power cut, whose connection hangs, waits for up to 1.5 s after the last renewal of its predecessor.

--- a/Source/Basilgap/Control/AllotmentManager.cpp
+++ b/Source/Basilgap/Control/AllotmentManager.cpp
@@ -16,8 +16,6 @@
 using settings::UnlimitedSlots;
 using state::AllotmentKeyNumber;
 
-constexpr Millis MaxRenewalAge{ 1500 };
-
 // Pool name under which the sum of a team's demand over all pools is kept.
 const std::string AllPools;
 
@@ -35,11 +33,6 @@
     , sessions_(sessions)
 {}
 
-bool AllotmentManager::isRecentlyRenewed(const EntryLink &link, Millis now) const
-{
-    return link.stream != nullptr && now - link.lastHeardAt < MaxRenewalAge;
-}
-
 // Entries that are stopping, or whose zone is taken out of service, are left out: they get only
 // what their waiting requests need.
 std::vector<EntryNumber> AllotmentManager::entriesInService(Millis now) const
@@ -48,7 +41,7 @@
     for (const auto &[number, link] : sessions_.links()) {
         const schema::SessionState *session = state_.sessions().find(number);
         if (session == nullptr || session->closed() || link.isStopping
-            || !isRecentlyRenewed(link, now)
+            || !sessions_.isRecentlyRenewed(number, now)
             || state_.config().isZoneOut(ZoneName(session->zone())))
             continue;
         entries.push_back(number);
--- a/Source/Basilgap/Control/AllotmentManager.h
+++ b/Source/Basilgap/Control/AllotmentManager.h
@@ -47,7 +47,6 @@
         const std::string &pool, const schema::TeamConfig &config) const;
     void updateWeights(const std::vector<EntryNumber> &entries);
     std::vector<EntryNumber> entriesInService(Millis now) const;
-    bool isRecentlyRenewed(const EntryLink &link, Millis now) const;
     bool canReclaim(
         const schema::SessionState &session, const std::string &keyName, Millis now) const;
     uint32_t totalAmountOf(const std::string &keyName, Millis now) const;
--- a/Source/Basilgap/Control/EntrySessions.cpp
+++ b/Source/Basilgap/Control/EntrySessions.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Millis SessionSilenceTimeout{ 5000 };
+constexpr Millis MaxRenewalAge{ 1500 };
 
 } // namespace
 
@@ -47,6 +48,13 @@
     leases.push_back({ revision, end });
 }
 
+bool EntrySessions::isRecentlyRenewed(EntryNumber number, Millis now) const
+{
+    const auto link = links_.find(number);
+    return link != links_.end() && link->second.stream != nullptr
+        && now - link->second.lastHeardAt < MaxRenewalAge;
+}
+
 void EntrySessions::streamClosed(const network::PeerStream *stream)
 {
     for (auto &[number, link] : links_) {
--- a/Source/Basilgap/Control/EntrySessions.h
+++ b/Source/Basilgap/Control/EntrySessions.h
@@ -58,6 +58,9 @@
     // time of the renewal that it answers.
     void recordConfirmation(EntryNumber number, Revision revision, Millis received);
 
+    // Whether the session is connected and has been renewed lately.
+    bool isRecentlyRenewed(EntryNumber number, Millis now) const;
+
     void streamClosed(const network::PeerStream *stream);
 
     // Whether no entry can still act on an older revision.
--- a/Source/Basilgap/Control/LeaderSessions.cpp
+++ b/Source/Basilgap/Control/LeaderSessions.cpp
@@ -37,6 +37,16 @@
     const schema::SessionState *session = state_.sessions().find(entry);
     if (session != nullptr && session->incarnation() == renew.incarnation())
         return acceptRenewal(stream, renew, EntryNumber(session->number()));
+    // Incarnations of entries have no order. While one of them is connected, the renewal of another
+    // one comes late, or from a second process with the id. An entry sends its state in full after
+    // its connection was closed.
+    if (session != nullptr
+        && sessions_.isRecentlyRenewed(EntryNumber(session->number()), steadyNow())) {
+        LogEvent("entry-renewal-refused", LogLevel::Warning)
+            .with("peer", entry.value())
+            .with("error", "another incarnation is connected");
+        return stream.close();
+    }
     std::vector<WaitingRenewal> &waiting = openingSessions_[entry];
     waiting.push_back({ .stream = stream.id(), .renew = renew });
     if (waiting.size() > 1)
--- a/Source/UnitTests/Control/LeaderTest.cpp
+++ b/Source/UnitTests/Control/LeaderTest.cpp
@@ -238,6 +238,24 @@
     EXPECT_TRUE(runUntil([this] { return backendKey() != 0; }));
 }
 
+// Guards against a session that a late renewal of the entry's earlier incarnation closes.
+TEST_F(LeaderTest, lateRenewalOfTheEarlierIncarnationDoesNotCloseTheSessionOfTheLaterOne)
+{
+    EntryLinkUnderTest &earlier = connect("e1");
+    EntryLinkUnderTest &later = connect("e1");
+    renew(earlier, renewalOf("e1", 1));
+    ASSERT_NO_FATAL_FAILURE(runFor(RestartTime));
+    schema::Renew restarted = renewalOf("e1", 1);
+    restarted.set_incarnation(8);
+    renew(later, restarted);
+    send(earlier, renewalOf("e1", 2));
+    ASSERT_NO_FATAL_FAILURE(runFor(ConfirmationTime));
+    const schema::SessionState *session = replica_->state().sessions().find(EntryId("e1"));
+    ASSERT_NE(session, nullptr);
+    EXPECT_EQ(session->incarnation(), 8U);
+    EXPECT_EQ(confirmationOf(earlier, 2), nullptr);
+}
+
 // Guards against a session that goes on over the connection that the entry has given up.
 TEST_F(LeaderTest, lateRenewalOnAnEarlierConnectionIsIgnored)
 {
