Count failures of exchanges for the incarnation they were sent to

What callers could see: a backend server that got no requests for 2 s or more right after its restart. Requests to its earlier incarnation ran into their time-outs, and five of them ejected the later one. Answers of the earlier one cleared its failures, too.

Failing before, passing after: BackendTable.failuresOfTheEarlierIncarnationDoNotEjectTheLaterOne.

An exchange remembers the incarnation that was known when it started. Its end releases the slot as before, but counts for that incarnation only.

--- a/Source/Basilgap/Entry/BackendTable.cpp
+++ b/Source/Basilgap/Entry/BackendTable.cpp
@@ -116,10 +116,17 @@
     return held;
 }
 
-void BackendTable::recordStart(const BackendId &backend)
+BackendTable::Peer BackendTable::recordStart(const BackendId &id)
 {
-    backends_[backend].activeExchanges++;
-    holdings_.acquire("backend/" + backend.value());
+    Backend &backend = backends_[id];
+    backend.activeExchanges++;
+    holdings_.acquire("backend/" + id.value());
+    return { .backend = id, .incarnation = Incarnation(backend.view.incarnation()) };
+}
+
+bool BackendTable::isPresent(const Backend &backend, const Peer &peer)
+{
+    return backend.view.incarnation() == peer.incarnation.value();
 }
 
 void BackendTable::releaseSlot(Backend *backend)
@@ -127,11 +134,13 @@
     holdings_.release("backend/" + backend->view.id());
 }
 
-void BackendTable::recordAnswer(const BackendId &id, double milliseconds)
+void BackendTable::recordAnswer(const Peer &peer, double milliseconds)
 {
-    Backend &backend = backends_[id];
+    Backend &backend = backends_[peer.backend];
     backend.activeExchanges--;
     releaseSlot(&backend);
+    if (!isPresent(backend, peer))
+        return;
     backend.consecutiveFailures = 0;
     backend.consecutiveEjections = 0;
     if (backend.latencyMs == 0)
@@ -139,25 +148,27 @@
     backend.latencyMs += LatencySmoothing * (milliseconds - backend.latencyMs);
 }
 
-void BackendTable::recordFailure(const BackendId &id, Millis now)
+void BackendTable::recordFailure(const Peer &peer, Millis now)
 {
-    Backend &backend = backends_[id];
+    Backend &backend = backends_[peer.backend];
     backend.activeExchanges--;
     releaseSlot(&backend);
-    countFailure(&backend, now);
+    countFailure(&backend, peer, now);
 }
 
 void BackendTable::recordAbandoned(
-    const BackendId &id, const TeamName &team, Millis now, Millis expiresAt)
+    const Peer &peer, const TeamName &team, Millis now, Millis expiresAt)
 {
-    Backend &backend = backends_[id];
+    Backend &backend = backends_[peer.backend];
     backend.activeExchanges--;
     backend.abandonedExchanges.push_back({ now, expiresAt, team });
-    countFailure(&backend, now);
+    countFailure(&backend, peer, now);
 }
 
-void BackendTable::countFailure(Backend *backend, Millis now)
+void BackendTable::countFailure(Backend *backend, const Peer &peer, Millis now)
 {
+    if (!isPresent(*backend, peer))
+        return;
     if (++backend->consecutiveFailures < FailuresToEject || now < backend->ejectedUntil)
         return;
     size_t poolSize = 0;
--- a/Source/Basilgap/Entry/BackendTable.h
+++ b/Source/Basilgap/Entry/BackendTable.h
@@ -41,6 +41,13 @@
         std::deque<AbandonedExchange> abandonedExchanges;
     };
 
+    // The other side of an exchange. How it ends tells nothing of later incarnations.
+    struct Peer
+    {
+        BackendId backend;
+        Incarnation incarnation;
+    };
+
     struct Options
     {
         ZoneName zone;
@@ -65,14 +72,14 @@
     // Sum of the slots that this entry holds on the pool's backend servers.
     uint32_t heldSlots(const PoolName &pool) const;
 
-    void recordStart(const BackendId &backend);
+    // Records an exchange with the backend server's present incarnation.
+    Peer recordStart(const BackendId &backend);
     // Records an exchange that ended with an answer.
-    void recordAnswer(const BackendId &backend, double milliseconds);
+    void recordAnswer(const Peer &peer, double milliseconds);
     // Records an exchange that ended without an answer and no longer runs.
-    void recordFailure(const BackendId &backend, Millis now);
+    void recordFailure(const Peer &peer, Millis now);
     // Records an exchange that was given up and may still run, at the latest until expiresAt.
-    void recordAbandoned(
-        const BackendId &backend, const TeamName &team, Millis now, Millis expiresAt);
+    void recordAbandoned(const Peer &peer, const TeamName &team, Millis now, Millis expiresAt);
 
     // Releases the slots of abandoned exchanges that have expired or that a backend server's later
     // report no longer counts. Returns the team of each one. The reply may be null.
@@ -86,7 +93,8 @@
     bool isUsable(const Backend &backend, Millis now) const;
     uint32_t freeSlots(const Backend &backend) const;
     double score(const Backend &backend) const;
-    void countFailure(Backend *backend, Millis now);
+    static bool isPresent(const Backend &backend, const Peer &peer);
+    void countFailure(Backend *backend, const Peer &peer, Millis now);
     void releaseSlot(Backend *backend);
 
     Options options_;
--- a/Source/Basilgap/Entry/Exchange.cpp
+++ b/Source/Basilgap/Entry/Exchange.cpp
@@ -79,7 +79,7 @@
     request->attemptId = options_.entry.value() + "-" + std::to_string(options_.incarnation.value())
         + "-" + std::to_string(nextAttemptNumber_++);
     request->connection = connections_.acquire(backend, address);
-    backends_.recordStart(backend);
+    request->backendIncarnation = backends_.recordStart(backend).incarnation;
     holdings_.acquire(teamHoldingName(request->caller.team));
     runningByFlow_[request->flow]++;
     const RequestId id = request->id;
@@ -114,10 +114,12 @@
     const Request &request, const ExchangeResult &result, bool fenced)
 {
     const Millis now = steadyNow();
+    const BackendTable::Peer peer{ .backend = request.backend,
+        .incarnation = request.backendIncarnation };
     runningByFlow_[request.flow]--;
     if (result.end == ExchangeEnd::Complete) {
         const auto elapsedMs = static_cast<double>((now - request.sentAt).count());
-        backends_.recordAnswer(request.backend, elapsedMs);
+        backends_.recordAnswer(peer, elapsedMs);
         holdings_.release(teamHoldingName(request.caller.team));
         if (!fenced)
             serviceTimes_[request.flow].add(elapsedMs);
@@ -131,14 +133,14 @@
         .with("sent", result.bytesSent);
     connections_.closeIdle(request.backend);
     if (!result.bytesSent) {
-        backends_.recordFailure(request.backend, now);
+        backends_.recordFailure(peer, now);
         holdings_.release(teamHoldingName(request.caller.team));
         return;
     }
     const schema::RouteConfig *route = view_.findRoute(request.http.path());
     const Millis maxDuration(
         route == nullptr ? request.deadline.count() - request.sentAt.count() : route->timeout_ms());
-    backends_.recordAbandoned(request.backend, request.caller.team, now, now + maxDuration);
+    backends_.recordAbandoned(peer, request.caller.team, now, now + maxDuration);
 }
 
 void Dispatcher::answerOrRetry(RequestPointer request, ExchangeResult result)
--- a/Source/Basilgap/Entry/Request.h
+++ b/Source/Basilgap/Entry/Request.h
@@ -33,6 +33,7 @@
     bool mayHaveRun = false;
     // The current attempt.
     BackendId backend;
+    Incarnation backendIncarnation;
     std::string attemptId;
     Millis sentAt;
     std::unique_ptr<network::HttpConnection> connection;
--- a/Source/UnitTests/Entry/EntryComponentsTest.cpp
+++ b/Source/UnitTests/Entry/EntryComponentsTest.cpp
@@ -208,8 +208,7 @@
     const Millis now(1000);
     const auto recordFailures = [&](const char *id, int times) {
         for (int i = 0; i < times; i++) {
-            table.recordStart(BackendId(id));
-            table.recordFailure(BackendId(id), now);
+            table.recordFailure(table.recordStart(BackendId(id)), now);
         }
     };
     recordFailures("b1", 5);
@@ -221,14 +220,38 @@
     EXPECT_TRUE(now < table.find(BackendId("b1"))->ejectedUntil);
 }
 
+// Guards against a backend server that is ejected right after its restart, because requests to its
+// earlier incarnation run into their time-outs.
+TEST(BackendTable, failuresOfTheEarlierIncarnationDoNotEjectTheLaterOne)
+{
+    HoldingTable holdings;
+    BackendTable table({ .zone = ZoneName("z1"), .seed = 1 }, holdings);
+    for (uint32_t i = 1; i <= 3; i++)
+        addBackend(&table, &holdings, i, "b" + std::to_string(i), "z1", 8);
+    const Millis now(1000);
+    const auto earlier = table.recordStart(BackendId("b1"));
+    for (int i = 0; i < 5; i++)
+        table.recordStart(BackendId("b1"));
+    schema::RenewReply restart = replyWith({});
+    *restart.add_backends() = table.find(BackendId("b1"))->view;
+    restart.mutable_backends(0)->set_incarnation(2);
+    table.update(restart);
+    table.recordFailure(earlier, now);
+    for (int i = 0; i < 5; i++)
+        table.recordAbandoned(earlier, TeamName("ghat"), now, now + Millis(5000));
+    const BackendTable::Backend &restarted = *table.find(BackendId("b1"));
+    EXPECT_EQ(restarted.consecutiveFailures, 0);
+    EXPECT_FALSE(now < restarted.ejectedUntil);
+}
+
 TEST(BackendTable, abandonedExchangeHoldsItsSlotUntilALaterReportOrExpiry)
 {
     HoldingTable holdings;
     BackendTable table({ .zone = ZoneName("z1"), .seed = 1 }, holdings);
     addBackend(&table, &holdings, 1, "b1", "z1", 1);
     const Millis now(10000);
-    table.recordStart(BackendId("b1"));
-    table.recordAbandoned(BackendId("b1"), TeamName("ghat"), now, now + Millis(5000));
+    const auto peer = table.recordStart(BackendId("b1"));
+    table.recordAbandoned(peer, TeamName("ghat"), now, now + Millis(5000));
     EXPECT_EQ(table.choose(Desk, {}, now), std::nullopt);
     schema::RenewReply reply;
     schema::BackendRunning *running = reply.add_running();
