Let a late poll end no later one

What was seen: a poll of a worker's earlier incarnation, or of the same one, that came late to an entry took the place of the later poll. That was answered 409, so the worker missed the lease that the leader was about to confirm.

Failing before, passing after: WorkerRelayTest.latePollOfTheEarlierIncarnationDoesNotEndThatOfTheLaterOne and latePollDoesNotEndALaterOneOfTheSameIncarnation.

The entry compares incarnation and sequence, and refuses the late poll; the leader would refuse it too. A closed connection can't drop the poll of a later incarnation with the same sequence: an answered request reports no end of its connection (EvhttpResponder::release).

--- a/Source/Basilgap/Entry/WorkerRelay.cpp
+++ b/Source/Basilgap/Entry/WorkerRelay.cpp
@@ -1,5 +1,6 @@
 #include "Basilgap/Entry/WorkerRelay.h"
 
+#include <utility>
 #include <vector>
 
 #include "Basilgap/Common/EventLog.h"
@@ -36,6 +37,13 @@
     return checksum(report.SerializeAsString());
 }
 
+// Each incarnation counts its polls from the start.
+bool isEarlier(const schema::WorkerReport &report, const schema::WorkerReport &other)
+{
+    return std::pair(report.incarnation(), report.sequence())
+        < std::pair(other.incarnation(), other.sequence());
+}
+
 bool hasOrders(const schema::WorkerOrders &orders)
 {
     return orders.start_size() + orders.stop_size() + orders.checkpoint_size()
@@ -73,6 +81,9 @@
     }
     const WorkerId worker(report->id());
     const auto previous = polls_.find(worker);
+    if (previous != polls_.end() && isEarlier(*report, previous->second.report))
+        return responder->answer(
+            network::errorResponse({ .status = 409, .error = "a later poll arrived" }));
     if (previous != polls_.end()) {
         previous->second.responder->answer(
             network::errorResponse({ .status = 409, .error = "a later poll arrived" }));
--- a/Source/UnitTests/Entry/WorkerRelayTest.cpp
+++ b/Source/UnitTests/Entry/WorkerRelayTest.cpp
@@ -112,4 +112,24 @@
     EXPECT_EQ(later->status(), 200);
 }
 
+// Guards against a worker that loses its poll to a call of its earlier incarnation which comes
+// late.
+TEST_F(WorkerRelayTest, latePollOfTheEarlierIncarnationDoesNotEndThatOfTheLaterOne)
+{
+    const auto later = poll(2, 1);
+    const auto late = poll(1, 9);
+    EXPECT_FALSE(later->isAnswered());
+    EXPECT_EQ(late->status(), 409);
+    receive(stopOrderFor(2, 1));
+    EXPECT_EQ(later->status(), 200);
+}
+
+TEST_F(WorkerRelayTest, latePollDoesNotEndALaterOneOfTheSameIncarnation)
+{
+    const auto later = poll(2, 5);
+    const auto late = poll(2, 4);
+    EXPECT_FALSE(later->isAnswered());
+    EXPECT_EQ(late->status(), 409);
+}
+
 } // namespace basilgap::entry
