Tell a resend the outcome when its entry does not get the claim

What callers saw: an answer without a status, or "not-run" for a request that may have run. An entry that asks the leader for a claim lets resends of the key wait for it, and other entries' joins, which name the claim by its key. If the leader refused, because an earlier incarnation of the entry or another entry holds the claim, those who waited were told "not-run" with an empty answer.

Failing before, passing after, in ClaimServiceTest: resendOfARequestOfTheEarlierIncarnationLearnsThatTheOutcomeIsUnknown, resendGoesOnWhenTheLeaderDidNotAnswerTheFirstRequestInTime and joinOfAClaimOfTheEarlierIncarnationIsNotAnsweredByTheLaterOne.

A claim that the leader did not accept is withdrawn. Resends then ask for themselves, within their own deadlines, and joins of other entries are told that the claim isn't here, so that the outcome is unknown.

--- a/Source/Basilgap/Entry/ClaimService.cpp
+++ b/Source/Basilgap/Entry/ClaimService.cpp
@@ -128,7 +128,7 @@
     const ClaimKey key = *request->claim;
     if (!reply) {
         releaseClaim(key);
-        claims_.finish(key, { .outcome = "not-run", .answer = {} }, steadyNow());
+        claims_.withdraw(key);
         return answer(*request,
             { .status = 503,
                 .error = reply.error().message,
@@ -139,7 +139,7 @@
     const schema::CommandOutcome &outcome = reply->outcome();
     if (outcome.code() == schema::ACCEPTED)
         return options_.runRequest(std::move(request));
-    claims_.finish(key, { .outcome = "not-run", .answer = {} }, steadyNow());
+    claims_.withdraw(key);
     if (outcome.code() == schema::CONFLICT)
         return answerBodyMismatch(*request);
     // A claim of this entry that is not in the local table was opened by an earlier incarnation, or
@@ -172,8 +172,11 @@
 void ClaimService::joinLocal(RequestPointer request)
 {
     auto sharedRequest = std::make_shared<RequestPointer>(std::move(request));
-    claims_.join(*(*sharedRequest)->claim,
-        [sharedRequest](const ClaimOutcome &outcome) { answerOutcome(**sharedRequest, outcome); });
+    claims_.join(*(*sharedRequest)->claim, [this, sharedRequest](const ClaimOutcome &outcome) {
+        if (outcome.isWithdrawn)
+            return submit(std::move(*sharedRequest));
+        answerOutcome(**sharedRequest, outcome);
+    });
 }
 
 network::PeerLink *ClaimService::linkTo(const EntryId &owner)
@@ -263,7 +266,8 @@
     };
     if (claims_.find(key, "") == LocalClaimTable::LookupResult::NotFound)
         return reply(false, {});
-    claims_.join(key, [reply](const ClaimOutcome &outcome) { reply(true, outcome); });
+    claims_.join(
+        key, [reply](const ClaimOutcome &outcome) { reply(!outcome.isWithdrawn, outcome); });
 }
 
 void ClaimService::handleJoinReply(const schema::JoinReply &reply)
--- a/Source/Basilgap/Entry/LocalClaimTable.cpp
+++ b/Source/Basilgap/Entry/LocalClaimTable.cpp
@@ -63,6 +63,17 @@
         waiter(outcome);
 }
 
+void LocalClaimTable::withdraw(const ClaimKey &key)
+{
+    const auto found = claims_.find(key);
+    if (found == claims_.end() || found->second.outcome)
+        return;
+    const std::vector<Waiter> waiters = std::move(found->second.waiters);
+    claims_.erase(found);
+    for (const Waiter &waiter : waiters)
+        waiter({ .outcome = "", .answer = {}, .isWithdrawn = true });
+}
+
 void LocalClaimTable::expire(Millis now, Millis retention)
 {
     while (!finishedClaims_.empty() && finishedClaims_.front().finishedAt + retention < now)
--- a/Source/Basilgap/Entry/LocalClaimTable.h
+++ b/Source/Basilgap/Entry/LocalClaimTable.h
@@ -28,6 +28,9 @@
     // "ran", "not-run" or "unknown".
     std::string outcome;
     schema::KeptAnswer answer;
+    // This entry did not get the claim, so there was no exchange, and the claim of another
+    // incarnation or entry may exist. Outcome and answer are empty.
+    bool isWithdrawn = false;
 };
 
 // The claims whose exchange runs or ran on this entry, with the answers retained for resends.
@@ -51,6 +54,9 @@
     // Calls the waiter when the exchange ends, or immediately if it has ended.
     void join(const ClaimKey &key, Waiter waiter);
 
+    // Removes a claim that the leader did not accept, and tells its waiters that it is withdrawn.
+    void withdraw(const ClaimKey &key);
+
     // Records the outcome of an exchange and calls its waiters. A claim with the outcome not-run is
     // removed, any other is retained.
     void finish(const ClaimKey &key, const ClaimOutcome &outcome, Millis now);
