Ask for the full report when a worker changed its entry

What was seen: an entry that had sent the same report before sends "unchanged" in its place, and the leader took that for the last report it had, also if that came through another entry and said something else. The worker's report was dropped in favour of an older one. By reading: a task whose memory was too high in one report only counts as too high in two, and is stopped.

Failing before, passing after: LeaderTest.unchangedReportIsTheOneThatTheSameEntrySentLast.

"Unchanged" holds for the stream of the last report only; on another one the leader asks for the full report, as it does after a change of leader. A worker whose polls go to another entry each time costs a further message for each poll that its entry takes for unchanged.

--- a/Source/Basilgap/Control/WorkerRegistry.cpp
+++ b/Source/Basilgap/Control/WorkerRegistry.cpp
@@ -76,6 +76,9 @@
         return fail(
             { ErrorCode::Conflict, "worker-report", report.id(), "a later report arrived" });
     }
+    // The entry compares a report with the last one that it has sent itself.
+    if (report.unchanged() && worker.stream != stream)
+        return fail({ ErrorCode::NotFound, "worker-report", report.id(), "reported elsewhere" });
     worker.sequence = report.sequence();
     worker.lastHeardAt = now;
     worker.stream = stream;
--- a/Source/Basilgap/Control/WorkerRegistry.h
+++ b/Source/Basilgap/Control/WorkerRegistry.h
@@ -92,8 +92,9 @@
     // lease that was renewed at `now`.
     WorkerRegistry(const state::CellState &state, Millis now);
 
-    // Records a report. The error says why it was refused. An `unchanged` report of a worker that
-    // the leader does not know yields NotFound: the worker has to send a full report.
+    // Records a report. The error says why it was refused. An `unchanged` report yields NotFound if
+    // the leader does not know the worker, or its last report came on another stream: the entry has
+    // to send the full report.
     Result<Worker *> recordReport(
         const schema::WorkerReport &report, network::PeerStream *stream, Millis now);
 
--- a/Source/UnitTests/Control/LeaderTest.cpp
+++ b/Source/UnitTests/Control/LeaderTest.cpp
@@ -188,6 +188,30 @@
     EXPECT_EQ(confirmedPolls(entry), std::vector<uint64_t>{ 2 });
 }
 
+// Guards against a report that counts as another one: a worker polls all entries in turn, and one
+// entry's "unchanged" is not another's.
+TEST_F(LeaderTest, unchangedReportIsTheOneThatTheSameEntrySentLast)
+{
+    EntryLinkUnderTest &first = connect("e1");
+    EntryLinkUnderTest &second = connect("e2");
+    sendReport(first, reportOf(1, 1));
+    ASSERT_TRUE(runUntil([&first] { return !confirmedPolls(first).empty(); }));
+    schema::WorkerReport withTask = reportOf(1, 2);
+    withTask.add_tasks()->set_job(1);
+    sendReport(second, withTask);
+    ASSERT_TRUE(runUntil([&second] { return !confirmedPolls(second).empty(); }));
+    schema::WorkerReport unchanged = reportOf(1, 3);
+    unchanged.set_unchanged(true);
+    sendReport(first, unchanged);
+    ASSERT_TRUE(runUntil([&first] { return first.received.size() == 2; }));
+    EXPECT_TRUE(first.received.back().worker_orders().orders(0).need_full());
+    sendReport(first, reportOf(1, 3));
+    ASSERT_TRUE(runUntil([&first] { return confirmedPolls(first).size() == 2; }));
+    unchanged.set_sequence(4);
+    sendReport(first, unchanged);
+    ASSERT_TRUE(runUntil([&first] { return confirmedPolls(first).size() == 3; }));
+}
+
 // Guards against slots that are taken for free while requests run under them: a backend server
 // announces itself to all entries in turn, and one entry's "as before" is not another's.
 TEST_F(LeaderTest, announcementThatAnEntryHeardAgainIsThatEntrysLastOne)
