--- a/Source/Basilgap/Control/EntrySessions.cpp
+++ b/Source/Basilgap/Control/EntrySessions.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Millis SessionSilenceTimeout{ 5000 };
+constexpr Millis MaxRenewalAge{ 1500 };
 
 } // namespace
 
@@ -27,6 +28,7 @@
         link.stream = stream;
     }
     link.lastHeardAt = now;
+    link.sequence = renew.sequence();
     link.reportedRevision = Revision(renew.revision());
     link.isStopping = renew.stopping();
     if (!renew.demand_unchanged())
@@ -46,6 +48,13 @@
     leases.push_back({ revision, end });
 }
 
+bool EntrySessions::isRecentlyRenewed(EntryNumber number, Millis now) const
+{
+    const auto link = links_.find(number);
+    return link != links_.end() && link->second.stream != nullptr
+        && now - link->second.lastHeardAt < MaxRenewalAge;
+}
+
 void EntrySessions::streamClosed(const network::PeerStream *stream)
 {
     for (auto &[number, link] : links_) {
@@ -100,6 +109,12 @@
     return result;
 }
 
+bool EntrySessions::isOutdated(EntryNumber number, const schema::Renew &renew) const
+{
+    const auto link = links_.find(number);
+    return link != links_.end() && renew.sequence() < link->second.sequence;
+}
+
 EntryLink *EntrySessions::find(EntryNumber number)
 {
     const auto found = links_.find(number);
--- a/Source/Basilgap/Control/EntrySessions.h
+++ b/Source/Basilgap/Control/EntrySessions.h
@@ -23,11 +23,15 @@
     EntryNumber number;
     network::PeerStream *stream = nullptr;
     Millis lastHeardAt;
+    // Of the last renewal. The entry counts them over all of its streams.
+    uint64_t sequence = 0;
     Revision reportedRevision;
     bool isStopping = false;
     std::vector<schema::TeamDemand> demand;
     std::map<uint32_t, schema::Holding> holdings;
     std::vector<uint32_t> doubtfulKeys;
+    // The last announcement that each backend server made to this entry.
+    std::map<BackendId, schema::Announcement> announcements;
     // Values last sent on the stream, so that only changes are sent.
     std::map<uint32_t, schema::AllotmentView> sentAllotments;
     std::map<uint32_t, schema::BackendView> sentBackends;
@@ -54,6 +58,9 @@
     // time of the renewal that it answers.
     void recordConfirmation(EntryNumber number, Revision revision, Millis received);
 
+    // Whether the session is connected and has been renewed lately.
+    bool isRecentlyRenewed(EntryNumber number, Millis now) const;
+
     void streamClosed(const network::PeerStream *stream);
 
     // Whether no entry can still act on an older revision.
@@ -65,6 +72,9 @@
     // Open sessions to close: silent for too long and without a lease.
     std::vector<schema::SessionState> silentSessions(Millis now) const;
 
+    // Whether the entry has sent a later renewal, on whichever stream.
+    bool isOutdated(EntryNumber number, const schema::Renew &renew) const;
+
     EntryLink *find(EntryNumber number);
     std::map<EntryNumber, EntryLink> &links() { return links_; }
     const std::map<EntryNumber, EntryLink> &links() const { return links_; }
--- a/Source/Basilgap/Control/Leader.h
+++ b/Source/Basilgap/Control/Leader.h
@@ -46,6 +46,12 @@
         std::function<void(bool)> callback;
     };
 
+    struct WaitingRenewal
+    {
+        uint64_t stream = 0;
+        schema::Renew renew;
+    };
+
     struct PendingCancel
     {
         uint64_t job = 0;
@@ -67,6 +73,7 @@
     // LeaderSessions.cpp
     void handleRenew(network::PeerStream &stream, const schema::Renew &renew);
     void acceptRenewal(network::PeerStream &stream, const schema::Renew &renew, EntryNumber number);
+    void recordAnnouncements(EntryLink *link, const schema::Renew &renew, Millis now);
     void confirmRenewal(uint64_t stream, EntryNumber number, uint64_t sequence, Millis received);
     void addChanges(EntryLink *link, schema::RenewReply *reply);
     void addRunningCounts(const EntryLink &link, schema::RenewReply *reply) const;
@@ -110,7 +117,8 @@
     bool allotmentsInFlight_ = false;
     bool tasksInFlight_ = false;
     bool jobsDirty_ = true;
-    std::set<EntryId> openingSessions_;
+    // Renewals that wait until the session of their entry is open, in the order of their arrival.
+    std::map<EntryId, std::vector<WaitingRenewal>> openingSessions_;
     Millis nextAllotmentPlanAt_;
     Millis lastJobUpdateAt_;
     Millis nextExpiryAt_;
--- a/Source/Basilgap/Control/LeaderSessions.cpp
+++ b/Source/Basilgap/Control/LeaderSessions.cpp
@@ -37,7 +37,19 @@
     const schema::SessionState *session = state_.sessions().find(entry);
     if (session != nullptr && session->incarnation() == renew.incarnation())
         return acceptRenewal(stream, renew, EntryNumber(session->number()));
-    if (!openingSessions_.insert(entry).second)
+    // Incarnations of entries have no order. While one of them is connected, the renewal of another
+    // one comes late, or from a second process with the id. An entry sends its state in full after
+    // its connection was closed.
+    if (session != nullptr
+        && sessions_.isRecentlyRenewed(EntryNumber(session->number()), steadyNow())) {
+        LogEvent("entry-renewal-refused", LogLevel::Warning)
+            .with("peer", entry.value())
+            .with("error", "another incarnation is connected");
+        return stream.close();
+    }
+    std::vector<WaitingRenewal> &waiting = openingSessions_[entry];
+    waiting.push_back({ .stream = stream.id(), .renew = renew });
+    if (waiting.size() > 1)
         return;
     LogEvent("entry-session-opens").with("peer", entry.value());
     schema::Command command;
@@ -46,23 +58,28 @@
     open->set_incarnation(renew.incarnation());
     open->set_zone(renew.zone());
     open->set_peer_address(renew.peer_address());
-    replica_.propose(command, guarded([this, entry, renew, id = stream.id()](const auto &outcome) {
+    replica_.propose(command, guarded([this, entry](const auto &outcome) {
+        const std::vector<WaitingRenewal> arrived = std::move(openingSessions_[entry]);
         openingSessions_.erase(entry);
-        const auto found = streams_.find(id);
-        if (outcome.code() == schema::ACCEPTED && found != streams_.end())
-            handleRenew(*found->second, renew);
+        if (outcome.code() != schema::ACCEPTED)
+            return;
+        // An entry sends each change once, so none of its renewals may be left out.
+        for (const WaitingRenewal &renewal : arrived) {
+            const auto found = streams_.find(renewal.stream);
+            if (found != streams_.end())
+                handleRenew(*found->second, renewal.renew);
+        }
     }));
 }
 
 void Leader::acceptRenewal(
     network::PeerStream &stream, const schema::Renew &renew, EntryNumber number)
 {
+    if (sessions_.isOutdated(number, renew))
+        return;
     const Millis now = steadyNow();
     EntryLink &link = sessions_.recordRenewal(number, &stream, renew, now);
-    for (const auto &announcement : renew.announcements())
-        backends_.recordAnnouncement(announcement, now);
-    for (const auto &id : renew.heard())
-        backends_.recordUnchangedAnnouncement(BackendId(id), now);
+    recordAnnouncements(&link, renew, now);
     if (renew.announcements_size() > 0)
         nextAllotmentPlanAt_ = Millis();
     completeInForceWaiters();
@@ -73,6 +90,24 @@
     }));
 }
 
+// A backend server announces itself to all entries in turn, so what one of them heard again need
+// not be the last announcement of all.
+void Leader::recordAnnouncements(EntryLink *link, const schema::Renew &renew, Millis now)
+{
+    for (const auto &announcement : renew.announcements()) {
+        link->announcements[BackendId(announcement.id())] = announcement;
+        backends_.recordAnnouncement(announcement, now);
+    }
+    for (const auto &id : renew.heard()) {
+        const auto last = link->announcements.find(BackendId(id));
+        if (last != link->announcements.end())
+            backends_.recordAnnouncement(last->second, now);
+    }
+    if (renew.announcements_size() > 0)
+        std::erase_if(link->announcements,
+            [this](const auto &entry) { return backends_.find(entry.first) == nullptr; });
+}
+
 void Leader::confirmRenewal(uint64_t stream, EntryNumber number, uint64_t sequence, Millis received)
 {
     EntryLink *link = sessions_.find(number);
--- a/Source/Basilgap/Control/WorkerRegistry.cpp
+++ b/Source/Basilgap/Control/WorkerRegistry.cpp
@@ -31,6 +31,7 @@
     ends_->add_peak_memory_mb(static_cast<uint64_t>(peakMemoryMb));
     previousJob_ = job;
     previousTask_ = task.index;
+    tasks_.insert(task);
 }
 
 WorkerRegistry::WorkerRegistry(const state::CellState &state, Millis now)
@@ -46,6 +47,9 @@
     if (found == workers_.end() && report.unchanged())
         return fail({ ErrorCode::NotFound, "worker-report", report.id(), "not known" });
     const Incarnation incarnation(report.incarnation());
+    if (wasLaterIncarnationRegistered(id, incarnation))
+        return fail({ ErrorCode::Conflict, "worker-report", report.id(),
+            "a later incarnation has registered" });
     if (found == workers_.end() && mayOtherIncarnationHoldLease(id, incarnation, now))
         return fail({ ErrorCode::Conflict, "worker-report", report.id(),
             "another incarnation may still hold its lease" });
@@ -72,6 +76,9 @@
         return fail(
             { ErrorCode::Conflict, "worker-report", report.id(), "a later report arrived" });
     }
+    // The entry compares a report with the last one that it has sent itself.
+    if (report.unchanged() && worker.stream != stream)
+        return fail({ ErrorCode::NotFound, "worker-report", report.id(), "reported elsewhere" });
     worker.sequence = report.sequence();
     worker.lastHeardAt = now;
     worker.stream = stream;
@@ -94,6 +101,13 @@
         && now < leadershipStart_ + WorkerLease + WorkerLeaseMargin;
 }
 
+bool WorkerRegistry::wasLaterIncarnationRegistered(
+    const WorkerId &id, Incarnation incarnation) const
+{
+    const auto registered = state_.jobs().incarnationOf(state_.jobs().numberOf(id));
+    return registered && incarnation < *registered;
+}
+
 bool WorkerRegistry::isRegistered(const Worker &worker) const
 {
     const WorkerNumber number = state_.jobs().numberOf(worker.id);
@@ -132,22 +146,37 @@
 
 void WorkerRegistry::countMissingPolls(Worker *worker)
 {
-    std::map<TaskId, int> missingPolls;
+    std::map<TaskId, MissingRun> missingRuns;
     for (const TaskId &id : state_.jobs().runningOn(state_.jobs().numberOf(worker->id))) {
         const auto reported = worker->tasks.find(id);
         const uint32_t epoch = state_.jobs().find(id)->epoch;
-        if (reported == worker->tasks.end() || reported->second.epoch < epoch)
-            missingPolls[id] = worker->missingPolls[id] + 1;
+        if (reported != worker->tasks.end() && reported->second.epoch >= epoch)
+            continue;
+        const auto before = worker->missingRuns.find(id);
+        const bool isSameRun = before != worker->missingRuns.end() && before->second.epoch == epoch;
+        missingRuns[id] = { .epoch = epoch, .polls = isSameRun ? before->second.polls + 1 : 1 };
     }
-    worker->missingPolls = std::move(missingPolls);
+    worker->missingRuns = std::move(missingRuns);
 }
 
-void WorkerRegistry::extendLease(const WorkerId &worker, Millis received)
+bool WorkerRegistry::isMissing(const Worker &worker, const TaskId &task) const
 {
-    const auto found = workers_.find(worker);
-    if (found != workers_.end())
-        found->second.leaseEnd =
-            std::max(found->second.leaseEnd, received + WorkerLease + WorkerLeaseMargin);
+    const auto missing = worker.missingRuns.find(task);
+    return missing != worker.missingRuns.end()
+        && missing->second.epoch == state_.jobs().find(task)->epoch
+        && missing->second.polls >= MissingPollsBeforeLost;
+}
+
+const Worker *WorkerRegistry::extendLease(const ReportId &report, Millis received)
+{
+    const auto found = workers_.find(report.worker);
+    if (found == workers_.end())
+        return nullptr;
+    Worker &worker = found->second;
+    if (worker.incarnation != report.incarnation || worker.sequence != report.sequence)
+        return nullptr;
+    worker.leaseEnd = std::max(worker.leaseEnd, received + WorkerLease + WorkerLeaseMargin);
+    return &worker;
 }
 
 void WorkerRegistry::streamClosed(const network::PeerStream *stream)
@@ -180,6 +209,7 @@
         const auto reported = worker.tasks.find(id);
         const bool started = reported != worker.tasks.end() && reported->second.epoch >= task.epoch;
         if (started || !isRegistered(worker) || job.isFinished() || stopping.contains(id)
+            || ending_.contains(id) || isMissing(worker, id)
             || state_.config().isZoneOut(worker.zone))
             continue;
         schema::TaskStart *start = orders.add_start();
@@ -224,6 +254,7 @@
         for (const TaskId &id : tasks)
             addTaskEnd(id, number, stopping, health, now, &writer);
     }
+    ending_ = writer.tasks();
     return ends;
 }
 
@@ -244,9 +275,7 @@
     const uint32_t epoch = state_.jobs().find(id)->epoch;
     const auto reported = worker.tasks.find(id);
     if (reported == worker.tasks.end() || reported->second.epoch < epoch) {
-        const auto missingPolls = worker.missingPolls.find(id);
-        if (missingPolls != worker.missingPolls.end()
-            && missingPolls->second >= MissingPollsBeforeLost)
+        if (isMissing(worker, id))
             ends->add(id, schema::TASK_LOST, "the worker does not run the task", 0);
         return;
     }
--- a/Source/Basilgap/Control/WorkerRegistry.h
+++ b/Source/Basilgap/Control/WorkerRegistry.h
@@ -31,8 +31,11 @@
     void add(
         const TaskId &task, schema::TaskEnd end, const std::string &reason, int64_t peakMemoryMb);
 
+    const std::set<TaskId> &tasks() const { return tasks_; }
+
 private:
     schema::TaskEnds *ends_;
+    std::set<TaskId> tasks_;
     int64_t previousJob_ = 0;
     int64_t previousTask_ = 0;
 };
@@ -49,6 +52,14 @@
     int64_t peakMemoryMb = 0;
 };
 
+// A run that its worker has not reported yet.
+struct MissingRun
+{
+    uint32_t epoch = 0;
+    // Consecutive polls without it.
+    int polls = 0;
+};
+
 struct Worker
 {
     WorkerId id;
@@ -58,13 +69,20 @@
     RackName rack;
     state::Resources capacity;
     std::map<TaskId, ReportedTask> tasks;
-    // Consecutive polls in which a task that should run was missing.
-    std::map<TaskId, int> missingPolls;
+    std::map<TaskId, MissingRun> missingRuns;
     Millis lastHeardAt;
     Millis leaseEnd;
     network::PeerStream *stream = nullptr;
 };
 
+// Names one report: each incarnation of a worker counts its reports from the start.
+struct ReportId
+{
+    WorkerId worker;
+    Incarnation incarnation;
+    uint64_t sequence = 0;
+};
+
 // Tracks the workers by their reports and leases, and compares the tasks that they run with the
 // tasks that they should run.
 class WorkerRegistry
@@ -74,21 +92,24 @@
     // lease that was renewed at `now`.
     WorkerRegistry(const state::CellState &state, Millis now);
 
-    // Records a report. The error says why it was refused. An `unchanged` report of a worker that
-    // the leader does not know yields NotFound: the worker has to send a full report.
+    // Records a report. The error says why it was refused. An `unchanged` report yields NotFound if
+    // the leader does not know the worker, or its last report came on another stream: the entry has
+    // to send the full report.
     Result<Worker *> recordReport(
         const schema::WorkerReport &report, network::PeerStream *stream, Millis now);
 
-    // Extends the lease of a worker whose poll is answered. `received` is the arrival time of the
-    // poll.
-    void extendLease(const WorkerId &worker, Millis received);
+    // Extends the lease of the worker whose poll is answered. `received` is the arrival time of the
+    // poll. Returns null, and extends nothing, if the worker has reported again since, whichever
+    // its incarnation: it counts the lease from its last poll, so that one has to be confirmed.
+    const Worker *extendLease(const ReportId &report, Millis received);
 
     void streamClosed(const network::PeerStream *stream);
 
     // Orders that make the worker run what the cell state says.
     schema::WorkerOrders ordersFor(const Worker &worker, const std::set<TaskId> &stopping) const;
 
-    // Task ends that are known but not recorded in the cell state yet.
+    // Task ends that are known but not recorded in the cell state yet. Until the next call these
+    // runs are not started any more.
     schema::TaskEnds collectEnds(
         const std::set<TaskId> &stopping, scheduling::WorkerHealth *health, Millis now);
 
@@ -107,6 +128,7 @@
     const std::map<WorkerId, Worker> &all() const { return workers_; }
 
 private:
+    bool wasLaterIncarnationRegistered(const WorkerId &id, Incarnation incarnation) const;
     // Whether another incarnation may hold a lease from an earlier leader.
     bool mayOtherIncarnationHoldLease(
         const WorkerId &id, Incarnation incarnation, Millis now) const;
@@ -115,6 +137,8 @@
     void updateTasks(const schema::WorkerReport &report, Worker *worker);
     void countOverMemoryReports(Worker *worker);
     void countMissingPolls(Worker *worker);
+    // Whether the worker has had the chance to report the task's present run for too long.
+    bool isMissing(const Worker &worker, const TaskId &task) const;
     void addTaskEnd(const TaskId &id, WorkerNumber number, const std::set<TaskId> &stopping,
         scheduling::WorkerHealth *health, Millis now, TaskEndWriter *ends);
     void addReportedEnd(const TaskId &id, const ReportedTask &reported, WorkerNumber number,
@@ -124,6 +148,8 @@
     const state::CellState &state_;
     Millis leadershipStart_;
     std::map<WorkerId, Worker> workers_;
+    // Tasks of the ends that were collected last.
+    std::set<TaskId> ending_;
 };
 
 } // namespace basilgap::control
