Blame runs within the longest lease for the loss of a restarted worker

A task that crashes its workers could stay unknown as such: after a change of leader the loss of a restarted worker that the new leader had never heard counted as WORKER_LOST_LATER, which clears what is known of the task's crashes, although the run may have been the one that crashed it.

Cause: lossOf took a worker that was never heard for lost within an ordinary lease (3.5 s) before the session opened. A restarted worker may have held the longest lease that workers grant, so an earlier leader may have waited for it up to that long; the run that crashed it may be as old.

Now lossOf uses longestEarlierLease, as the grace of a new leader does. For other workers this allows for a slow clock too: 3571 ms in place of 3500 ms.

Failing before, on the unchanged session: RestartedWorkerTest.aNewLeaderBlamesTheRunsThatWereLoggedWithinTheLongestLease ends[1].workerLoss: 2 (WORKER_LOST_LATER), expected 3 (WORKER_LOST_BEFORE_ANSWER) Passing after.

--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -48,9 +48,14 @@
 }
 
 Millis WorkerSession::longestEarlierLease(const SessionTimes &times, const schema::WorkerLife &life)
+{
+    return longestEarlierLease(times, life.restarted());
+}
+
+Millis WorkerSession::longestEarlierLease(const SessionTimes &times, bool isRestart)
 {
     const Millis lease =
-        life.restarted() ? std::max(times.leaseDuration, times.maxLease) : times.leaseDuration;
+        isRestart ? std::max(times.leaseDuration, times.maxLease) : times.leaseDuration;
     return Millis(
         static_cast<int64_t>(static_cast<double>(lease.count()) / (1.0 - times.maxClockDrift)));
 }
@@ -610,8 +615,9 @@
         return schema::WORKER_NOT_LOST;
     // A worker that this leader has never heard was lost at some time since the last lease that an
     // earlier leader can have granted.
-    const Millis earliestStart = lastHeardAt_ ? *lastHeardAt_ - options_.times.startLossWindow
-                                              : openedAt_ - options_.times.leaseDuration;
+    const Millis earliestStart = lastHeardAt_
+        ? *lastHeardAt_ - options_.times.startLossWindow
+        : openedAt_ - longestEarlierLease(options_.times, options_.isRestart);
     if (run.startedAt < earliestStart)
         return schema::WORKER_LOST_LATER;
     return run.hasBegun ? schema::WORKER_LOST_AT_START : schema::WORKER_LOST_BEFORE_ANSWER;
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -235,6 +235,7 @@
     // How long a lease that an earlier leader has granted to the incarnation may last, by this
     // leader's clock.
     static Millis longestEarlierLease(const SessionTimes &times, const schema::WorkerLife &life);
+    static Millis longestEarlierLease(const SessionTimes &times, bool isRestart);
 
     // Whether the worker answers and all of its runs are known. A run that is not in the table uses
     // capacity that the table counts as free.
--- a/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
@@ -71,6 +71,31 @@
     EXPECT_EQ(WorkerSession::longestEarlierLease({ .maxLease = Millis(2000) }, life), Millis(3571));
 }
 
+// Guards against LOST: a restarted worker may have held the longest lease, so that the start which
+// had crashed it was logged longer ago than an ordinary lease lasts. It counted as a run that had
+// outlived its start, which clears what is known of the task's crashes.
+TEST_F(RestartedWorkerTest, aNewLeaderBlamesTheRunsThatWereLoggedWithinTheLongestLease)
+{
+    const Millis lease = SessionTimes().maxLease;
+    isRestart = true;
+    logStart(0, 1, now - lease * 2);
+    logStart(1, 1, now - lease);
+    openSession();
+    tickFor(SessionTimes().pollWait + Millis(500));
+    ASSERT_EQ(ends.size(), 2U);
+    EXPECT_EQ(ends[0].workerLoss, schema::WORKER_LOST_LATER);
+    EXPECT_EQ(ends[1].workerLoss, schema::WORKER_LOST_BEFORE_ANSWER);
+}
+
+TEST_F(RestartedWorkerTest, aNewLeaderBlamesNoOlderRunsOfAWorkerThatHasNotRestarted)
+{
+    logStart(0, 1, now - SessionTimes().maxLease);
+    openSession();
+    tickFor(SessionTimes().pollWait + Millis(500));
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].workerLoss, schema::WORKER_LOST_LATER);
+}
+
 // Guards against TWICE: an earlier incarnation's late poll, or a stale start, was not refused by
 // the later one.
 TEST_F(RestartedWorkerTest, ordersToALaterIncarnationCarryAHigherToken)
