Mark workers that come back after the state has forgotten them

A task could run twice after a change of leader: a worker that was dropped for its silence and came back under its id wasn't marked as restarted, so the next leader waited for an ordinary lease (3.6 s), while a call for the worker's earlier incarnation might have granted it the longest one (6 to 10 s).

Reachable: a worker is dropped 12 s after its last answer at the earliest (MaxWorkerSilence in dropSilentWorkers) and its record removed with it or with the end of its last run (WorkTable::removeIncarnation). The lease is renewed until the worker counts as silent, up to 1.7 s after that answer (WorkerSession::poll), so such calls are some 10 s old then. One that is carried out 9 to 12 s after it was sent, on a site with a lease of 6 s (5 s are enough with one of 10 s), can reach the next incarnation just before it registers and answers; if the leader changes within the next seconds and the worker is cut off, the new leader releases its runs too early. A leave message of the platform removes no record, it only marks it as leaving.

Cause: the state derives the mark from the record of the earlier incarnation, which is gone then. The leader that registers the worker reckons with the longest lease for every new incarnation, but didn't log it.

Now that leader logs the mark: if it knows an earlier incarnation, also one that is being dropped, or if it has seen one removed lately. What earlier leaders have removed isn't known, so for the same time after it began to lead it marks all workers that register, unless the numbers show that nothing was ever removed. Why no larger step: marking every worker needs no bound, but then each change of leader waits longer for all workers.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -22,6 +22,10 @@
 // incarnation. A worker that returns later announces itself, as each does every second or two.
 constexpr Millis MaxWorkerSilence{ 12000 };
 
+// Assumed longest time from when a call to a worker is sent until it is carried out. The protocol
+// gives no bound.
+constexpr Millis MaxCallDelay{ 12000 };
+
 // Less than the minimum silence after which another replica may be elected.
 constexpr Millis MaxOrderConfirmationAge{ 300 };
 // Workers that fail every task recover within seconds here; a single task then tests whether they
@@ -42,6 +46,11 @@
           .maxQuarantine = MaxQuarantine })
     , waitingSteps_(options_.forecastUses.expectedDuration ? &speeds_ : nullptr)
     , admission_(std::max(wallNow(), Millis(static_cast<int64_t>(state_.clockMs()))))
+    , forgottenWorkers_({
+          .retention = MaxCallDelay + WorkerSession::longestEarlierLease(options_.times, true),
+          .leaderSince = steadyNow(),
+          .hasUnknown = state_.works().hasRemovedIncarnations(),
+      })
     , leaderSince_(steadyNow())
     , term_(options_.replica.core().term().value())
     , wallAtStart_(wallNow())
@@ -188,10 +197,12 @@
 {
     const Millis now = steadyNow();
     workersChanged_ = true;
-    std::erase_if(sessions_, [this](const auto &entry) {
+    std::erase_if(sessions_, [this, now](const auto &entry) {
         const bool isGone = state_.works().findIncarnation(entry.first) == nullptr;
-        if (isGone)
+        if (isGone) {
             options_.workers.closeIdleConnections(entry.second->endpoint());
+            forgottenWorkers_.add(entry.second->endpoint().id, now);
+        }
         return isGone;
     });
     for (const auto &[number, incarnation] : state_.works().workers()) {
@@ -204,6 +215,9 @@
         if (incarnation.gone() || newest == nullptr || newest->number() != incarnation.number())
             sessions_.at(number)->supersede(
                 tokenFor(newest == nullptr ? incarnation : *newest), now);
+        // It is removed once the last of its runs has ended, which may take no record of workers.
+        if (incarnation.gone())
+            forgottenWorkers_.add(incarnation.id(), now);
         // A later incarnation is dropped only after a silence that outlasts its lease.
         const bool isSuccessorDropped =
             incarnation.gone() && newest != nullptr && newest->number() == incarnation.number();
@@ -230,7 +244,7 @@
             .number = number,
             .endpoint = { incarnation.id(), incarnation.address(), incarnation.zone() },
             .incarnationStartMs = incarnation.born_ms(),
-            // A worker whose earlier incarnation was forgotten isn't marked as restarted.
+            // The mark of a worker whose earlier incarnation was forgotten rests on MaxCallDelay.
             .isRestart = incarnation.restarted() || hasTakenOver_,
             .fencingToken = tokenFor(incarnation),
             .graceEnd = leaderSince_ + longestLease + Millis(500),
@@ -376,6 +390,7 @@
 void WorkDispatcher::dropSilentWorkers(Millis now)
 {
     nextDrop_ = now + DropInterval;
+    forgottenWorkers_.prune(now);
     schema::Command command;
     std::vector<state::WorkerNumber> dropped;
     for (const auto &[number, session] : sessions_) {
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -11,6 +11,7 @@
 #include "Basilgap/Control/Replica.h"
 #include "Basilgap/Dispatch/AdvicePool.h"
 #include "Basilgap/Dispatch/ForecastAccuracy.h"
+#include "Basilgap/Dispatch/ForgottenWorkers.h"
 #include "Basilgap/Dispatch/PlanWorkers.h"
 #include "Basilgap/Dispatch/StageTimes.h"
 #include "Basilgap/Dispatch/WorkerSession.h"
@@ -242,6 +243,7 @@
     Millis nextEndingStepsUpdate_;
     Millis nextPrune_;
     Millis nextDrop_;
+    ForgottenWorkers forgottenWorkers_;
     // Incarnations whose removal is not committed yet.
     std::set<state::WorkerNumber> workersBeingDropped_;
     StageTimes stageTimes_;
--- a/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
@@ -378,6 +378,9 @@
     *incarnation = announcement.life();
     incarnation->set_number(nextWorkerNumber_++);
     incarnation->set_announced_sequence(announcement.sequence());
+    // The previous incarnation may be removed before this record is applied.
+    incarnation->set_restarted(
+        previous != nullptr || forgottenWorkers_.mayContain(announcement.life().id(), steadyNow()));
     if (previous != nullptr) {
         schema::WorkerLife *gone = batch->add_workers();
         *gone = *previous;
--- a/Source/Basilgap/State/WorkTable.h
+++ b/Source/Basilgap/State/WorkTable.h
@@ -150,6 +150,8 @@
     // The newest incarnation of the worker, or null.
     const schema::WorkerLife *newestIncarnation(const std::string &id) const;
     WorkerNumber nextWorker() const { return WorkerNumber(nextWorker_); }
+    // True if an incarnation was removed since the first one registered; possibly also if none was.
+    bool hasRemovedIncarnations() const { return workers_.size() + 1 < nextWorker_; }
 
     // Runs that ended when this incarnation of a worker was lost, while it is not known whether it
     // has crashed.
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -214,11 +214,12 @@
         ASSERT_TRUE(runUntil([this] { return accepted_ == 1; }));
     }
 
-    void announceWorker(uint64_t incarnationStartMs = IncarnationStartMs)
+    void announceWorker(
+        uint64_t incarnationStartMs = IncarnationStartMs, const std::string &id = "w1")
     {
         schema::RpcRequest request;
         schema::WorkerLife *life = request.mutable_announcement()->mutable_life();
-        life->set_id("w1");
+        life->set_id(id);
         life->set_born_ms(incarnationStartMs);
         life->set_address("127.0.0.1:1");
         life->set_zone("z1");
@@ -229,6 +230,36 @@
         dispatcher_->handleRequest(request, [](const schema::RpcReply &) {});
     }
 
+    // Proposes the record that is logged after a long silence of the worker.
+    void proposeDrop()
+    {
+        schema::Command command;
+        schema::WorkerLife *dropped = command.mutable_runs()->add_workers();
+        *dropped = *workers().newestIncarnation("w1");
+        dropped->set_gone(true);
+        propose(std::move(command));
+    }
+
+    void dropWorker()
+    {
+        ASSERT_TRUE(runUntil([this] { return workers().newestIncarnation("w1") != nullptr; }));
+        proposeDrop();
+        ASSERT_TRUE(runUntil([this] { return workers().newestIncarnation("w1") == nullptr; }));
+    }
+
+    // Announces an incarnation and waits until it is registered.
+    const schema::WorkerLife &registerWorker(uint64_t incarnationStartMs, const std::string &id)
+    {
+        announceWorker(incarnationStartMs, id);
+        EXPECT_TRUE(runUntil([&] {
+            const schema::WorkerLife *newest = workers().newestIncarnation(id);
+            return newest != nullptr && newest->born_ms() == incarnationStartMs;
+        }));
+        return *workers().newestIncarnation(id);
+    }
+
+    const state::WorkTable &workers() const { return replica_->state().works(); }
+
     void submit(uint32_t tasks, bool isGang = false)
     {
         schema::Command command;
@@ -409,20 +440,57 @@
     submit(1);
     ASSERT_TRUE(runWorkerUntil([this] { return worker_.holdsStartOf(0); }));
     announceWorker(IncarnationStartMs + 1);
-    const state::WorkTable &table = replica_->state().works();
-    ASSERT_TRUE(runWorkerUntil([this, &table] {
-        return table.newestIncarnation("w1")->born_ms() > IncarnationStartMs
+    ASSERT_TRUE(runWorkerUntil([this] {
+        return workers().newestIncarnation("w1")->born_ms() > IncarnationStartMs
             && worker_.stopCount() > 0;
     }));
     EXPECT_EQ(phaseCount(state::RunPhase::Running), 1U);
-    schema::Command command;
-    schema::WorkerLife *dropped = command.mutable_runs()->add_workers();
-    *dropped = *table.newestIncarnation("w1");
-    dropped->set_gone(true);
-    propose(std::move(command));
+    proposeDrop();
     EXPECT_TRUE(runWorkerUntil([this] { return phaseCount(state::RunPhase::Waiting) == 1; }));
 }
 
+// Guards against TWICE: a call for the earlier incarnation may still reach a worker that comes back
+// after the state has forgotten it. The next leader took its lease for an ordinary one.
+TEST_F(WorkDispatcherTest, aWorkerThatComesBackAfterItWasDroppedIsMarkedAsRestarted)
+{
+    ASSERT_NO_FATAL_FAILURE(dropWorker());
+    EXPECT_TRUE(registerWorker(IncarnationStartMs + 1, "w1").restarted());
+    EXPECT_FALSE(registerWorker(IncarnationStartMs, "w2").restarted());
+}
+
+// The same if it registers while its drop is being logged.
+TEST_F(WorkDispatcherTest, aWorkerThatComesBackWhileItIsDroppedIsMarkedAsRestarted)
+{
+    ASSERT_TRUE(runUntil([this] { return workers().newestIncarnation("w1") != nullptr; }));
+    proposeDrop();
+    EXPECT_TRUE(registerWorker(IncarnationStartMs + 1, "w1").restarted());
+}
+
+// The same if the state forgets it once the last of its runs has ended.
+TEST_F(WorkDispatcherTest, aWorkerThatComesBackAfterItsLastRunHasEndedIsMarkedAsRestarted)
+{
+    submit(1);
+    ASSERT_TRUE(runWorkerUntil([this] { return worker_.runningCount() == 1; }));
+    proposeDrop();
+    ASSERT_TRUE(runUntil([this] { return workers().newestIncarnation("w1") == nullptr; }));
+    EXPECT_TRUE(registerWorker(IncarnationStartMs + 1, "w1").restarted());
+}
+
+// The same if an earlier leader has dropped it, which the state doesn't tell.
+TEST_F(WorkDispatcherTest, aWorkerThatAnEarlierLeaderHasDroppedIsMarkedAsRestarted)
+{
+    ASSERT_NO_FATAL_FAILURE(dropWorker());
+    lead();
+    EXPECT_TRUE(registerWorker(IncarnationStartMs + 1, "w1").restarted());
+}
+
+TEST_F(WorkDispatcherTest, aNewLeaderMarksNoNewWorkerIfNoneWasForgotten)
+{
+    ASSERT_TRUE(runUntil([this] { return workers().newestIncarnation("w1") != nullptr; }));
+    lead();
+    EXPECT_FALSE(registerWorker(IncarnationStartMs, "w2").restarted());
+}
+
 // Guards against LOST: a task whose percentage rises slowly was stopped as hanging after three
 // seconds each time, and never done.
 TEST_F(WorkDispatcherTest, aTaskWhosePercentageRisesSlowlyIsDone)
