Start a task again whose start was logged after the removal of its worker

A task could wait for ever: its start was planned while the record of its worker's restart (or drop) was being logged, and came after that in the log. The state took the run for running on an incarnation that it had just removed. No session had it, so the leader never sent, stopped or ended it; nor did later leaders. It needs a worker that registers again before its earlier session has missed an answer.

Now the leader ends such a run as lost once its start is applied, and a new leader ends those it finds in the table. That is safe: an incarnation with runs stays in the table until they have ended, so a run on one that isn't there was logged after the removal, and whoever has applied both has no session to send the start with. The state applies old and new records as before. The model's leader does the same.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -62,6 +62,7 @@
         speeds_.useForecast(&forecast_);
     reconcileSessions();
     hasTakenOver_ = true;
+    endStrandedRuns();
     tickTimer_.startRepeating(TickInterval);
 }
 
@@ -294,6 +295,13 @@
         session->second->applyEnd(task, report);
 }
 
+void WorkDispatcher::endStrandedRuns()
+{
+    for (const auto &[task, run] : state_.works().strandedRuns())
+        recordEnd(state_.works().find(task)->worker,
+            { .task = task, .run = run, .outcome = schema::RUN_LOST });
+}
+
 void WorkDispatcher::recordEnd(state::WorkerNumber worker, const EndedRun &ended)
 {
     const StepTaskRef &task = ended.task;
@@ -514,8 +522,13 @@
         const auto session = sessions_.find(worker);
         const bool isCurrent = state != nullptr && state->phase == state::RunPhase::Running
             && state->run == start.run() && state->worker == worker;
-        if (!isCurrent || session == sessions_.end())
+        if (!isCurrent)
             continue;
+        // The incarnation was removed between the plan and this record.
+        if (session == sessions_.end()) {
+            recordEnd(worker, { .task = task, .run = start.run(), .outcome = schema::RUN_LOST });
+            continue;
+        }
         const state::Work *work = state_.works().find(task.step.work);
         LogEvent("run-ordered")
             .with("work", work->id)
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -160,6 +160,8 @@
     void applyOtherEnd(
         state::WorkerNumber worker, const StepTaskRef &task, const EndReport &report);
     void recordEnd(state::WorkerNumber worker, const EndedRun &ended);
+    // Ends the runs that no session has.
+    void endStrandedRuns();
     void compareWithForecast(const EndedRun &ended);
     // Logs what is known about the task's part in crashes of its workers.
     void logCrashSuspect(const StepTaskRef &task) const;
--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -551,6 +551,18 @@
     return found == runs_.end() ? none : found->second;
 }
 
+std::vector<RunRef> WorkTable::strandedRuns() const
+{
+    std::vector<RunRef> stranded;
+    for (const auto &[worker, runs] : runs_) {
+        if (workers_.contains(worker))
+            continue;
+        for (const auto &[task, run] : runs)
+            stranded.push_back({ task, run });
+    }
+    return stranded;
+}
+
 Resources WorkTable::reservedOn(WorkerNumber worker) const
 {
     const auto found = reserved_.find(worker);
--- a/Source/Basilgap/State/WorkTable.h
+++ b/Source/Basilgap/State/WorkTable.h
@@ -160,6 +160,9 @@
     // Runs that were started on this incarnation of a worker and have not ended, with their
     // numbers.
     const std::map<StepTaskRef, uint32_t> &runsOn(WorkerNumber worker) const;
+    // Runs that were logged after the incarnation they were planned for had been removed. As no
+    // leader has a session for it then, they were never ordered.
+    std::vector<RunRef> strandedRuns() const;
     Resources reservedOn(WorkerNumber worker) const;
     // Tasks of the account that have a run which has not ended.
     const std::set<StepTaskRef> &runsOf(const AccountName &account) const;
--- a/Source/UnitTests/Dispatch/ModelLeader.cpp
+++ b/Source/UnitTests/Dispatch/ModelLeader.cpp
@@ -38,6 +38,8 @@
         options_.relays->connect(relayEnd_);
     reconcile();
     hasTakenOver_ = true;
+    for (const auto &[task, run] : options_.table.strandedRuns())
+        endStrandedRun(task, run);
     options_.time.after(TickInterval, [this] { tick(); });
 }
 
@@ -320,6 +322,16 @@
     }
 }
 
+void ModelLeader::endStrandedRun(const StepTaskRef &task, uint32_t run)
+{
+    schema::RunEnd &end = pendingEnds_.emplace_back();
+    end.set_work(task.step.work.value());
+    end.set_index(task.index);
+    end.set_run(run);
+    end.set_outcome(schema::RUN_LOST);
+    scheduleProposal();
+}
+
 void ModelLeader::sendStarts(const schema::RunBatch &batch)
 {
     for (const auto &start : batch.starts()) {
@@ -329,8 +341,12 @@
         const bool isCurrent = state->phase == state::RunPhase::Running && state->run == start.run()
             && state->worker == worker;
         const auto session = sessions_.find(worker);
-        if (!isCurrent || session == sessions_.end())
+        if (!isCurrent)
+            continue;
+        if (session == sessions_.end()) {
+            endStrandedRun(task, start.run());
             continue;
+        }
         const std::string ticket = options_.usesTickets
             ? std::to_string(
                 options_.workers.at(session->second->endpoint().id)->incarnationStartMs())
--- a/Source/UnitTests/Dispatch/ModelLeader.h
+++ b/Source/UnitTests/Dispatch/ModelLeader.h
@@ -70,6 +70,7 @@
     void commit(const schema::RunBatch &batch, const std::map<WorkerNumber, uint64_t> &ends);
     void handleApplied(const schema::RunBatch &batch);
     void ackEnds(const std::map<WorkerNumber, uint64_t> &ends);
+    void endStrandedRun(const StepTaskRef &task, uint32_t run);
     void sendStarts(const schema::RunBatch &batch);
 
     Options options_;
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -16,6 +16,7 @@
 
 constexpr const char *WorkId = "5c0e7a21d94b36f8";
 constexpr uint64_t IncarnationStartMs = 1000;
+constexpr uint32_t UnknownWorker = 99;
 // How long a worker has the member of a gang wait for the others.
 constexpr Millis GangTimeout{ 4000 };
 
@@ -84,6 +85,17 @@
         }
     }
 
+    // The worker restarts and holds nothing.
+    void restart(uint64_t incarnationStartMs)
+    {
+        if (incarnationStartMs_ == incarnationStartMs)
+            return;
+        incarnationStartMs_ = incarnationStartMs;
+        running_.clear();
+        ends_.clear();
+        ackedEndSequence_ = 0;
+    }
+
     // Refuses the next start of the task with this index.
     void refuseStartOf(uint32_t index) { refusedTask_ = index; }
 
@@ -141,7 +153,7 @@
         PollAnswer answer;
         answer.result = OrderResult::Accepted;
         answer.workerClock = steadyNow();
-        answer.incarnationStartMs = IncarnationStartMs;
+        answer.incarnationStartMs = incarnationStartMs_;
         for (const auto &[run, startedAt] : running_)
             answer.running.push_back({ run.first, run.second, "", 10, 0 });
         for (const EndReport &end : ends_) {
@@ -152,6 +164,7 @@
     }
 
     FakeWorkerPort &port_;
+    uint64_t incarnationStartMs_ = IncarnationStartMs;
     std::map<Run, Millis> running_;
     std::vector<EndReport> ends_;
     std::optional<uint32_t> refusedTask_;
@@ -449,6 +462,44 @@
     EXPECT_TRUE(runWorkerUntil([this] { return phaseCount(state::RunPhase::Waiting) == 1; }));
 }
 
+// Guards against LOST: a start was planned while the restart of its worker was being logged. Its
+// record came after that of the restart, so that no session had the run, and it never ended.
+TEST_F(WorkDispatcherTest, aTaskWhoseStartIsLoggedAfterTheRestartOfItsWorkerStartsAgain)
+{
+    runWorkerFor(Millis(300));
+    onApplied_ = [this](const schema::Command &command, const schema::CommandOutcome &outcome) {
+        dispatcher_->handleApplied(command, outcome);
+        if (command.has_submit_work())
+            announceWorker(IncarnationStartMs + 1);
+        if (command.has_runs() && command.runs().workers_size() > 0)
+            worker_.restart(IncarnationStartMs + 1);
+    };
+    submit(1);
+    EXPECT_TRUE(runWorkerUntil([this] { return worker_.runningCount() == 1; }));
+}
+
+// The same for a start of an earlier leader.
+TEST_F(WorkDispatcherTest, aNewLeaderRepeatsAStartThatWasLoggedAfterTheRestartOfItsWorker)
+{
+    runWorkerFor(Millis(300));
+    dispatcher_.reset();
+    onApplied_ = [](const auto &, const auto &) {};
+    submit(1);
+    schema::Command command;
+    schema::RunStart *start = command.mutable_runs()->add_starts();
+    start->set_work(1);
+    start->set_run(1);
+    start->set_worker(UnknownWorker);
+    propose(std::move(command));
+    ASSERT_TRUE(runUntil([this] { return accepted_ == 3; }));
+    ASSERT_EQ(phaseCount(state::RunPhase::Running), 1U);
+    onApplied_ = [this](const auto &applied, const auto &outcome) {
+        dispatcher_->handleApplied(applied, outcome);
+    };
+    lead();
+    EXPECT_TRUE(runWorkerUntil([this] { return worker_.runningCount(2) == 1; }));
+}
+
 // Guards against TWICE: a call for the earlier incarnation may still reach a worker that comes back
 // after the state has forgotten it. The next leader took its lease for an ordinary one.
 TEST_F(WorkDispatcherTest, aWorkerThatComesBackAfterItWasDroppedIsMarkedAsRestarted)
