--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -11,6 +11,7 @@
 #include "Basilgap/Control/Replica.h"
 #include "Basilgap/Dispatch/AdvicePool.h"
 #include "Basilgap/Dispatch/ForecastAccuracy.h"
+#include "Basilgap/Dispatch/ForgottenWorkers.h"
 #include "Basilgap/Dispatch/PlanWorkers.h"
 #include "Basilgap/Dispatch/StageTimes.h"
 #include "Basilgap/Dispatch/WorkerSession.h"
@@ -161,6 +162,8 @@
     void applyOtherEnd(
         state::WorkerNumber worker, const StepTaskRef &task, const EndReport &report);
     void recordEnd(state::WorkerNumber worker, const EndedRun &ended);
+    // Ends the runs that no session has.
+    void endStrandedRuns();
     void compareWithForecast(const EndedRun &ended);
     // Logs what is known about the task's part in crashes of its workers.
     void logCrashSuspect(const StepTaskRef &task) const;
@@ -244,6 +247,7 @@
     Millis nextEndingStepsUpdate_;
     Millis nextPrune_;
     Millis nextDrop_;
+    ForgottenWorkers forgottenWorkers_;
     // Incarnations whose removal is not committed yet.
     std::set<state::WorkerNumber> workersBeingDropped_;
     StageTimes stageTimes_;
--- a/Source/Basilgap/State/WorkTable.h
+++ b/Source/Basilgap/State/WorkTable.h
@@ -150,6 +150,8 @@
     // The newest incarnation of the worker, or null.
     const schema::WorkerLife *newestIncarnation(const std::string &id) const;
     WorkerNumber nextWorker() const { return WorkerNumber(nextWorker_); }
+    // True if an incarnation was removed since the first one registered; possibly also if none was.
+    bool hasRemovedIncarnations() const { return workers_.size() + 1 < nextWorker_; }
 
     // Runs that ended when this incarnation of a worker was lost, while it is not known whether it
     // has crashed.
@@ -158,6 +160,9 @@
     // Runs that were started on this incarnation of a worker and have not ended, with their
     // numbers.
     const std::map<StepTaskRef, uint32_t> &runsOn(WorkerNumber worker) const;
+    // Runs that were logged after the incarnation they were planned for had been removed. As no
+    // leader has a session for it then, they were never ordered.
+    std::vector<RunRef> strandedRuns() const;
     Resources reservedOn(WorkerNumber worker) const;
     // Tasks of the account that have a run which has not ended.
     const std::set<StepTaskRef> &runsOf(const AccountName &account) const;
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -16,6 +16,7 @@
 
 constexpr const char *WorkId = "5c0e7a21d94b36f8";
 constexpr uint64_t IncarnationStartMs = 1000;
+constexpr uint32_t UnknownWorker = 99;
 // How long a worker has the member of a gang wait for the others.
 constexpr Millis GangTimeout{ 4000 };
 
@@ -84,6 +85,17 @@
         }
     }
 
+    // The worker restarts and holds nothing.
+    void restart(uint64_t incarnationStartMs)
+    {
+        if (incarnationStartMs_ == incarnationStartMs)
+            return;
+        incarnationStartMs_ = incarnationStartMs;
+        running_.clear();
+        ends_.clear();
+        ackedEndSequence_ = 0;
+    }
+
     // Refuses the next start of the task with this index.
     void refuseStartOf(uint32_t index) { refusedTask_ = index; }
 
@@ -141,7 +153,7 @@
         PollAnswer answer;
         answer.result = OrderResult::Accepted;
         answer.workerClock = steadyNow();
-        answer.incarnationStartMs = IncarnationStartMs;
+        answer.incarnationStartMs = incarnationStartMs_;
         for (const auto &[run, startedAt] : running_)
             answer.running.push_back({ run.first, run.second, "", 10, 0 });
         for (const EndReport &end : ends_) {
@@ -152,6 +164,7 @@
     }
 
     FakeWorkerPort &port_;
+    uint64_t incarnationStartMs_ = IncarnationStartMs;
     std::map<Run, Millis> running_;
     std::vector<EndReport> ends_;
     std::optional<uint32_t> refusedTask_;
@@ -214,11 +227,12 @@
         ASSERT_TRUE(runUntil([this] { return accepted_ == 1; }));
     }
 
-    void announceWorker(uint64_t incarnationStartMs = IncarnationStartMs)
+    void announceWorker(
+        uint64_t incarnationStartMs = IncarnationStartMs, const std::string &id = "w1")
     {
         schema::RpcRequest request;
         schema::WorkerLife *life = request.mutable_announcement()->mutable_life();
-        life->set_id("w1");
+        life->set_id(id);
         life->set_born_ms(incarnationStartMs);
         life->set_address("127.0.0.1:1");
         life->set_zone("z1");
@@ -229,6 +243,36 @@
         dispatcher_->handleRequest(request, [](const schema::RpcReply &) {});
     }
 
+    // Proposes the record that is logged after a long silence of the worker.
+    void proposeDrop()
+    {
+        schema::Command command;
+        schema::WorkerLife *dropped = command.mutable_runs()->add_workers();
+        *dropped = *workers().newestIncarnation("w1");
+        dropped->set_gone(true);
+        propose(std::move(command));
+    }
+
+    void dropWorker()
+    {
+        ASSERT_TRUE(runUntil([this] { return workers().newestIncarnation("w1") != nullptr; }));
+        proposeDrop();
+        ASSERT_TRUE(runUntil([this] { return workers().newestIncarnation("w1") == nullptr; }));
+    }
+
+    // Announces an incarnation and waits until it is registered.
+    const schema::WorkerLife &registerWorker(uint64_t incarnationStartMs, const std::string &id)
+    {
+        announceWorker(incarnationStartMs, id);
+        EXPECT_TRUE(runUntil([&] {
+            const schema::WorkerLife *newest = workers().newestIncarnation(id);
+            return newest != nullptr && newest->born_ms() == incarnationStartMs;
+        }));
+        return *workers().newestIncarnation(id);
+    }
+
+    const state::WorkTable &workers() const { return replica_->state().works(); }
+
     void submit(uint32_t tasks, bool isGang = false)
     {
         schema::Command command;
@@ -409,18 +453,93 @@
     submit(1);
     ASSERT_TRUE(runWorkerUntil([this] { return worker_.holdsStartOf(0); }));
     announceWorker(IncarnationStartMs + 1);
-    const state::WorkTable &table = replica_->state().works();
-    ASSERT_TRUE(runWorkerUntil([this, &table] {
-        return table.newestIncarnation("w1")->born_ms() > IncarnationStartMs
+    ASSERT_TRUE(runWorkerUntil([this] {
+        return workers().newestIncarnation("w1")->born_ms() > IncarnationStartMs
             && worker_.stopCount() > 0;
     }));
     EXPECT_EQ(phaseCount(state::RunPhase::Running), 1U);
+    proposeDrop();
+    EXPECT_TRUE(runWorkerUntil([this] { return phaseCount(state::RunPhase::Waiting) == 1; }));
+}
+
+// Guards against LOST: a start was planned while the restart of its worker was being logged. Its
+// record came after that of the restart, so that no session had the run, and it never ended.
+TEST_F(WorkDispatcherTest, aTaskWhoseStartIsLoggedAfterTheRestartOfItsWorkerStartsAgain)
+{
+    runWorkerFor(Millis(300));
+    onApplied_ = [this](const schema::Command &command, const schema::CommandOutcome &outcome) {
+        dispatcher_->handleApplied(command, outcome);
+        if (command.has_submit_work())
+            announceWorker(IncarnationStartMs + 1);
+        if (command.has_runs() && command.runs().workers_size() > 0)
+            worker_.restart(IncarnationStartMs + 1);
+    };
+    submit(1);
+    EXPECT_TRUE(runWorkerUntil([this] { return worker_.runningCount() == 1; }));
+}
+
+// The same for a start of an earlier leader.
+TEST_F(WorkDispatcherTest, aNewLeaderRepeatsAStartThatWasLoggedAfterTheRestartOfItsWorker)
+{
+    runWorkerFor(Millis(300));
+    dispatcher_.reset();
+    onApplied_ = [](const auto &, const auto &) {};
+    submit(1);
     schema::Command command;
-    schema::WorkerLife *dropped = command.mutable_runs()->add_workers();
-    *dropped = *table.newestIncarnation("w1");
-    dropped->set_gone(true);
+    schema::RunStart *start = command.mutable_runs()->add_starts();
+    start->set_work(1);
+    start->set_run(1);
+    start->set_worker(UnknownWorker);
     propose(std::move(command));
-    EXPECT_TRUE(runWorkerUntil([this] { return phaseCount(state::RunPhase::Waiting) == 1; }));
+    ASSERT_TRUE(runUntil([this] { return accepted_ == 3; }));
+    ASSERT_EQ(phaseCount(state::RunPhase::Running), 1U);
+    onApplied_ = [this](const auto &applied, const auto &outcome) {
+        dispatcher_->handleApplied(applied, outcome);
+    };
+    lead();
+    EXPECT_TRUE(runWorkerUntil([this] { return worker_.runningCount(2) == 1; }));
+}
+
+// Guards against TWICE: a call for the earlier incarnation may still reach a worker that comes back
+// after the state has forgotten it. The next leader took its lease for an ordinary one.
+TEST_F(WorkDispatcherTest, aWorkerThatComesBackAfterItWasDroppedIsMarkedAsRestarted)
+{
+    ASSERT_NO_FATAL_FAILURE(dropWorker());
+    EXPECT_TRUE(registerWorker(IncarnationStartMs + 1, "w1").restarted());
+    EXPECT_FALSE(registerWorker(IncarnationStartMs, "w2").restarted());
+}
+
+// The same if it registers while its drop is being logged.
+TEST_F(WorkDispatcherTest, aWorkerThatComesBackWhileItIsDroppedIsMarkedAsRestarted)
+{
+    ASSERT_TRUE(runUntil([this] { return workers().newestIncarnation("w1") != nullptr; }));
+    proposeDrop();
+    EXPECT_TRUE(registerWorker(IncarnationStartMs + 1, "w1").restarted());
+}
+
+// The same if the state forgets it once the last of its runs has ended.
+TEST_F(WorkDispatcherTest, aWorkerThatComesBackAfterItsLastRunHasEndedIsMarkedAsRestarted)
+{
+    submit(1);
+    ASSERT_TRUE(runWorkerUntil([this] { return worker_.runningCount() == 1; }));
+    proposeDrop();
+    ASSERT_TRUE(runUntil([this] { return workers().newestIncarnation("w1") == nullptr; }));
+    EXPECT_TRUE(registerWorker(IncarnationStartMs + 1, "w1").restarted());
+}
+
+// The same if an earlier leader has dropped it, which the state doesn't tell.
+TEST_F(WorkDispatcherTest, aWorkerThatAnEarlierLeaderHasDroppedIsMarkedAsRestarted)
+{
+    ASSERT_NO_FATAL_FAILURE(dropWorker());
+    lead();
+    EXPECT_TRUE(registerWorker(IncarnationStartMs + 1, "w1").restarted());
+}
+
+TEST_F(WorkDispatcherTest, aNewLeaderMarksNoNewWorkerIfNoneWasForgotten)
+{
+    ASSERT_TRUE(runUntil([this] { return workers().newestIncarnation("w1") != nullptr; }));
+    lead();
+    EXPECT_FALSE(registerWorker(IncarnationStartMs, "w2").restarted());
 }
 
 // Guards against LOST: a task whose percentage rises slowly was stopped as hanging after three
