--- a/Source/UnitTests/Dispatch/ModelWorker.cpp
+++ b/Source/UnitTests/Dispatch/ModelWorker.cpp
@@ -95,11 +95,13 @@
     // A ticket is valid during one incarnation.
     if (!order.ticket.empty() && order.ticket != std::to_string(incarnationStartMs_))
         return { OrderResult::NoTicket, clock() };
+    if (options_.guardsCapacity && usedWith(options_.model(order.task)) > options_.millicores) {
+        extendLease(order.leaseEnd);
+        return { OrderResult::NoCapacity, clock() };
+    }
     options_.onStart(order.task, order.run);
     const TaskModel model = options_.model(order.task);
-    int64_t used = model.millicores;
-    for (const auto &[task, run] : running_)
-        used += run.millicores;
+    const int64_t used = usedWith(model);
     if (used > options_.millicores)
         options_.onViolation("LIMIT: " + describe(order.task, order.run) + " brings " + options_.id
             + " to " + std::to_string(used) + " of " + std::to_string(options_.millicores));
@@ -113,6 +115,14 @@
     return { OrderResult::Accepted, clock() };
 }
 
+int64_t ModelWorker::usedWith(const TaskModel &more) const
+{
+    int64_t used = more.millicores;
+    for (const auto &[task, run] : running_)
+        used += run.millicores;
+    return used;
+}
+
 OrderAnswer ModelWorker::stop(const StopOrder &order)
 {
     if (!seeToken(order.fencingToken))
@@ -147,6 +157,7 @@
     if (!seeToken(order.fencingToken)) {
         PollAnswer answer;
         answer.result = OrderResult::Fenced;
+        answer.workerClock = clock();
         return done(answer);
     }
     recordLeaseExpiry();
@@ -194,6 +205,14 @@
     return answer;
 }
 
+std::vector<std::pair<TaskName, uint32_t>> ModelWorker::runs() const
+{
+    std::vector<std::pair<TaskName, uint32_t>> runs;
+    for (const auto &[task, run] : running_)
+        runs.emplace_back(task, run.run);
+    return runs;
+}
+
 void ModelWorker::restart(Millis downtime, std::function<void()> onUp)
 {
     isUp_ = false;
--- a/Source/UnitTests/Dispatch/ModelWorker.h
+++ b/Source/UnitTests/Dispatch/ModelWorker.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Basilgap/Dispatch/Ports.h"
@@ -11,8 +12,8 @@
 
 namespace basilgap::dispatch {
 
-// A worker as the protocol describes it, over all of its incarnations. It does not guard its
-// capacity: it reports when a start exceeds it.
+// A worker as the protocol describes it, over all of its incarnations. Unless it guards its
+// capacity, it reports when a start exceeds it.
 class ModelWorker
 {
 public:
@@ -29,6 +30,8 @@
         SimulatedTime &time;
         std::string id;
         int64_t millicores = 0;
+        // Whether it refuses what exceeds its capacity.
+        bool guardsCapacity = false;
         // Called for each run that starts.
         std::function<TaskModel(const TaskName &)> model;
         // Called before a run starts, and after one has ended.
@@ -59,6 +62,7 @@
     bool isLinkUp() const { return isLinkUp_; }
     bool isRunning(const TaskName &task) const { return running_.contains(task); }
     size_t runningCount() const { return running_.size(); }
+    std::vector<std::pair<TaskName, uint32_t>> runs() const;
     const std::string &id() const { return options_.id; }
     int64_t millicores() const { return options_.millicores; }
     uint64_t incarnationStartMs() const { return incarnationStartMs_; }
@@ -80,6 +84,8 @@
     // False if the order's token is lower than one seen before.
     bool seeToken(uint64_t token);
     void extendLease(Millis end);
+    // Millicores in use with a further run.
+    int64_t usedWith(const TaskModel &more) const;
     void recordLeaseExpiry();
     void checkLease();
     void answerPolls();
