Play gangs, services and dropped workers beside late calls in the model

The model of sessions had late calls over restarts with ordinary tasks alone.

The model's leader drops workers and releases moved runs as WorkDispatcher does, and ends runs that are logged behind the removal of their worker. Records are committed in the order of their proposals, and with dropped workers take up to 400 ms. A worker that crashes breaks the gangs that ran on it, as the protocol says; until now their other members went on to their end.

--- a/Source/UnitTests/Dispatch/ModelLeader.cpp
+++ b/Source/UnitTests/Dispatch/ModelLeader.cpp
@@ -10,8 +10,11 @@
 constexpr Millis TickInterval{ 25 };
 constexpr int64_t MinCommitMs = 3;
 constexpr int64_t MaxCommitMs = 25;
+constexpr int64_t MaxSlowCommitMs = 400;
 // As in WorkDispatcher.
 constexpr Millis GraceMargin{ 500 };
+constexpr Millis DropInterval{ 1000 };
+constexpr Millis MaxWorkerSilence{ 12000 };
 
 state::StepTaskRef taskOf(const schema::RunEnd &end)
 {
@@ -107,18 +110,7 @@
                     .table = options_.table,
                     .events = {
                         .onRunEnd =
-                            [this](const EndedRun &ended) {
-                                const StepTaskRef &task = ended.task;
-                                schema::RunEnd &end = pendingEnds_.emplace_back();
-                                end.set_work(task.step.work.value());
-                                end.set_occurrence(task.step.occurrence);
-                                end.set_step(task.step.step);
-                                end.set_index(task.index);
-                                end.set_run(ended.run);
-                                end.set_outcome(ended.outcome);
-                                end.set_worker_loss(ended.workerLoss);
-                                scheduleProposal();
-                            },
+                            [this](const EndedRun &ended) { recordEnd(ended); },
                         .onOtherEnd =
                             [this, listing = number](
                                 const StepTaskRef &task, const EndReport &report) {
@@ -155,10 +147,29 @@
                 fencingTokenOf(options_.term,
                     WorkerNumber(newest == nullptr ? number.value() : newest->number())),
                 options_.time.now());
+        // As in WorkDispatcher, except that a worker keeps its address.
+        const bool isSuccessorDropped =
+            incarnation.gone() && newest != nullptr && newest->number() == incarnation.number();
+        if (newest == nullptr || isSuccessorDropped)
+            sessions_.at(number)->releaseMovedRuns();
     }
     callLoss_.setSessionCount(sessions_.size());
 }
 
+void ModelLeader::recordEnd(const EndedRun &ended)
+{
+    const StepTaskRef &task = ended.task;
+    schema::RunEnd &end = pendingEnds_.emplace_back();
+    end.set_work(task.step.work.value());
+    end.set_occurrence(task.step.occurrence);
+    end.set_step(task.step.step);
+    end.set_index(task.index);
+    end.set_run(ended.run);
+    end.set_outcome(ended.outcome);
+    end.set_worker_loss(ended.workerLoss);
+    scheduleProposal();
+}
+
 void ModelLeader::applyOtherEnd(
     WorkerNumber worker, const StepTaskRef &task, const EndReport &report)
 {
@@ -206,10 +217,54 @@
     if (isConfirmed_ && !isFenced_) {
         for (const auto &[number, session] : sessions_)
             session->tick(options_.time.now());
+        if (options_.dropsSilentWorkers && options_.time.now() >= nextDrop_)
+            dropSilentWorkers();
     }
     propose();
 }
 
+void ModelLeader::dropSilentWorkers()
+{
+    const Millis now = options_.time.now();
+    nextDrop_ = now + DropInterval;
+    std::vector<schema::WorkerLife> dropped;
+    for (const auto &[number, session] : sessions_) {
+        const schema::WorkerLife *incarnation = options_.table.findIncarnation(number);
+        if (incarnation == nullptr || incarnation->gone() || !session->isSuspect()
+            || !session->runs().empty())
+            continue;
+        const Millis maxSilence =
+            std::max(MaxWorkerSilence, WorkerSession::longestEarlierLease({}, *incarnation));
+        if (now - session->lastAnswerAt() > maxSilence
+            && workersBeingDropped_.insert(number).second)
+            dropped.push_back(*incarnation);
+    }
+    if (dropped.empty())
+        return;
+    options_.time.after(nextCommitDelay(), [this, dropped] {
+        if (isRetired_ || isFrozen_)
+            return;
+        schema::RunBatch batch;
+        for (const schema::WorkerLife &life : dropped) {
+            workersBeingDropped_.erase(WorkerNumber(life.number()));
+            schema::WorkerLife *gone = batch.add_workers();
+            *gone = life;
+            gone->set_gone(true);
+            droppedWorkers_++;
+        }
+        options_.table.apply(batch, static_cast<uint64_t>(options_.time.now().count()));
+        reconcile();
+    });
+}
+
+Millis ModelLeader::nextCommitDelay()
+{
+    const Millis now = options_.time.now();
+    const int64_t maxMs = options_.dropsSilentWorkers ? MaxSlowCommitMs : MaxCommitMs;
+    lastCommitAt_ = std::max(lastCommitAt_, now + options_.time.millisBetween(MinCommitMs, maxMs));
+    return lastCommitAt_ - now;
+}
+
 void ModelLeader::propose()
 {
     if (isBatchPending_ || isFenced_ || !isConfirmed_)
@@ -226,8 +281,7 @@
     if (batch.ends_size() == 0 && batch.starts_size() == 0)
         return ackEnds(ends);
     isBatchPending_ = true;
-    options_.time.after(options_.time.millisBetween(MinCommitMs, MaxCommitMs),
-        [this, batch, ends] { commit(batch, ends); });
+    options_.time.after(nextCommitDelay(), [this, batch, ends] { commit(batch, ends); });
 }
 
 // The room of ends in the same record counts as free only in the next round.
@@ -335,12 +389,7 @@
 
 void ModelLeader::endStrandedRun(const StepTaskRef &task, uint32_t run)
 {
-    schema::RunEnd &end = pendingEnds_.emplace_back();
-    end.set_work(task.step.work.value());
-    end.set_index(task.index);
-    end.set_run(run);
-    end.set_outcome(schema::RUN_LOST);
-    scheduleProposal();
+    recordEnd({ .task = task, .run = run, .outcome = schema::RUN_LOST });
 }
 
 void ModelLeader::sendStarts(const schema::RunBatch &batch)
--- a/Source/UnitTests/Dispatch/ModelLeader.h
+++ b/Source/UnitTests/Dispatch/ModelLeader.h
@@ -31,6 +31,9 @@
         bool usesTickets = false;
         // Null if the leader makes all calls itself.
         ModelRelays *relays = nullptr;
+        // Whether silent workers without runs are dropped, as WorkDispatcher does. Commits take
+        // longer then, so that workers may answer while they are being dropped.
+        bool dropsSilentWorkers = false;
     };
 
     explicit ModelLeader(Options options);
@@ -46,6 +49,7 @@
     // Whether calls go through relays.
     void setRelaying(bool isRelaying) { port_.setRelaying(isRelaying); }
     uint64_t relayedCalls() const { return port_.relayedCalls(); }
+    uint64_t droppedWorkers() const { return droppedWorkers_; }
 
     // Opens sessions with new incarnations, and supersedes the sessions with earlier ones.
     void reconcile();
@@ -56,6 +60,7 @@
 private:
     void tick();
     RelayedWorkerPort::Options portOptions();
+    void recordEnd(const EndedRun &ended);
     // As in WorkDispatcher.
     void applyOtherEnd(WorkerNumber worker, const StepTaskRef &task, const EndReport &report);
     void giveUpGang(const StepTaskRef &member, uint32_t run);
@@ -68,6 +73,9 @@
     std::optional<WorkerNumber> findRoom(
         int64_t millicores, const std::map<WorkerNumber, int64_t> &planned) const;
     void commit(const schema::RunBatch &batch, const std::map<WorkerNumber, uint64_t> &ends);
+    void dropSilentWorkers();
+    // Records are committed in the order of their proposals.
+    Millis nextCommitDelay();
     void handleApplied(const schema::RunBatch &batch);
     void ackEnds(const std::map<WorkerNumber, uint64_t> &ends);
     void endStrandedRun(const StepTaskRef &task, uint32_t run);
@@ -88,6 +96,10 @@
     bool isFrozen_ = false;
     bool isRetired_ = false;
     bool isBatchPending_ = false;
+    Millis nextDrop_;
+    std::set<WorkerNumber> workersBeingDropped_;
+    uint64_t droppedWorkers_ = 0;
+    Millis lastCommitAt_;
 };
 
 } // namespace basilgap::dispatch
--- a/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
@@ -3,9 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <iterator>
 #include <memory>
+#include <set>
 
 #include "ModelLeader.h"
 
@@ -20,6 +22,11 @@
 constexpr Millis GangTimeout{ 3000 };
 // Between the ends of a gang's members.
 constexpr int64_t MaxGangSpreadMs = 20;
+constexpr size_t MaxServices = 3;
+constexpr Millis AnnounceInterval{ 300 };
+// Time out of reach after which a worker may be dropped.
+constexpr int64_t MinDropMs = 11000;
+constexpr int64_t MaxDropMs = 18000;
 
 struct Scenario
 {
@@ -36,6 +43,11 @@
     // Checks that no task starts again after a worker has forgotten an end of it as done.
     bool checksAcknowledgements = false;
     bool hasGangs = false;
+    // Jobs whose tasks run until they are cancelled, and start again however they end.
+    bool hasServices = false;
+    // Workers may be out of reach for so long that they are dropped. They return under their ids,
+    // as the same incarnation or another one.
+    bool dropsWorkers = false;
     bool hasRelays = false;
     bool killsRelays = false;
     bool freezesRelays = false;
@@ -60,7 +72,7 @@
                 .onStart = [this](const TaskName &task, uint32_t run) { checkStart(task, run); },
                 .onEnd =
                     [this](const TaskName &task, uint32_t run, schema::RunOutcome outcome) {
-                        if (outcome == schema::RUN_DONE)
+                        if (outcome == schema::RUN_DONE && !isService(task))
                             doneEnds_[{ task, run }] = {};
                         breakGang(task, run, outcome);
                     },
@@ -73,6 +85,8 @@
         if (scenario_.hasRelays)
             relays_ = std::make_unique<ModelRelays>(time_, workers_);
         lead();
+        if (scenario_.dropsWorkers)
+            announce();
     }
 
     void play()
@@ -87,7 +101,12 @@
         if (relays_)
             relays_->setTrouble({});
         leader().setConfirmed(true);
-        time_.runUntil(time_.now() + (scenario_.hasLongTasks ? LongCalmTime : CalmTime));
+        const Millis calmTime = scenario_.hasLongTasks ? LongCalmTime : CalmTime;
+        time_.runUntil(time_.now() + calmTime);
+        if (scenario_.hasServices) {
+            checkServices();
+            time_.runUntil(time_.now() + calmTime);
+        }
         if (!violations_.empty())
             return;
         if (!table_.active().empty())
@@ -102,6 +121,14 @@
 
     const std::vector<std::string> &violations() const { return violations_; }
     size_t starts() const { return starts_; }
+    size_t serviceStarts() const { return serviceStarts_; }
+    uint64_t droppedWorkers() const
+    {
+        uint64_t workers = 0;
+        for (const auto &leader : leaders_)
+            workers += leader->droppedWorkers();
+        return workers;
+    }
     uint64_t relayedCalls() const
     {
         uint64_t calls = 0;
@@ -154,6 +181,12 @@
         step->set_count(static_cast<uint32_t>(time_.between(1, 5)));
         step->set_millicores(static_cast<uint32_t>(time_.between(500, 4000)));
         step->set_gang(scenario_.hasGangs && time_.chance(40));
+        if (scenario_.hasServices && services_.size() < MaxServices && time_.chance(30)) {
+            step->set_gang(false);
+            step->set_service(true);
+            step->set_millicores(1000);
+            services_.insert(id);
+        }
         table_.submit(submit, static_cast<uint64_t>(time_.now().count()));
     }
 
@@ -171,12 +204,36 @@
         const auto job = randomJob();
         if (!job)
             return;
+        cancel(table_.find(*job)->id);
+    }
+
+    void cancel(const std::string &id)
+    {
+        services_.erase(id);
         schema::CancelWork cancel;
-        cancel.set_id(table_.find(*job)->id);
+        cancel.set_id(id);
         table_.cancel(cancel, static_cast<uint64_t>(time_.now().count()));
         leader().handleCanceled();
     }
 
+    // All tasks of services must be running. Cancels the services.
+    void checkServices()
+    {
+        for (const std::string &id : std::set(services_)) {
+            const state::Work *work = table_.find(id);
+            const auto &tasks = work->occurrences[0][0].tasks;
+            for (uint32_t i = 0; i < tasks.size(); i++) {
+                const bool isRunning =
+                    std::any_of(workers_.begin(), workers_.end(), [&](const auto &entry) {
+                        return entry.second->isRunning({ id, 0, 0, i });
+                    });
+                if (!isRunning)
+                    report("service task " + id + "." + std::to_string(i) + " is not running");
+            }
+            cancel(id);
+        }
+    }
+
     void preemptOne()
     {
         const auto job = randomJob();
@@ -232,6 +289,7 @@
                 },
             .usesTickets = scenario_.usesTickets,
             .relays = relays_.get(),
+            .dropsSilentWorkers = scenario_.dropsWorkers,
         }));
         leader().setRelaying(scenario_.hasRelays);
         if (isCalm_)
@@ -252,7 +310,10 @@
     {
         ModelWorker &target = randomWorker();
         target.setLinkUp(false);
-        time_.after(time_.millisBetween(500, 9000), [&target] { target.setLinkUp(true); });
+        const Millis time = scenario_.dropsWorkers && time_.chance(30)
+            ? time_.millisBetween(MinDropMs, MaxDropMs)
+            : time_.millisBetween(500, 9000);
+        time_.after(time, [&target] { target.setLinkUp(true); });
     }
 
     void restartOne()
@@ -260,7 +321,13 @@
         ModelWorker &target = randomWorker();
         if (!target.isUp())
             return;
-        target.restart(time_.millisBetween(1, 3000), [this, &target] {
+        // A crash ends the other members of gangs.
+        for (const auto &[task, run] : target.runs())
+            breakGang(task, run, schema::RUN_LOST);
+        const Millis downtime = scenario_.dropsWorkers && time_.chance(30)
+            ? time_.millisBetween(MinDropMs, MaxDropMs)
+            : time_.millisBetween(1, 3000);
+        target.restart(downtime, [this, &target] {
             // Its announcement takes a while to be logged.
             time_.after(time_.millisBetween(5, 1500), [this, &target] {
                 if (target.isUp() && registerIncarnation(target))
@@ -269,6 +336,17 @@
         });
     }
 
+    // Workers that have been dropped register again.
+    void announce()
+    {
+        time_.after(AnnounceInterval, [this] { announce(); });
+        for (const auto &[id, worker] : workers_) {
+            if (worker->isUp() && worker->isLinkUp() && table_.newestIncarnation(id) == nullptr
+                && registerIncarnation(*worker))
+                leader().reconcile();
+        }
+    }
+
     // False if the incarnation is registered already.
     bool registerIncarnation(const ModelWorker &worker)
     {
@@ -297,11 +375,22 @@
         ModelWorker::TaskModel model{ .millicores = static_cast<int64_t>(step.millicores()) };
         if (step.gang())
             return model;
+        if (step.service()) {
+            if (time_.chance(70))
+                model.duration = time_.millisBetween(20, 15000);
+            model.outcome = time_.chance(50) ? schema::RUN_FAILED : schema::RUN_DONE;
+            return model;
+        }
         model.duration = time_.millisBetween(20, scenario_.hasLongTasks ? 15000 : 4000);
         model.outcome = time_.chance(10) ? schema::RUN_FAILED : schema::RUN_DONE;
         return model;
     }
 
+    bool isService(const TaskName &task) const
+    {
+        return table_.find(task.work)->spec.steps(0).service();
+    }
+
     // A gang works once all of its members have started, and its members end at almost the same
     // time.
     void startMember(const TaskName &task, uint32_t run)
@@ -310,7 +399,8 @@
         if (!step.gang())
             return;
         if (++startedMembers_[{ task.work, run }] == step.count())
-            endGang(task, run, time_.millisBetween(20, 4000), schema::RUN_DONE);
+            endGang(task, run, time_.millisBetween(20, scenario_.hasLongTasks ? 15000 : 4000),
+                schema::RUN_DONE);
         time_.after(GangTimeout, [this, task, run] {
             if (startedMembers_[{ task.work, run }] < table_.find(task.work)->spec.steps(0).count())
                 endGang(task, run, Millis(), schema::RUN_ALONE);
@@ -336,7 +426,8 @@
         if (scenario_.forbidsLoneMembers && outcome == schema::RUN_ALONE)
             report("GANG: run " + std::to_string(run) + " of " + task.work + "."
                 + std::to_string(task.index) + " has waited in vain");
-        const bool isCause = outcome == schema::RUN_STOPPED || outcome == schema::RUN_LAPSED;
+        const bool isCause = outcome == schema::RUN_STOPPED || outcome == schema::RUN_LAPSED
+            || outcome == schema::RUN_LOST;
         if (table_.find(task.work)->spec.steps(0).gang() && isCause)
             endGang(task, run, Millis(), schema::RUN_BROKEN);
     }
@@ -344,6 +435,7 @@
     void checkStart(const TaskName &task, uint32_t run)
     {
         starts_++;
+        serviceStarts_ += isService(task) ? 1 : 0;
         startMember(task, run);
         const std::string name = task.work + "." + std::to_string(task.index);
         for (const auto &[id, worker] : workers_) {
@@ -392,6 +484,9 @@
     std::map<std::pair<TaskName, uint32_t>, DoneEnd> doneEnds_;
     uint64_t jobs_ = 0;
     size_t starts_ = 0;
+    size_t serviceStarts_ = 0;
+    // Ids of the jobs that last and are not cancelled.
+    std::set<std::string> services_;
     bool isCalm_ = false;
 };
 
@@ -421,13 +516,17 @@
 void playSeeds(const Scenario &scenario)
 {
     size_t starts = 0;
+    size_t serviceStarts = 0;
     uint64_t relayedCalls = 0;
+    uint64_t droppedWorkers = 0;
     const uint64_t seeds = seedCount(scenario);
     for (uint64_t seed = 1; seed <= seeds; seed++) {
         ModelCell cell(scenario, seed);
         cell.play();
         starts += cell.starts();
+        serviceStarts += cell.serviceStarts();
         relayedCalls += cell.relayedCalls();
+        droppedWorkers += cell.droppedWorkers();
         for (const std::string &violation : cell.violations())
             ADD_FAILURE() << "seed " << seed << ", " << violation;
     }
@@ -437,6 +536,8 @@
         EXPECT_GE(relayedCalls, seeds * 50) << "relays are used";
     else
         EXPECT_EQ(relayedCalls, 0U);
+    EXPECT_GE(serviceStarts, scenario.hasServices ? seeds * 10 : 0);
+    EXPECT_GE(droppedWorkers, scenario.dropsWorkers ? seeds / 2 : 0);
 }
 
 TEST(WorkerSessionModel, noWorkerIsOverItsCapacityInACalmNetwork)
@@ -573,6 +674,66 @@
         .freezesRelays = true });
 }
 
+// The same for gangs, one of whose members a later incarnation may take.
+TEST(WorkerSessionModel, noGangRunsTwiceWhileWorkersTakeCallsForTheirEarlierIncarnation)
+{
+    playSeeds({ .trouble = LossyOverRestarts,
+        .cancelsJobs = true,
+        .preempts = true,
+        .restartsWorkers = true,
+        .cutsLinks = true,
+        .hasLongTasks = true,
+        .usesTickets = true,
+        .checksAcknowledgements = true,
+        .hasGangs = true });
+}
+
+// The same for tasks that last, which start again on the same workers however they end.
+TEST(WorkerSessionModel, noServiceTaskRunsTwiceWhileWorkersTakeCallsForTheirEarlierIncarnation)
+{
+    playSeeds({ .trouble = LossyOverRestarts,
+        .preempts = true,
+        .restartsWorkers = true,
+        .cutsLinks = true,
+        .hasLongTasks = true,
+        .usesTickets = true,
+        .checksAcknowledgements = true,
+        .hasServices = true });
+}
+
+// The same for workers that were dropped: the state no longer knows that they have restarted, or it
+// registers an incarnation anew that has taken calls before.
+TEST(WorkerSessionModel, noTaskRunsTwiceWhileDroppedWorkersTakeCallsForTheirEarlierIncarnation)
+{
+    playSeeds({ .trouble = LossyOverRestarts,
+        .preempts = true,
+        .restartsWorkers = true,
+        .cutsLinks = true,
+        .hasLongTasks = true,
+        .usesTickets = true,
+        .checksAcknowledgements = true,
+        .dropsWorkers = true });
+}
+
+// All of these under changing leaders.
+TEST(WorkerSessionModel,
+    noTaskRunsTwiceWhileLeadersChangeAndDroppedWorkersTakeCallsForTheirEarlierIncarnation)
+{
+    playSeeds({ .trouble = LossyOverRestarts,
+        .changesLeader = true,
+        .losesConfirmation = true,
+        .cancelsJobs = true,
+        .preempts = true,
+        .restartsWorkers = true,
+        .cutsLinks = true,
+        .hasLongTasks = true,
+        .usesTickets = true,
+        .checksAcknowledgements = true,
+        .hasGangs = true,
+        .hasServices = true,
+        .dropsWorkers = true });
+}
+
 TEST(WorkerSessionModel, noWorkerIsOverItsCapacityThroughRelays)
 {
     playSeeds({ .cancelsJobs = true, .preempts = true, .hasRelays = true });
