Leave a start that another incarnation has accepted to that one's session

The session now leaves the run alone, counts the worker as silent and keeps the run for as long as it may go on there. When that incarnation registers, its list tells whether the run has ended, and it is stopped there otherwise. The bound of late calls stands in one place now.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -22,10 +22,6 @@
 // incarnation. A worker that returns later announces itself, as each does every second or two.
 constexpr Millis MaxWorkerSilence{ 12000 };
 
-// Assumed longest time from when a call to a worker is sent until it is carried out. The protocol
-// gives no bound.
-constexpr Millis MaxCallDelay{ 12000 };
-
 // Less than the minimum silence after which another replica may be elected.
 constexpr Millis MaxOrderConfirmationAge{ 300 };
 // Workers that fail every task recover within seconds here; a single task then tests whether they
@@ -47,7 +43,8 @@
     , waitingSteps_(options_.forecastUses.expectedDuration ? &speeds_ : nullptr)
     , admission_(std::max(wallNow(), Millis(static_cast<int64_t>(state_.clockMs()))))
     , forgottenWorkers_({
-          .retention = MaxCallDelay + WorkerSession::longestEarlierLease(options_.times, true),
+          .retention = options_.times.maxCallDelay
+              + WorkerSession::longestEarlierLease(options_.times, true),
           .leaderSince = steadyNow(),
           .hasUnknown = state_.works().hasRemovedIncarnations(),
       })
@@ -245,7 +242,7 @@
             .number = number,
             .endpoint = { incarnation.id(), incarnation.address(), incarnation.zone() },
             .incarnationStartMs = incarnation.born_ms(),
-            // The mark of a worker whose earlier incarnation was forgotten rests on MaxCallDelay.
+            // The mark of a worker whose earlier incarnation was forgotten rests on maxCallDelay.
             .isRestart = incarnation.restarted() || hasTakenOver_,
             .fencingToken = tokenFor(incarnation),
             .graceEnd = leaderSince_ + longestLease + Millis(500),
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -384,19 +384,18 @@
         hasPendingStarts_ = hasPendingStarts_ || known.isStartPending;
         return;
     }
-    // An incarnation that is not registered yet may have accepted the start.
-    const bool isAcceptedElsewhere = answer.result == OrderResult::Accepted && answer.workerClock
-        && !isOwnClock(*answer.workerClock, sentAt, now);
-    const OrderResult result = isAcceptedElsewhere ? OrderResult::Unanswered : answer.result;
-    known.unansweredSends += result == OrderResult::Unanswered ? 1 : 0;
+    if (answer.result == OrderResult::Accepted && answer.workerClock
+        && !isOwnClock(*answer.workerClock, sentAt, now))
+        return handleAcceptanceElsewhere(task, &known, now);
+    known.unansweredSends += answer.result == OrderResult::Unanswered ? 1 : 0;
     if (known.unansweredSends == 0)
         known.latestStartAt.reset();
-    else if (known.latestStartAt || isAcceptedElsewhere)
+    else if (known.latestStartAt)
         known.latestStartAt = now + options_.times.maxCallDelay;
     // An earlier unanswered send may still be carried out, whatever the answer to this one.
-    const bool mayStillRun = known.unansweredSends > 0 && result != OrderResult::Accepted
-        && result != OrderResult::Fenced;
-    switch (mayStillRun ? OrderResult::Unanswered : result) {
+    const bool mayStillRun = known.unansweredSends > 0 && answer.result != OrderResult::Accepted
+        && answer.result != OrderResult::Fenced;
+    switch (mayStillRun ? OrderResult::Unanswered : answer.result) {
     case OrderResult::Accepted:
         known.hasBegun = true;
         if (known.knownState == KnownRunState::Sent) {
@@ -415,7 +414,7 @@
         const bool mayRepeat = known.knownState == KnownRunState::Sent && !suspect_ && !superseded_
             && !mustStop(task, known);
         const bool isWorthwhile =
-            result == OrderResult::Unanswered || result == OrderResult::NotSent;
+            answer.result == OrderResult::Unanswered || answer.result == OrderResult::NotSent;
         if (mayRepeat && isWorthwhile && known.sendCount < options_.times.maxStartSends)
             return sendStart(task, &known, now);
         LogEvent("start-unanswered")
@@ -453,6 +452,23 @@
     endRun(task, schema::RUN_LOST);
 }
 
+// An incarnation that is not registered yet runs the task. Once it is registered, this session is
+// superseded and stops the run there.
+void WorkerSession::handleAcceptanceElsewhere(
+    const StepTaskRef &task, SessionRun *known, Millis now)
+{
+    LogEvent("start-accepted-elsewhere")
+        .with("work", nameOf(task) ? nameOf(task)->work : "")
+        .with("step", task.step.step)
+        .with("task", task.index)
+        .with("run", known->run)
+        .with("worker", options_.endpoint.id)
+        .with("born", options_.incarnationStartMs);
+    known->unansweredSends++;
+    known->latestStartAt = now + options_.times.maxCallDelay;
+    setSuspect(true);
+}
+
 void WorkerSession::throttle(const StepTaskRef &task, uint32_t percent)
 {
     const auto found = runs_.find(task);
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -361,6 +361,7 @@
     bool mustStop(const StepTaskRef &task, const SessionRun &known) const;
     void handleStartAnswer(
         const StepTaskRef &task, uint32_t run, const OrderAnswer &answer, Millis sentAt);
+    void handleAcceptanceElsewhere(const StepTaskRef &task, SessionRun *known, Millis now);
     void sendPendingStarts(Millis now);
     void sendDueStops(Millis now);
     void releaseSupersededRuns(Millis now);
