Use an overtaken answer for no list of runs

Callers saw a task that runs for ever by the state and on no worker, after a change of leader while answers got lost or were late.

Cause: a run that an earlier leader has logged and never sent is ended by a list of runs that doesn't name it, as long as the session is not synced. An answer that a newer one has overtaken is not used for the list of runs, but it set the session to synced if it listed all ends. From then on the run counted as one whose start may still be carried out, and no later list ended it.

Only an answer whose list was applied makes the session synced now.

Evidence: RestartedWorkerTest.anOvertakenAnswerLeavesNoRunBehind failed before ("session->isSynced() Actual: true", "ends.size() Which is: 0") and passes since, with the other 69 tests of the sessions.

--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -124,15 +124,15 @@
     const size_t lingeringRuns = lingeringRuns_.size();
     const bool hadStrayRun = hasStrayRun_;
     applyEnds(answer);
+    const bool wasSynced = synced_;
     if (poll.number > newestAnsweredPoll_) {
         newestAnsweredPoll_ = poll.number;
         applyRunning(answer, poll.sentAt, now);
+        // Until all ends are listed, it is not known which runs of an earlier leader have ended.
+        synced_ = synced_ || (!answer.mayHaveMoreEnds && answer.workerClock);
     }
     if (!answer.mayHaveMoreEnds)
         allEndsAskedAt_ = std::max(allEndsAskedAt_, poll.sentAt);
-    const bool wasSynced = synced_;
-    // Until all ends are listed, it is not known which runs of an earlier leader have ended.
-    synced_ = synced_ || (!answer.mayHaveMoreEnds && answer.workerClock);
     setSuspect(false);
     if (!wasSynced || hadStrayRun != hasStrayRun_ || lingeringRuns != lingeringRuns_.size())
         options_.events.onAvailabilityChanged();
--- a/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
@@ -377,5 +377,30 @@
     EXPECT_TRUE(ends.empty());
 }
 
+// Guards against LOST: the session counted as synced by an answer whose list of runs was not
+// applied, so that a run which an earlier leader had logged and never sent stayed for good.
+TEST_F(RestartedWorkerTest, anOvertakenAnswerLeavesNoRunBehind)
+{
+    logStart(0, 1);
+    openSession();
+    advanceAndTick(0);
+    port.polls.back().done({});
+    advanceAndTick(SessionTimes().maxRetryInterval.count());
+    advanceAndTick(SessionTimes().maxRetryInterval.count());
+    ASSERT_EQ(port.polls.size(), 3U);
+    PollAnswer cut = pollAnswer({});
+    cut.mayHaveMoreEnds = true;
+    port.polls[2].done(cut);
+    EXPECT_FALSE(session->isSynced());
+    port.polls[1].done(pollAnswer({}));
+    EXPECT_FALSE(session->isSynced()) << "it was overtaken";
+    advanceAndTick(MinPollIntervalMs);
+    ASSERT_EQ(port.polls.size(), 4U);
+    port.polls[3].done(pollAnswer({}));
+    EXPECT_TRUE(session->isSynced());
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].outcome, schema::RUN_LOST);
+}
+
 } // namespace
 } // namespace basilgap::dispatch
