Answer each poll once in the test of answers without a clock

RestartedWorkerTest.anAnswerWithoutAClockMakesNoWorkerUsable answered one poll three times, since it took no time between them: the later answers were those of a poll that had been answered, and whose list of runs isn't used. The worker is polled anew after the first answer now. The test checks the exact bound, the longest lease after the first answer with a clock, in place of a second less, and that the run lapses after it.

--- a/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
@@ -372,9 +372,15 @@
     answer.workerClock.reset();
     port.polls.back().done(answer);
     EXPECT_FALSE(session->isUsable());
+    advanceAndTick(MinPollIntervalMs);
+    ASSERT_EQ(port.polls.size(), 2U);
+    const Millis firstClockAt = now;
     startRunAndCutWorkerOff();
-    tickFor(SessionTimes().maxLease - Millis(1000));
+    EXPECT_EQ(port.polls.size(), 3U);
+    tickFor(firstClockAt + SessionTimes().maxLease - now);
     EXPECT_TRUE(ends.empty());
+    tickFor(Millis(1000));
+    EXPECT_EQ(ends.size(), 1U);
 }
 
 // Guards against LOST: the session counted as synced by an answer whose list of runs was not
