Count no missing polls of a worker that is not registered

Callers saw a task of a restarted worker end as lost, and start elsewhere, without its start ever having been ordered.

Cause: a task that a worker doesn't list in four polls in a row counts as never started there. The answers order starts only once the log names the worker's incarnation, but its polls were counted from the first report on. If the record of the registration took longer than three polls, the task was lost at the very poll whose answer would have ordered it.

Polls are counted once the incarnation is registered. Its tasks then have three ordered starts before they count as lost, as those of other workers.

Evidence: WorkerRegistryTest.aTaskIsNotLostBeforeItsStartWasOrderedOften failed before (lostTasks 1, not 0, at the polls 4 to 7; the worker is registered before poll 5) and passes since.

Joined with the count of missing polls by run: the fourth answer after the registration orders nothing, since the run counts as lost by then, so the test expects three starts.

--- a/Source/Basilgap/Control/WorkerRegistry.cpp
+++ b/Source/Basilgap/Control/WorkerRegistry.cpp
@@ -146,6 +146,9 @@
 
 void WorkerRegistry::countMissingPolls(Worker *worker)
 {
+    // No answer orders a start before the worker is registered.
+    if (!isRegistered(*worker))
+        return worker->missingRuns.clear();
     std::map<TaskId, MissingRun> missingRuns;
     for (const TaskId &id : state_.jobs().runningOn(state_.jobs().numberOf(worker->id))) {
         const auto reported = worker->tasks.find(id);
--- a/Source/UnitTests/Control/WorkerRegistryTest.cpp
+++ b/Source/UnitTests/Control/WorkerRegistryTest.cpp
@@ -227,4 +227,23 @@
     EXPECT_NE(registry_.extendLease(idOf(reportOf(2, 1)), leaseEnd), nullptr);
 }
 
+// Guards against a task that counts as lost before the answer that orders its start: polls were
+// counted while the record of the worker's registration was under way.
+TEST_F(WorkerRegistryTest, aTaskIsNotLostBeforeItsStartWasOrderedOften)
+{
+    Millis now = LeaderChange + WorkerLease + WorkerLeaseMargin;
+    int startOrders = 0;
+    for (uint64_t poll = 1; poll <= ManyPolls; poll++) {
+        now += Millis(100);
+        if (poll == ManyPolls / 2 + 1)
+            logRegistrations();
+        const auto worker = registry_.recordReport(reportOf(2, poll), nullptr, now);
+        ASSERT_TRUE(worker.has_value()) << worker.error().text();
+        registry_.extendLease(idOf(reportOf(2, poll)), now);
+        EXPECT_EQ(lostTasks(now), poll == ManyPolls ? 1 : 0) << "poll " << poll;
+        startOrders += registry_.ordersFor(**worker, {}).start_size();
+    }
+    EXPECT_EQ(startOrders, ManyPolls / 2 - 1) << "none once it counts as lost";
+}
+
 } // namespace basilgap::control
