--- a/review/standin-2/Cases.h
+++ b/review/standin-2/Cases.h
@@ -16,6 +16,7 @@
 bool runForeignHeartbeat(Cell &cell, bool hasTrouble);
 bool runCrashLoop(Cell &cell, bool hasTrouble);
 bool runHeadroom(Cell &cell, bool hasTrouble);
+bool runLateStart(Cell &cell, bool hasTrouble);
 bool runRenamedRoute(Cell &cell, bool hasTrouble);
 bool runWaitingCount(Cell &cell, bool hasTrouble);
 bool runLastingGang(Cell &cell, bool hasTrouble);
@@ -26,6 +27,7 @@
     { "crashed-job", runCrashedJob },
     { "crash-loop", runCrashLoop },
     { "headroom", runHeadroom },
+    { "late-start", runLateStart },
     { "renamed-route", runRenamedRoute },
     { "waiting-count", runWaitingCount },
     { "lasting-gang", runLastingGang },
--- a/review/standin-2/Executor.cpp
+++ b/review/standin-2/Executor.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 #include <rapidjson/document.h>
 
@@ -141,6 +142,25 @@
     held_.clear();
 }
 
+void Executor::holdBackStart(const std::string &task)
+{
+    const std::lock_guard lock(mutex_);
+    heldBackTask_ = task;
+}
+
+bool Executor::hasHeldBackStart() const
+{
+    const std::lock_guard lock(mutex_);
+    return heldBackStart_.has_value();
+}
+
+void Executor::carryOutHeldBackStart()
+{
+    holdBackStart("");
+    record_.add("exec " + options_.id + " carries out a start that it has not answered");
+    handle(*std::exchange(heldBackStart_, std::nullopt));
+}
+
 bool Executor::endTask(const std::string &task, const std::string &how)
 {
     const std::lock_guard lock(mutex_);
@@ -195,6 +215,11 @@
     const auto run = static_cast<uint32_t>(number(body, "run_id"));
     const auto deadline = static_cast<int64_t>(number(body, "deadline_ms"));
     const std::string plain = "{\"clock_ms\":" + std::to_string(clock()) + "}";
+    if (request.path == "/run-start" && run == 1 && task == heldBackTask_) {
+        record_.add("exec " + options_.id + " leaves a start of " + task + " unanswered");
+        heldBackStart_ = request;
+        return std::nullopt;
+    }
     if (request.path == "/run-start")
         return start(task, run, text(body, "spec"), deadline);
     if (request.path == "/run-stop") {
--- a/review/standin-2/Executor.h
+++ b/review/standin-2/Executor.h
@@ -80,6 +80,11 @@
     void startAgain(const std::string &id);
     // Without power for good: nothing is answered or sent any more, and all that runs is gone.
     void lose();
+    // Orders to start run 1 of this task are neither answered nor carried out, but for the last of
+    // them by carryOutHeldBackStart().
+    void holdBackStart(const std::string &task);
+    bool hasHeldBackStart() const;
+    void carryOutHeldBackStart();
     // The task's run ends this way. Returns false if it does not run here.
     bool endTask(const std::string &task, const std::string &how);
     bool runs(const std::string &task) const;
@@ -136,6 +141,8 @@
     std::map<std::string, Held> held_;
     std::map<std::string, uint32_t> highestEnded_;
     std::vector<End> ends_;
+    std::string heldBackTask_;
+    std::optional<Request> heldBackStart_;
     std::thread workThread_;
     std::thread beatThread_;
 };
