--- a/review/standin-2/Cell.cpp
+++ b/review/standin-2/Cell.cpp
@@ -294,10 +294,11 @@
     return false;
 }
 
+// Ends in a letter, so that no name of a task reads like an address.
 std::string Cell::jobId(int number)
 {
     char text[17];
-    std::snprintf(text, sizeof text, "5c0e7a21%08x", static_cast<unsigned>(number));
+    std::snprintf(text, sizeof text, "5c0e7a2%08xf", static_cast<unsigned>(number));
     return text;
 }
 
