Log where quarantined workers are, and when their probation ends

Whether a worker takes no task because of its health couldn't be told from the logs: only the begin of a quarantine had a line, without the worker's id, and stragglers that led to one had none.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -115,6 +115,10 @@
     void pruneFinishedWorks(Millis now);
     void recordOutcome(
         state::WorkerNumber worker, const StepTaskRef &task, schema::RunOutcome outcome);
+    void recordFailure(state::WorkerNumber worker, JobId job, Millis now);
+    void logProbationEnd(state::WorkerNumber worker, const char *reason) const;
+    // The id of the worker that has this incarnation; empty if there is no session with it.
+    std::string workerId(state::WorkerNumber worker) const;
     const std::set<state::StepRef> &endingSteps(Millis now);
     bool endsBefore(const state::Work &work, const state::StepRef &step, Millis latestEnd) const;
     // The end of the run by its progress, or else by the expected duration of its step.
--- a/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
@@ -23,14 +23,12 @@
     const state::WorkTask *state = state_.works().find(task);
     if (work == nullptr || state == nullptr)
         return;
-    if (outcome == schema::RUN_FAILED) {
-        const bool wasQuarantined = health_.isQuarantined(worker, now);
-        health_.recordFailure(worker, JobId(work->serial.value()), now);
-        if (!wasQuarantined && health_.isQuarantined(worker, now))
-            LogEvent("worker-quarantined").with("number", worker.value()).with("work", work->id);
-    }
+    if (outcome == schema::RUN_FAILED)
+        recordFailure(worker, JobId(work->serial.value()), now);
     if (outcome != schema::RUN_DONE)
         return;
+    if (health_.isOnProbation(worker))
+        logProbationEnd(worker, "done");
     health_.recordSuccess(worker);
     const auto sentAt = startSentAt_.find(task);
     const bool isFullRun = sentAt != startSentAt_.end() && state->checkpoint.empty()
@@ -40,6 +38,34 @@
     startSentAt_.erase(task);
 }
 
+void WorkDispatcher::recordFailure(state::WorkerNumber worker, JobId job, Millis now)
+{
+    const bool wasQuarantined = health_.isQuarantined(worker, now);
+    health_.recordFailure(worker, job, now);
+    if (wasQuarantined || !health_.isQuarantined(worker, now))
+        return;
+    const state::Work *work = state_.works().find(state::WorkSerial(job.value()));
+    LogEvent("worker-quarantined")
+        .with("worker", workerId(worker))
+        .with("number", worker.value())
+        .with("work", work == nullptr ? "" : work->id)
+        .with("runs", state_.works().runsOn(worker).size());
+}
+
+void WorkDispatcher::logProbationEnd(state::WorkerNumber worker, const char *reason) const
+{
+    LogEvent("worker-probation-ended")
+        .with("worker", workerId(worker))
+        .with("number", worker.value())
+        .with("reason", reason);
+}
+
+std::string WorkDispatcher::workerId(state::WorkerNumber worker) const
+{
+    const auto session = sessions_.find(worker);
+    return session == sessions_.end() ? std::string() : session->second->endpoint().id;
+}
+
 void WorkDispatcher::logCrashSuspect(const StepTaskRef &task) const
 {
     const state::Work *work = state_.works().find(task.step.work);
@@ -128,7 +154,7 @@
 void WorkDispatcher::recordStall(const scheduling::Straggler &straggler, uint32_t run, Millis now)
 {
     if (stalls_.earlierStalls(straggler.task, run) == 0)
-        health_.recordFailure(straggler.worker, JobId(straggler.task.step.work.value()), now);
+        recordFailure(straggler.worker, JobId(straggler.task.step.work.value()), now);
     stalls_.record(straggler.task, run);
 }
 
@@ -228,8 +254,14 @@
     state::Resources capacity;
     state::Resources reserved;
     size_t usable = 0;
-    for (const scheduling::StepWorker &worker : refreshWorkers(steadyNow())) {
+    size_t quarantined = 0;
+    size_t onProbation = 0;
+    const Millis now = steadyNow();
+    for (const scheduling::StepWorker &worker : refreshWorkers(now)) {
         usable += worker.schedulable ? 1 : 0;
+        const bool isQuarantined = health_.isQuarantined(worker.number, now);
+        quarantined += isQuarantined ? 1 : 0;
+        onProbation += !isQuarantined && health_.isOnProbation(worker.number) ? 1 : 0;
         capacity += worker.capacity;
         reserved += worker.reserved;
     }
@@ -242,6 +274,8 @@
     LogEvent line("cell");
     line.with("workers", sessions_.size())
         .with("usable", usable)
+        .with("quarantined", quarantined)
+        .with("onProbation", onProbation)
         .with("millicores", capacity.millicores)
         .with("reserved", reserved.millicores)
         .with("memoryMb", capacity.memoryMb)
