End the probation of a worker that runs services

Cause: on probation a worker took a task only while it ran none, and only a run that is done ended the probation. A worker that runs a service is never without a run, and services are never done. Log of the case: workers=4 usable=0 quarantined=0 onProbation=4 reserved=55500 of 128000, until the end.

Change: tasks start on probation one at a time whatever runs there, and a trial that goes on holds the next one back for 2 s. A run that has outlived the failed ones ends the probation too. Services that fail after they have worked for a while say nothing about their worker. The rule is one for both schedulers.

--- a/Source/Basilgap/Control/JobManager.cpp
+++ b/Source/Basilgap/Control/JobManager.cpp
@@ -1,5 +1,6 @@
 #include "Basilgap/Control/JobManager.h"
 
+#include <algorithm>
 #include <map>
 
 namespace basilgap::control {
@@ -28,6 +29,19 @@
     });
 }
 
+// Runs that go on for long enough show that their worker is sound.
+void JobManager::recordSurvivals(Millis now, uint64_t wallMs)
+{
+    for (const state::WorkerNumber number : health_.workersWithFailures()) {
+        for (const TaskId &id : state_.jobs().runningOn(number)) {
+            const uint64_t sinceMs = state_.jobs().find(id)->phaseSinceMs;
+            const Millis age(static_cast<int64_t>(wallMs - std::min(wallMs, sinceMs)));
+            if (health_.recordSurvival(number, age, now))
+                break;
+        }
+    }
+}
+
 void JobManager::requestStop(const TaskId &task, TaskUpdate *update)
 {
     if (!stopping_.insert(task).second)
@@ -41,6 +55,7 @@
 {
     TaskUpdate update;
     removeEnded();
+    recordSurvivals(now, wallMs);
     for (const auto &registration : workers_.newRegistrations())
         *update.batch.add_workers() = registration;
     *update.batch.mutable_ends() = workers_.collectEnds(stopping_, &health_, now);
@@ -67,6 +82,7 @@
         starts->add_task(static_cast<int32_t>(start.task.index - last.index));
         starts->add_worker(start.worker.value());
         last = start.task;
+        health_.recordStart(start.worker, now);
         update.workersToNotify.insert(*state_.jobs().workerOf(start.worker));
     }
     for (const scheduling::PlannedFailure &failure : plan.failures) {
--- a/Source/Basilgap/Control/JobManager.h
+++ b/Source/Basilgap/Control/JobManager.h
@@ -45,6 +45,7 @@
 
 private:
     void removeEnded();
+    void recordSurvivals(Millis now, uint64_t wallMs);
     void requestStop(const TaskId &task, TaskUpdate *update);
     void drainZones(const scheduling::WorkerPool &pool, TaskUpdate *update);
 
--- a/Source/Basilgap/Control/WorkerRegistry.cpp
+++ b/Source/Basilgap/Control/WorkerRegistry.cpp
@@ -4,6 +4,7 @@
 
 #include "Basilgap/Common/EventLog.h"
 #include "Basilgap/Common/LeaseTimes.h"
+#include "Basilgap/Scheduling/QuarantineLimit.h"
 
 namespace basilgap::control {
 
@@ -296,7 +297,8 @@
         health->recordSuccess(number);
         return ends->add(id, schema::TASK_DONE, "", 0);
     case schema::TaskReport::FAILED: {
-        const bool blameJob = health->recordFailure(number, id.job, now) == FailureCause::Job;
+        const bool blameJob =
+            health->recordFailure(number, { .job = id.job }, now) == FailureCause::Job;
         return ends->add(id, blameJob ? schema::TASK_FAILED : schema::TASK_LOST, reported.reason,
             reported.peakMemoryMb);
     }
@@ -326,23 +328,27 @@
 scheduling::WorkerPool WorkerRegistry::usablePool(
     const scheduling::WorkerHealth &health, Millis now) const
 {
-    scheduling::WorkerPool pool;
+    std::vector<scheduling::PoolWorker> usable;
+    scheduling::QuarantineLimit limit;
     for (const auto &[id, worker] : workers_) {
         const WorkerNumber number = state_.jobs().numberOf(id);
         // After half a lease of silence the worker is probably gone, so nothing is started there.
         const bool isSilent = now - worker.lastHeardAt > WorkerLease / 2;
-        const size_t running = state_.jobs().runningOn(number).size();
-        if (!isRegistered(worker) || isSilent || state_.config().isZoneOut(worker.zone)
-            || !health.mayStart(number, running, now))
+        if (!isRegistered(worker) || isSilent || state_.config().isZoneOut(worker.zone))
             continue;
-        scheduling::PoolWorker usable{ .number = number,
+        limit.add({}, {}, worker.capacity.millicores, health.isQuarantined(number, now));
+        usable.push_back({ .number = number,
             .zone = worker.zone,
             .rack = worker.rack,
             .capacity = worker.capacity,
-            .reserved = state_.jobs().reservedOn(number) };
-        if (health.isOnProbation(number))
-            usable.remainingStarts = 1;
-        pool.add(usable);
+            .reserved = state_.jobs().reservedOn(number),
+            .remainingStarts = health.remainingStarts(number, now) });
+    }
+    const bool quarantinesHold = limit.holds({}, {});
+    scheduling::WorkerPool pool;
+    for (const scheduling::PoolWorker &worker : usable) {
+        if (!quarantinesHold || !health.isQuarantined(worker.number, now))
+            pool.add(worker);
     }
     return pool;
 }
--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -404,6 +404,7 @@
     if (now < nextStragglerCheck_)
         return;
     stopStragglers();
+    recordSurvivals(now);
     throttleBackfill();
     if (now >= nextDrop_)
         dropSilentWorkers(now);
@@ -554,6 +555,7 @@
         if (start.run() == 1)
             recordFirstStart(*work, task, plannedAt);
         startSentAt_[task] = now;
+        health_.recordStart(worker, now);
         if (state->isCrashSuspect())
             crashProbations_[worker] = now + options_.times.startLossWindow;
         session->second->start(
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -115,7 +115,8 @@
     void pruneFinishedWorks(Millis now);
     void recordOutcome(
         state::WorkerNumber worker, const StepTaskRef &task, schema::RunOutcome outcome);
-    void recordFailure(state::WorkerNumber worker, JobId job, Millis now);
+    void recordFailure(state::WorkerNumber worker, const scheduling::FailedRun &run, Millis now);
+    void recordSurvivals(Millis now);
     void logProbationEnd(state::WorkerNumber worker, const char *reason) const;
     // The id of the worker that has this incarnation; empty if there is no session with it.
     std::string workerId(state::WorkerNumber worker) const;
--- a/Source/Basilgap/Dispatch/WorkDispatcherAdmission.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherAdmission.cpp
@@ -61,7 +61,8 @@
     registeredCapacity_ = {};
     for (const scheduling::StepWorker &worker : workers) {
         // The usage of the accounts includes that of workers out of reach.
-        view.capacity += worker.schedulable ? worker.capacity : worker.reserved;
+        const bool takesTasks = worker.schedulable && !worker.isQuarantined;
+        view.capacity += takesTasks ? worker.capacity : worker.reserved;
         registeredCapacity_ += worker.capacity;
     }
     const auto &waiting = admission_.waitingByAccount();
--- a/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
@@ -23,14 +23,18 @@
     const state::WorkTask *state = state_.works().find(task);
     if (work == nullptr || state == nullptr)
         return;
+    const auto sentAt = startSentAt_.find(task);
     if (outcome == schema::RUN_FAILED)
-        recordFailure(worker, JobId(work->serial.value()), now);
+        recordFailure(worker,
+            { .job = JobId(work->serial.value()),
+                .age = sentAt == startSentAt_.end() ? Millis() : now - sentAt->second,
+                .isService = work->specOf(task.step).service() },
+            now);
     if (outcome != schema::RUN_DONE)
         return;
     if (health_.isOnProbation(worker))
         logProbationEnd(worker, "done");
     health_.recordSuccess(worker);
-    const auto sentAt = startSentAt_.find(task);
     const bool isFullRun = sentAt != startSentAt_.end() && state->checkpoint.empty()
         && !work->specOf(task.step).gang();
     if (isFullRun)
@@ -38,13 +42,14 @@
     startSentAt_.erase(task);
 }
 
-void WorkDispatcher::recordFailure(state::WorkerNumber worker, JobId job, Millis now)
+void WorkDispatcher::recordFailure(
+    state::WorkerNumber worker, const scheduling::FailedRun &run, Millis now)
 {
     const bool wasQuarantined = health_.isQuarantined(worker, now);
-    health_.recordFailure(worker, job, now);
+    health_.recordFailure(worker, run, now);
     if (wasQuarantined || !health_.isQuarantined(worker, now))
         return;
-    const state::Work *work = state_.works().find(state::WorkSerial(job.value()));
+    const state::Work *work = state_.works().find(state::WorkSerial(run.job.value()));
     LogEvent("worker-quarantined")
         .with("worker", workerId(worker))
         .with("number", worker.value())
@@ -52,6 +57,25 @@
         .with("runs", state_.works().runsOn(worker).size());
 }
 
+// Runs that go on for long enough show that their worker is sound.
+void WorkDispatcher::recordSurvivals(Millis now)
+{
+    for (const state::WorkerNumber number : health_.workersWithFailures()) {
+        const auto session = sessions_.find(number);
+        if (session == sessions_.end() || !session->second->isUsable())
+            continue;
+        const bool wasOnProbation = health_.isOnProbation(number);
+        for (const auto &[task, run] : session->second->runs()) {
+            if (!run.isListed || !health_.recordSurvival(number, now - run.startedAt, now))
+                continue;
+            if (wasOnProbation)
+                logProbationEnd(number, "outlived");
+            planWorkers_.markChanged(number);
+            break;
+        }
+    }
+}
+
 void WorkDispatcher::logProbationEnd(state::WorkerNumber worker, const char *reason) const
 {
     LogEvent("worker-probation-ended")
@@ -154,7 +178,7 @@
 void WorkDispatcher::recordStall(const scheduling::Straggler &straggler, uint32_t run, Millis now)
 {
     if (stalls_.earlierStalls(straggler.task, run) == 0)
-        recordFailure(straggler.worker, JobId(straggler.task.step.work.value()), now);
+        recordFailure(straggler.worker, { .job = JobId(straggler.task.step.work.value()) }, now);
     stalls_.record(straggler.task, run);
 }
 
@@ -258,10 +282,9 @@
     size_t onProbation = 0;
     const Millis now = steadyNow();
     for (const scheduling::StepWorker &worker : refreshWorkers(now)) {
-        usable += worker.schedulable ? 1 : 0;
-        const bool isQuarantined = health_.isQuarantined(worker.number, now);
-        quarantined += isQuarantined ? 1 : 0;
-        onProbation += !isQuarantined && health_.isOnProbation(worker.number) ? 1 : 0;
+        usable += worker.schedulable && !worker.isQuarantined ? 1 : 0;
+        quarantined += worker.isQuarantined ? 1 : 0;
+        onProbation += !worker.isQuarantined && health_.isOnProbation(worker.number) ? 1 : 0;
         capacity += worker.capacity;
         reserved += worker.reserved;
     }
--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -54,7 +54,7 @@
     if (workersChanged_)
         rebuildWorkers();
     workersChanged_ = false;
-    // Quarantines end with time.
+    // Quarantines and trials end with time.
     for (const state::WorkerNumber number : health_.workersOnProbation())
         planWorkers_.markChanged(number);
     for (const auto &[number, end] : crashProbations_)
@@ -77,9 +77,9 @@
     const auto slow = slowWorkers_.find(worker->number);
     if (slow != slowWorkers_.end())
         worker->slowdown = std::max(worker->slowdown, slow->second);
-    const size_t running = state_.works().runsOn(worker->number).size();
-    worker->schedulable = session.isUsable() && health_.mayStart(worker->number, running, now);
-    worker->remainingStarts = health_.isOnProbation(worker->number) ? 1 : UINT32_MAX;
+    worker->schedulable = session.isUsable();
+    worker->isQuarantined = health_.isQuarantined(worker->number, now);
+    worker->remainingStarts = health_.remainingStarts(worker->number, now);
     if (crashProbations_.contains(worker->number))
         worker->remainingStarts = 0;
 }
--- a/Source/Basilgap/Scheduling/StepAdvice.cpp
+++ b/Source/Basilgap/Scheduling/StepAdvice.cpp
@@ -106,8 +106,8 @@
     std::vector<AdviceCandidate> options;
     for (const StepWorker &worker : workers) {
         const Resources unclaimed = worker.freeCapacity() - claims.on(worker.number);
-        if (worker.schedulable && worker.remainingStarts > 0 && worker.pool == pool
-            && hasRequiredLabel(worker, spec)
+        if (worker.schedulable && !worker.isQuarantined && worker.remainingStarts > 0
+            && worker.pool == pool && hasRequiredLabel(worker, spec)
             && hasUnclaimedRoom(reservation, worker.freeCapacity(), unclaimed))
             options.push_back({ worker.number, unclaimed, false });
     }
--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -113,7 +113,8 @@
 {
     const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
     const Resources reservation = state::reservationOf(spec);
-    if (!mayFit(candidate.queue->pool(), reservation)) {
+    if (!mayFit(candidate.queue->pool(), reservation)
+        && !mayFitQuarantined(candidate, reservation)) {
         return !spec.gang() && fitsAccountCap(candidate) && !mayPreempt(candidate, reservation);
     }
     return !leavesHeadroom(candidate, reservation)
@@ -140,11 +141,22 @@
     return reservation.fitsIn(*largest);
 }
 
+bool StepPlanner::mayFitQuarantined(const Candidate &candidate, const Resources &reservation) const
+{
+    return std::any_of(quarantined_.begin(), quarantined_.end(), [&](const StepWorker *worker) {
+        return reservation.fitsIn(worker->freeCapacity()) && mayRun(*worker, candidate);
+    });
+}
+
 void StepPlanner::loadCapacity()
 {
     for (StepWorker &worker : input_.workers) {
         if (!worker.schedulable)
             continue;
+        if (worker.isQuarantined && quarantineLimit().holds(worker.pool, {})) {
+            quarantined_.push_back(&worker);
+            continue;
+        }
         PoolCapacity &pool = pools_[worker.pool];
         pool.total += worker.capacity;
         pool.free += positivePart(worker.freeCapacity());
@@ -248,9 +260,54 @@
 
 bool StepPlanner::mayRun(const StepWorker &worker, const Candidate &candidate) const
 {
-    const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
+    return isEligible(worker, candidate) && mayRunAnother(worker, candidate)
+        && (!worker.isQuarantined || mayUseQuarantined(candidate));
+}
+
+bool StepPlanner::isEligible(const StepWorker &worker, const Candidate &candidate) const
+{
     return worker.schedulable && worker.pool == candidate.queue->pool()
-        && hasRequiredLabel(worker, spec) && mayRunAnother(worker, candidate);
+        && hasRequiredLabel(worker, candidate.work->specOf(candidate.ref));
+}
+
+const QuarantineLimit &StepPlanner::quarantineLimit() const
+{
+    if (!quarantineLimit_) {
+        quarantineLimit_.emplace();
+        for (const StepWorker &worker : input_.workers) {
+            if (worker.schedulable)
+                quarantineLimit_->add(
+                    worker.pool, worker.labels, worker.capacity.millicores, worker.isQuarantined);
+        }
+    }
+    return *quarantineLimit_;
+}
+
+// Whether quarantines would leave too little room for the step, or none at all.
+bool StepPlanner::mayUseQuarantined(const Candidate &candidate) const
+{
+    const schema::StepSpec &spec = candidate.work->specOf(candidate.ref);
+    const std::string &pool = candidate.queue->pool();
+    const QuarantineLimit &limit = quarantineLimit();
+    if (!limit.holds(pool, {}) || !limit.holds(pool, spec.required_label()))
+        return true;
+    const auto [known, isNew] = hasOnlyQuarantined_.try_emplace(candidate.ref, false);
+    if (isNew)
+        known->second = hasOnlyQuarantined(candidate);
+    return known->second;
+}
+
+// Whether no other worker could hold a task of the step if it were empty.
+bool StepPlanner::hasOnlyQuarantined(const Candidate &candidate) const
+{
+    const Resources reservation = state::reservationOf(candidate.work->specOf(candidate.ref));
+    const StepPermits &permits = input_.permits.permitsFor(candidate.ref);
+    return std::none_of(
+        input_.workers.begin(), input_.workers.end(), [&](const StepWorker &worker) {
+            return !worker.isQuarantined && isEligible(worker, candidate)
+                && reservation.fitsIn(worker.capacity)
+                && !(candidate.queue->has_advice() && permits.isRefused(worker.number));
+        });
 }
 
 bool StepPlanner::mayRunAnother(const StepWorker &worker, const Candidate &candidate) const
@@ -320,6 +377,8 @@
     if (!candidate.queue->has_advice()) {
         for (StepWorker *worker : workersWithRoom_)
             addIfFits(worker);
+        for (StepWorker *worker : quarantined_)
+            addIfFits(worker);
         return options;
     }
     for (const auto &[number, ticket] : input_.permits.permitsFor(candidate.ref).tickets()) {
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -15,6 +15,7 @@
 #include "Basilgap/Scheduling/PendingRunEnds.h"
 #include "Basilgap/Scheduling/PermitCache.h"
 #include "Basilgap/Scheduling/PollPacing.h"
+#include "Basilgap/Scheduling/QuarantineLimit.h"
 #include "Basilgap/Scheduling/StartShares.h"
 #include "Basilgap/Scheduling/StepWorker.h"
 #include "Basilgap/Scheduling/UrgentDemand.h"
@@ -189,6 +190,8 @@
     bool mayPreempt(const Candidate &candidate, const Resources &reservation) const;
     // Whether a task might fit on some worker of the pool.
     bool mayFit(const std::string &pool, const Resources &reservation);
+    // Whether a task fits on a quarantined worker and may start there.
+    bool mayFitQuarantined(const Candidate &candidate, const Resources &reservation) const;
     bool leavesHeadroom(const Candidate &candidate, const Resources &reservation) const;
     bool mayPrefetchAdvice(const Candidate &candidate) const;
     uint32_t waitingOf(const Candidate &candidate) const;
@@ -209,6 +212,11 @@
     std::vector<StepWorker *> candidateWorkers(
         const Candidate &candidate, const Resources &reservation);
     bool mayRun(const StepWorker &worker, const Candidate &candidate) const;
+    // The part of mayRun() that quarantines and the number of starts have no effect on.
+    bool isEligible(const StepWorker &worker, const Candidate &candidate) const;
+    const QuarantineLimit &quarantineLimit() const;
+    bool mayUseQuarantined(const Candidate &candidate) const;
+    bool hasOnlyQuarantined(const Candidate &candidate) const;
     // The part of mayRun() that the starts of this round change.
     bool mayRunAnother(const StepWorker &worker, const Candidate &candidate) const;
     uint32_t heldBackTasks(const Candidate &candidate) const;
@@ -250,6 +258,11 @@
     std::map<std::string, PoolCapacity> pools_;
     // Workers with free capacity at the start of the round, by number.
     std::vector<StepWorker *> workersWithRoom_;
+    // Schedulable workers that are left to tasks which find no other room.
+    std::vector<StepWorker *> quarantined_;
+    // Absent until the first quarantined worker is considered.
+    mutable std::optional<QuarantineLimit> quarantineLimit_;
+    mutable std::map<StepRef, bool> hasOnlyQuarantined_;
     // Workers with free capacity when the first step asks for advice, and what steps claim there.
     struct UnclaimedRoom
     {
--- a/Source/Basilgap/Scheduling/StepWorker.h
+++ b/Source/Basilgap/Scheduling/StepWorker.h
@@ -25,6 +25,8 @@
     int64_t backfillMillicores = 0;
     // Whether it may be given new tasks.
     bool schedulable = true;
+    // Tasks stay off it as far as others have room for them (QuarantineLimit).
+    bool isQuarantined = false;
     // Duration relative to a typical worker.
     double slowdown = 1;
     // Number of tasks that may still be started; limited while the worker is on probation.
--- a/Source/Basilgap/Scheduling/WorkerHealth.cpp
+++ b/Source/Basilgap/Scheduling/WorkerHealth.cpp
@@ -11,13 +11,19 @@
 } // namespace
 
 WorkerHealth::FailureCause WorkerHealth::recordFailure(
-    state::WorkerNumber worker, JobId job, Millis now)
+    state::WorkerNumber worker, const FailedRun &run, Millis now)
 {
+    // A service that fails after it has worked for a while says nothing about its worker.
+    if (run.isService && run.age > options_.maxTrialTime)
+        return FailureCause::Job;
     Record &record = records_[worker];
     const bool othersFailed =
-        record.failedJobs.size() > (record.failedJobs.contains(job) ? 1U : 0U);
-    record.failedJobs.insert(job);
-    failedOn_[job].insert(worker);
+        record.failedJobs.size() > (record.failedJobs.contains(run.job) ? 1U : 0U);
+    record.failedJobs.insert(run.job);
+    record.lastFailureAt = now;
+    record.longestFailure = std::max(record.longestFailure, run.age);
+    record.nextTrialAt = now + options_.maxTrialTime;
+    failedOn_[run.job].insert(worker);
     const bool confirmed = record.failedJobs.size() >= options_.minFailedJobs || record.onProbation;
     if (confirmed && now >= record.quarantinedUntil) {
         const int doublings = std::min(record.quarantines, MaxDoublings);
@@ -35,6 +41,26 @@
     records_.erase(worker);
 }
 
+void WorkerHealth::recordStart(state::WorkerNumber worker, Millis now)
+{
+    const auto found = records_.find(worker);
+    if (found != records_.end())
+        found->second.nextTrialAt = now + options_.maxTrialTime;
+}
+
+bool WorkerHealth::recordSurvival(state::WorkerNumber worker, Millis age, Millis now)
+{
+    const auto found = records_.find(worker);
+    if (found == records_.end())
+        return false;
+    const Record &record = found->second;
+    const bool hasOutlivedFailures = age > std::max(options_.maxTrialTime, record.longestFailure);
+    if (!hasOutlivedFailures || now - age < record.lastFailureAt)
+        return false;
+    records_.erase(found);
+    return true;
+}
+
 void WorkerHealth::retainJobs(const std::function<bool(JobId)> &isNeeded)
 {
     std::erase_if(failedOn_, [&isNeeded](const auto &entry) { return !isNeeded(entry.first); });
@@ -56,20 +82,26 @@
     return workers;
 }
 
+std::vector<state::WorkerNumber> WorkerHealth::workersWithFailures() const
+{
+    std::vector<state::WorkerNumber> workers;
+    for (const auto &[worker, record] : records_)
+        workers.push_back(worker);
+    return workers;
+}
+
 bool WorkerHealth::isOnProbation(state::WorkerNumber worker) const
 {
     const auto found = records_.find(worker);
     return found != records_.end() && found->second.onProbation;
 }
 
-bool WorkerHealth::mayStart(state::WorkerNumber worker, size_t running, Millis now) const
+uint32_t WorkerHealth::remainingStarts(state::WorkerNumber worker, Millis now) const
 {
     const auto found = records_.find(worker);
-    if (found == records_.end())
-        return true;
-    if (now < found->second.quarantinedUntil)
-        return false;
-    return !found->second.onProbation || running == 0;
+    if (found == records_.end() || !found->second.onProbation)
+        return UINT32_MAX;
+    return now >= found->second.nextTrialAt ? 1 : 0;
 }
 
 } // namespace basilgap::scheduling
--- a/Source/Basilgap/Scheduling/WorkerHealth.h
+++ b/Source/Basilgap/Scheduling/WorkerHealth.h
@@ -11,9 +11,20 @@
 
 namespace basilgap::scheduling {
 
+// A run that has ended as failed.
+struct FailedRun
+{
+    JobId job;
+    // From its start until it failed; 0: unknown.
+    Millis age;
+    // A run of a service, which has no end as done.
+    bool isService = false;
+};
+
 // Distinguishes faulty workers from faulty jobs. A worker on which several different jobs failed in
-// a row is quarantined, for longer each time, and then put on probation with one task. Load
-// pattern: grey failures, where a worker accepts tasks and fails them all.
+// a row is quarantined, for longer each time, and then put on probation: its tasks start one at a
+// time until one is done or runs for long enough. Load pattern: grey failures, where a worker
+// accepts tasks and fails them all.
 class WorkerHealth
 {
 public:
@@ -24,6 +35,9 @@
         // Doubled with each further quarantine.
         Millis initialQuarantine{ 30000 };
         Millis maxQuarantine{ 600000 };
+        // A trial is a task that starts on probation. It keeps the next one back until it has
+        // ended, but for no longer than this: services never end, and other tasks may take hours.
+        Millis maxTrialTime{ 2000 };
     };
 
     WorkerHealth() = default;
@@ -38,18 +52,23 @@
         Worker,
     };
 
-    FailureCause recordFailure(state::WorkerNumber worker, JobId job, Millis now);
+    FailureCause recordFailure(state::WorkerNumber worker, const FailedRun &run, Millis now);
     void recordSuccess(state::WorkerNumber worker);
+    void recordStart(state::WorkerNumber worker, Millis now);
+    // A run of this age is still at work. It counts as a success if it began after the last failure
+    // and has outlived all runs that failed on the worker. Returns whether it does.
+    bool recordSurvival(state::WorkerNumber worker, Millis age, Millis now);
 
-    // Whether another task may start on the worker, given the number that it runs.
-    bool mayStart(state::WorkerNumber worker, size_t running, Millis now) const;
     bool isQuarantined(state::WorkerNumber worker, Millis now) const;
     // No task has failed there since the last success.
     bool hasNoFailures(state::WorkerNumber worker) const { return !records_.contains(worker); }
     // Quarantined before, without a success since.
     bool isOnProbation(state::WorkerNumber worker) const;
-    // Only what mayStart() says of these changes with time.
+    // How many tasks may start on the worker at present, apart from a quarantine.
+    uint32_t remainingStarts(state::WorkerNumber worker, Millis now) const;
+    // Only what isQuarantined() and remainingStarts() say of these changes with time.
     std::vector<state::WorkerNumber> workersOnProbation() const;
+    std::vector<state::WorkerNumber> workersWithFailures() const;
 
     // For each job, the workers on which it failed.
     const std::map<JobId, std::set<state::WorkerNumber>> &failedOn() const { return failedOn_; }
@@ -62,6 +81,10 @@
         int quarantines = 0;
         Millis quarantinedUntil;
         bool onProbation = false;
+        Millis lastFailureAt;
+        // The greatest age of a run that failed.
+        Millis longestFailure;
+        Millis nextTrialAt;
     };
 
     Options options_;
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -85,6 +85,20 @@
         }
     }
 
+    // Ends the run of the job as failed.
+    void failRunOf(const std::string &work)
+    {
+        for (const auto &[run, startedAt] : std::map(running_)) {
+            if (run.first.work == work)
+                endRun(run, schema::RUN_FAILED);
+        }
+    }
+    bool runs(const std::string &work) const
+    {
+        return std::any_of(running_.begin(), running_.end(),
+            [&work](const auto &entry) { return entry.first.first.work == work; });
+    }
+
     // The worker restarts and holds nothing.
     void restart(uint64_t incarnationStartMs)
     {
@@ -290,6 +304,24 @@
         propose(std::move(command));
     }
 
+    // Submits a job of one task that lasts until the job is canceled.
+    void submitService(const std::string &id)
+    {
+        schema::Command command;
+        schema::SubmitWork *submit = command.mutable_submit_work();
+        submit->set_id(id);
+        submit->set_queue("queue");
+        submit->set_account("team");
+        submit->set_max_attempts(3);
+        schema::StepSpec *step = submit->mutable_spec()->add_steps();
+        step->set_count(1);
+        step->set_service(true);
+        step->set_millicores(1000);
+        step->set_memory_mb(10);
+        step->set_estimate_ms(100);
+        propose(std::move(command));
+    }
+
     bool runWorkerUntil(const std::function<bool()> &condition)
     {
         return runUntil([&] {
@@ -920,5 +952,24 @@
     EXPECT_EQ(starts, 0U);
 }
 
+// Guards against tasks that are never started again: once services had failed on a worker, it took
+// no task as long as it ran another service, and that had no end.
+TEST_F(WorkDispatcherTest, aWorkerThatRunsServicesTakesTasksAgainAfterFailures)
+{
+    const std::vector<std::string> services{ "00000000000000aa", "00000000000000bb",
+        "00000000000000cc" };
+    for (const std::string &service : services)
+        submitService(service);
+    const auto allRun = [&] {
+        return std::all_of(services.begin(), services.end(),
+            [this](const std::string &service) { return worker_.runs(service); });
+    };
+    ASSERT_TRUE(runWorkerUntil(allRun));
+    worker_.failRunOf(services[0]);
+    worker_.failRunOf(services[1]);
+    ASSERT_FALSE(allRun());
+    EXPECT_TRUE(runWorkerUntil(allRun));
+}
+
 } // namespace
 } // namespace basilgap::dispatch
--- a/Source/UnitTests/Scheduling/StepPlannerCrashTest.cpp
+++ b/Source/UnitTests/Scheduling/StepPlannerCrashTest.cpp
@@ -90,8 +90,8 @@
     loseWorkerOf(step, 0);
     applyEnds();
     workers[1].reserved.millicores = 4000;
-    health.recordFailure(WorkerNumber(1), JobId(99), Now);
-    health.recordFailure(WorkerNumber(3), JobId(99), Now);
+    health.recordFailure(WorkerNumber(1), { .job = JobId(99) }, Now);
+    health.recordFailure(WorkerNumber(3), { .job = JobId(99) }, Now);
     const StepPlan planned = plan();
     ASSERT_EQ(startsOf(planned, step), 1U);
     EXPECT_EQ(planned.starts[0].worker, WorkerNumber(2));
--- a/Source/UnitTests/Scheduling/StepPlannerTest.cpp
+++ b/Source/UnitTests/Scheduling/StepPlannerTest.cpp
@@ -144,7 +144,7 @@
 {
     addWorkers(3, 8000);
     const StepRef step = submit("urgent", 1, 500);
-    health.recordFailure(WorkerNumber(1), JobId(step.work.value()), Now);
+    health.recordFailure(WorkerNumber(1), { .job = JobId(step.work.value()) }, Now);
     workers[1].slowdown = 4;
     const StepPlan planned = plan();
     ASSERT_EQ(planned.starts.size(), 1U);
