Know a queue by its host and path prefix, and keep removed ones for their jobs

Cause: a job kept the name that its route had, and planning, urgent demand, admission, advice and the counts looked it up in the configuration in force, while calls are matched by host and prefix. Without a match the job was left out without a line.

Change: QueueId, host and prefix, is the key everywhere. A queue that is no longer configured stays in the replicated state with its last settings while it has active jobs, so that jobs of removed routes run too. A submission that is logged behind the removal of its route is answered 404 and not stored.

--- a/Source/Basilgap/Dispatch/ForecastAccuracy.cpp
+++ b/Source/Basilgap/Dispatch/ForecastAccuracy.cpp
@@ -23,7 +23,7 @@
 } // namespace
 
 void ForecastAccuracy::add(
-    const state::QueueName &queue, Millis actual, Millis forecast, Millis estimate)
+    const state::QueueId &queue, Millis actual, Millis forecast, Millis estimate)
 {
     Ratios &ratios = queues_[queue];
     ratios.toForecast.add(ratioOf(actual, forecast));
--- a/Source/Basilgap/Dispatch/ForecastAccuracy.h
+++ b/Source/Basilgap/Dispatch/ForecastAccuracy.h
@@ -20,7 +20,7 @@
 
 struct QueueAccuracy
 {
-    state::QueueName queue;
+    state::QueueId queue;
     uint64_t runs = 0;
     DurationRatios toForecast;
     // Absent if no run had an estimate.
@@ -32,7 +32,7 @@
 {
 public:
     // The estimate is 0 if none was given.
-    void add(const state::QueueName &queue, Millis actual, Millis forecast, Millis estimate);
+    void add(const state::QueueId &queue, Millis actual, Millis forecast, Millis estimate);
 
     // Returns the figures of all queues with finished runs, and begins anew.
     std::vector<QueueAccuracy> take();
@@ -47,7 +47,7 @@
         LatencyHistogram toEstimate;
     };
 
-    std::map<state::QueueName, Ratios> queues_;
+    std::map<state::QueueId, Ratios> queues_;
 };
 
 } // namespace basilgap::dispatch
--- a/Source/Basilgap/Dispatch/StageTimes.cpp
+++ b/Source/Basilgap/Dispatch/StageTimes.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-void StageTimes::add(const state::QueueName &queue, Stage stage, Millis time)
+void StageTimes::add(const state::QueueId &queue, Stage stage, Millis time)
 {
     queues_[queue][static_cast<size_t>(stage)].add(
         static_cast<double>(std::max<int64_t>(0, time.count())));
--- a/Source/Basilgap/Dispatch/StageTimes.h
+++ b/Source/Basilgap/Dispatch/StageTimes.h
@@ -29,7 +29,7 @@
 class StageTimes
 {
 public:
-    void add(const state::QueueName &queue, Stage stage, Millis time);
+    void add(const state::QueueId &queue, Stage stage, Millis time);
 
     // Logs one line for each queue with the count, the median and the 95th percentile of each
     // stage, and starts anew.
@@ -38,7 +38,7 @@
 private:
     static constexpr size_t StageCount = 6;
 
-    std::map<state::QueueName, std::array<LatencyHistogram, StageCount>> queues_;
+    std::map<state::QueueId, std::array<LatencyHistogram, StageCount>> queues_;
 };
 
 // When the last of the steps that this one depends on was done, or the job was logged or due, in
--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -112,6 +112,8 @@
             refreshAdmission(work->serial);
         }
     }
+    if (command.has_put_work_config())
+        logRetiredQueues();
     workersChanged_ = workersChanged_ || command.has_evacuate_zone();
     if (command.has_runs()) {
         if (command.runs().workers_size() > 0)
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -172,6 +172,7 @@
     void compareWithForecast(const EndedRun &ended);
     // Logs what is known about the task's part in crashes of its workers.
     void logCrashSuspect(const StepTaskRef &task) const;
+    void logRetiredQueues() const;
     void logCellStatus();
     void logActivity(LogEvent *line);
     void proposeExpiry();
--- a/Source/Basilgap/Dispatch/WorkDispatcherAdmission.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherAdmission.cpp
@@ -26,6 +26,7 @@
     isAdmissionBuilt_ = true;
     for (const state::WorkSerial serial : state_.works().active())
         refreshAdmission(serial);
+    logRetiredQueues();
 }
 
 void WorkDispatcher::refreshAdmission(state::WorkSerial serial)
@@ -104,7 +105,7 @@
     return admission_.decide(
         {
             .id = id,
-            .queue = state::QueueName(queue.name()),
+            .queue = state::queueIdOf(queue),
             .account = name,
             .objective = scheduling::latencyObjective(spec, queue, name, waitingSteps_.durations()),
             .isExempt = scheduling::isExemptFromAdmission(spec),
--- a/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
@@ -138,9 +138,9 @@
         return refuse(Unauthorized, "unknown key");
     const std::string id = call.path().substr(queue->prefix().size());
     if (call.kind() == schema::QueueCall::STATUS && id.empty()) {
-        return answerWhenConfirmed(request, reply, [this, name = queue->name()] {
+        return answerWhenConfirmed(request, reply, [this, queueId = state::queueIdOf(*queue)] {
             schema::CallReply count = makeReply(Ok);
-            count.set_waiting_count(state_.works().unstartedCount(state::QueueName(name)));
+            count.set_waiting_count(state_.works().unstartedCount(queueId));
             return count;
         });
     }
@@ -193,7 +193,7 @@
     schema::Command command;
     schema::SubmitWork *submit = command.mutable_submit_work();
     submit->set_id(id);
-    submit->set_queue(queue.name());
+    submit->set_queue_id(state::queueIdOf(queue).value());
     submit->set_account(account);
     *submit->mutable_spec() = call.spec();
     submit->set_max_attempts(queue.max_attempts());
@@ -207,10 +207,13 @@
         reply(std::move(answer));
     };
     propose(request, std::move(command), replyOnce,
-        [this, alive = std::weak_ptr<bool>(alive_), queueName = state::QueueName(queue.name()),
-            takenAt = steadyNow()](const schema::CommandOutcome &) {
+        [this, alive = std::weak_ptr<bool>(alive_), queueId = state::queueIdOf(queue),
+            takenAt = steadyNow()](const schema::CommandOutcome &outcome) {
+            // The queue was removed while the job was being logged.
+            if (outcome.code() == schema::NOT_FOUND)
+                return makeReply(NotFound, "no such queue");
             if (!alive.expired())
-                stageTimes_.add(queueName, Stage::Log, steadyNow() - takenAt);
+                stageTimes_.add(queueId, Stage::Log, steadyNow() - takenAt);
             return makeReply(Ok);
         });
 }
--- a/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
@@ -271,6 +271,24 @@
     activity_ = {};
 }
 
+// Logs the queues that are no longer configured and still have jobs.
+void WorkDispatcher::logRetiredQueues() const
+{
+    std::map<state::QueueId, size_t> jobs;
+    for (const state::WorkSerial serial : state_.works().active()) {
+        const state::QueueId &queue = state_.works().find(serial)->queue;
+        if (!state_.workConfig().isConfigured(queue))
+            jobs[queue]++;
+    }
+    for (const auto &[queue, count] : jobs) {
+        LogEvent("queue-retired")
+            .with("queue", queue.value())
+            .with("version", state_.workConfig().version())
+            .with("jobs", count)
+            .with("runs", state_.workConfig().findQueue(queue) == nullptr ? 0 : 1);
+    }
+}
+
 // Logs capacity and usage of the cell once a second.
 void WorkDispatcher::logCellStatus()
 {
@@ -289,10 +307,14 @@
         reserved += worker.reserved;
     }
     std::map<uint32_t, uint64_t> waiting;
+    uint64_t withoutQueue = 0;
     for (const state::WorkSerial serial : state_.works().waiting()) {
         const state::Work *work = state_.works().find(serial);
         const schema::QueueConfig *queue = state_.workConfig().findQueue(work->queue);
-        waiting[queue == nullptr ? 0 : queue->priority()] += work->waitingTasks;
+        if (queue == nullptr)
+            withoutQueue += work->waitingTasks;
+        else
+            waiting[queue->priority()] += work->waitingTasks;
     }
     LogEvent line("cell");
     line.with("workers", sessions_.size())
@@ -304,6 +326,8 @@
         .with("memoryMb", capacity.memoryMb)
         .with("reservedMb", reserved.memoryMb)
         .with("running", state_.works().runningTasks())
+        .with("retiredQueues", state_.workConfig().retiredQueues().size())
+        .with("waitingWithoutQueue", withoutQueue)
         .with("idleAdvisers", advicePool_.availableCallSlots(steadyNow()));
     logActivity(&line);
     for (const auto &[priority, tasks] : waiting)
--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -339,10 +339,10 @@
         options_.advice.stepName(target.work, target.occurrence, target.step), ids, timeout,
         guarded([this, target, workers, claims = selection.claims, numbers, askedAt,
                     defaultValidity, done,
-                    queueName = state::QueueName(queue.name())](const AdviceAnswer &answer) {
+                    queueId = state::queueIdOf(queue)](const AdviceAnswer &answer) {
             const Millis now = steadyNow();
             activity_.adviceCalls++;
-            stageTimes_.add(queueName, Stage::Advice, now - askedAt);
+            stageTimes_.add(queueId, Stage::Advice, now - askedAt);
             adviceClaims_.remove(claims);
             LogEvent("advice")
                 .with("work", target.work)
--- a/Source/Basilgap/Scheduling/AdmissionForecast.cpp
+++ b/Source/Basilgap/Scheduling/AdmissionForecast.cpp
@@ -50,7 +50,7 @@
 {
     // The job as it would be in the table.
     state::Work work;
-    work.queue = state::QueueName(queue.name());
+    work.queue = state::queueIdOf(queue);
     work.account = account;
     work.spec = spec;
     work.occurrences.resize(1);
@@ -192,7 +192,7 @@
 }
 
 double AdmissionForecast::drainCores(
-    const state::QueueName &queue, const state::AccountName &account, Millis now) const
+    const state::QueueId &queue, const state::AccountName &account, Millis now) const
 {
     const auto found = backlogs_.find({ account, queue });
     return found == backlogs_.end() ? 0 : drainCores(found->second, now);
@@ -208,7 +208,7 @@
 }
 
 double AdmissionForecast::backlogCoreMs(
-    const state::QueueName &queue, const state::AccountName &account) const
+    const state::QueueId &queue, const state::AccountName &account) const
 {
     const auto found = backlogs_.find({ account, queue });
     return found == backlogs_.end() ? 0 : std::max(0.0, found->second.waitingCoreMs);
--- a/Source/Basilgap/Scheduling/AdmissionForecast.h
+++ b/Source/Basilgap/Scheduling/AdmissionForecast.h
@@ -20,7 +20,7 @@
 struct AdmissionJob
 {
     std::string id;
-    state::QueueName queue;
+    state::QueueId queue;
     state::AccountName account;
     // 0: the job has no estimate.
     Millis objective;
@@ -82,11 +82,11 @@
     {
         return waiting_;
     }
-    double backlogCoreMs(const state::QueueName &queue, const state::AccountName &account) const;
+    double backlogCoreMs(const state::QueueId &queue, const state::AccountName &account) const;
     double backlogCoreMs(const state::AccountName &account) const;
     // Cores of work by the forecast that are finished at a time.
     double drainCores(
-        const state::QueueName &queue, const state::AccountName &account, Millis now) const;
+        const state::QueueId &queue, const state::AccountName &account, Millis now) const;
     double drainCores(const state::AccountName &account, Millis now) const;
 
     // The next known jobs, in turn. Checking these against the table now and then finds the few
@@ -99,7 +99,7 @@
     struct Key
     {
         state::AccountName account;
-        state::QueueName queue;
+        state::QueueId queue;
 
         auto operator<=>(const Key &) const = default;
     };
--- a/Source/Basilgap/Scheduling/DurationEstimator.h
+++ b/Source/Basilgap/Scheduling/DurationEstimator.h
@@ -54,7 +54,7 @@
     // duration to estimate in the queue.
     std::map<state::WorkerNumber, Mean> workers_;
     std::map<state::StepRef, Mean> steps_;
-    std::map<state::QueueName, Mean> queues_;
+    std::map<state::QueueId, Mean> queues_;
 };
 
 } // namespace basilgap::scheduling
--- a/Source/Basilgap/State/CellState.cpp
+++ b/Source/Basilgap/State/CellState.cpp
@@ -49,11 +49,12 @@
         expire();
         return {};
     case schema::Command::kPutWorkConfig:
-        return workConfig_.apply(command.put_work_config());
+        return workConfig_.apply(
+            command.put_work_config(), [this] { return works_.activeQueues(); });
     case schema::Command::kEvacuateZone:
         return workConfig_.apply(command.evacuate_zone());
     case schema::Command::kSubmitWork:
-        return works_.submit(command.submit_work(), clockMs_);
+        return submitWork(command.submit_work());
     case schema::Command::kCancelWork:
         return works_.cancel(command.cancel_work(), clockMs_);
     case schema::Command::kRuns:
@@ -78,6 +79,29 @@
     return outcome;
 }
 
+schema::CommandOutcome CellState::submitWork(const schema::SubmitWork &command)
+{
+    if (command.queue_id().empty()) {
+        schema::SubmitWork withId = command;
+        withId.set_queue_id(queueIdOf(command.queue()));
+        return works_.submit(withId, clockMs_);
+    }
+    const bool isKnown = works_.find(command.id()) != nullptr;
+    if (!isKnown && workConfig_.findQueue(QueueId(command.queue_id())) == nullptr) {
+        schema::CommandOutcome outcome;
+        outcome.set_code(schema::NOT_FOUND);
+        return outcome;
+    }
+    return works_.submit(command, clockMs_);
+}
+
+// Earlier versions knew a queue by the name of its route.
+std::string CellState::queueIdOf(const std::string &routeName) const
+{
+    const schema::QueueConfig *queue = workConfig_.findQueueByName(routeName);
+    return queue == nullptr ? routeName : state::queueIdOf(*queue).value();
+}
+
 void CellState::removeUnusedSessions()
 {
     std::vector<EntryNumber> idle;
@@ -130,8 +154,12 @@
     allotments_.restore(snapshot.allotments());
     claims_.restore(snapshot.claims());
     jobs_.restore(snapshot.jobs());
-    works_.restore(snapshot.works());
     workConfig_.restore(snapshot.work_config());
+    for (schema::WorkState &work : *snapshot.mutable_works()->mutable_works()) {
+        if (work.queue_id().empty())
+            work.set_queue_id(queueIdOf(work.queue()));
+    }
+    works_.restore(snapshot.works());
     clockMs_ = snapshot.clock_ms();
     return true;
 }
--- a/Source/Basilgap/State/CellState.h
+++ b/Source/Basilgap/State/CellState.h
@@ -40,6 +40,8 @@
 
 private:
     schema::CommandOutcome submitJob(const schema::SubmitJob &command);
+    schema::CommandOutcome submitWork(const schema::SubmitWork &command);
+    std::string queueIdOf(const std::string &routeName) const;
     void removeUnusedSessions();
     void expire();
 
--- a/Source/Basilgap/State/WorkConfigState.cpp
+++ b/Source/Basilgap/State/WorkConfigState.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <utility>
 
 namespace basilgap::state {
 
@@ -11,12 +12,14 @@
 
 } // namespace
 
-schema::CommandOutcome WorkConfigState::apply(const schema::PutWorkConfig &command)
+schema::CommandOutcome WorkConfigState::apply(
+    const schema::PutWorkConfig &command, const std::function<std::set<QueueId>()> &activeQueues)
 {
     schema::CommandOutcome outcome;
     if (command.version() > current_.version()) {
-        current_ = command;
+        const schema::PutWorkConfig former = std::exchange(current_, command);
         rebuildIndexes();
+        retireQueues(former.config(), activeQueues);
     } else {
         outcome.set_again(true);
     }
@@ -61,16 +64,31 @@
     return {};
 }
 
+void WorkConfigState::retireQueues(
+    const schema::WorkConfig &former, const std::function<std::set<QueueId>()> &activeQueues)
+{
+    for (const schema::QueueConfig &queue : former.queues())
+        retired_[queueIdOf(queue)] = queue;
+    std::erase_if(
+        retired_, [this](const auto &entry) { return queues_.contains(entry.first.value()); });
+    if (retired_.empty())
+        return;
+    const std::set<QueueId> active = activeQueues();
+    std::erase_if(retired_, [&active](const auto &entry) { return !active.contains(entry.first); });
+}
+
 void WorkConfigState::rebuildIndexes()
 {
     revision_ = nextRevision.fetch_add(1);
     queues_.clear();
+    queuesByName_.clear();
     byHost_.clear();
     accounts_.clear();
     keys_.clear();
     const schema::WorkConfig &config = current_.config();
     for (int i = 0; i < config.queues_size(); i++) {
-        queues_[config.queues(i).name()] = i;
+        queues_[queueIdOf(config.queues(i)).value()] = i;
+        queuesByName_[config.queues(i).name()] = i;
         byHost_[config.queues(i).host()].push_back(i);
     }
     for (int i = 0; i < config.accounts_size(); i++) {
@@ -80,10 +98,22 @@
     }
 }
 
-const schema::QueueConfig *WorkConfigState::findQueue(const QueueName &name) const
+const schema::QueueConfig *WorkConfigState::findQueue(const QueueId &id) const
+{
+    const auto found = queues_.find(id.value());
+    if (found != queues_.end())
+        return &config().queues(found->second);
+    const auto retired = retired_.find(id);
+    if (retired != retired_.end())
+        return &retired->second;
+    // Earlier versions stored the name of the route, which may have been removed since.
+    return findQueueByName(id.value());
+}
+
+const schema::QueueConfig *WorkConfigState::findQueueByName(const std::string &name) const
 {
-    const auto found = queues_.find(name.value());
-    return found == queues_.end() ? nullptr : &config().queues(found->second);
+    const auto found = queuesByName_.find(name);
+    return found == queuesByName_.end() ? nullptr : &config().queues(found->second);
 }
 
 const schema::QueueConfig *WorkConfigState::route(
@@ -122,6 +152,8 @@
         snapshot.add_zones_out(zone.value());
     for (const auto &[id, wave] : waves_)
         *snapshot.add_waves() = wave;
+    for (const auto &[id, queue] : retired_)
+        *snapshot.add_retired_queues() = queue;
     return snapshot;
 }
 
@@ -133,6 +165,8 @@
         zonesOut_.insert(ZoneName(zone));
     for (const auto &wave : snapshot.waves())
         waves_[wave.id()] = wave;
+    for (const schema::QueueConfig &queue : snapshot.retired_queues())
+        retired_[queueIdOf(queue)] = queue;
     rebuildIndexes();
 }
 
--- a/Source/Basilgap/State/WorkSnapshot.cpp
+++ b/Source/Basilgap/State/WorkSnapshot.cpp
@@ -17,7 +17,7 @@
         schema::WorkState *state = snapshot.add_works();
         state->set_serial(serial.value());
         state->set_id(work.id);
-        state->set_queue(work.queue.value());
+        state->set_queue_id(work.queue.value());
         state->set_account(work.account.value());
         *state->mutable_spec() = work.spec;
         state->set_max_attempts(work.maxAttempts);
@@ -68,7 +68,7 @@
         Work work;
         work.serial = WorkSerial(state.serial());
         work.id = state.id();
-        work.queue = QueueName(state.queue());
+        work.queue = QueueId(state.queue_id().empty() ? state.queue() : state.queue_id());
         work.account = AccountName(state.account());
         work.spec = state.spec();
         work.maxAttempts = state.max_attempts();
--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -32,6 +32,11 @@
     return { work.queue.value(), work.account.value(), work.specOf(step) };
 }
 
+QueueId queueIdOf(const schema::QueueConfig &queue)
+{
+    return QueueId(queue.host() + queue.prefix());
+}
+
 Resources reservationOf(const schema::StepSpec &step)
 {
     Resources need;
@@ -51,7 +56,7 @@
     Work work;
     work.serial = WorkSerial(nextSerial_++);
     work.id = command.id();
-    work.queue = QueueName(command.queue());
+    work.queue = QueueId(command.queue_id().empty() ? command.queue() : command.queue_id());
     work.account = AccountName(command.account());
     work.spec = command.spec();
     work.maxAttempts = std::max(1U, command.max_attempts());
@@ -526,7 +531,15 @@
     return &work->stepAt(task.step).tasks[task.index];
 }
 
-uint64_t WorkTable::unstartedCount(const QueueName &queue) const
+std::set<QueueId> WorkTable::activeQueues() const
+{
+    std::set<QueueId> queues;
+    for (const WorkSerial serial : active_)
+        queues.insert(works_.at(serial).queue);
+    return queues;
+}
+
+uint64_t WorkTable::unstartedCount(const QueueId &queue) const
 {
     const auto found = unstarted_.find(queue);
     return found == unstarted_.end() ? 0 : found->second.size();
--- a/Source/Basilgap/State/WorkTable.h
+++ b/Source/Basilgap/State/WorkTable.h
@@ -19,8 +19,9 @@
 
 namespace basilgap::state {
 
-// Names of a queue and of the account whose key came with a submission.
-using QueueName = StrongType<struct QueueNameTag, std::string>;
+// What callers see of a queue: its host and path prefix. The name of its route may change.
+using QueueId = StrongType<struct QueueIdTag, std::string>;
+// Name of the account whose key came with a submission.
 using AccountName = StrongType<struct AccountNameTag, std::string>;
 
 enum class WorkPhase { Active, Completed, Failed, Canceled };
@@ -73,7 +74,7 @@
 {
     WorkSerial serial;
     std::string id;
-    QueueName queue;
+    QueueId queue;
     AccountName account;
     // Without the payload once the job is finished.
     schema::WorkSpec spec;
@@ -112,6 +113,8 @@
 // What the duration of a task of the step may depend on. Refers to the job.
 DurationSubject durationSubjectOf(const Work &work, const StepRef &step);
 
+QueueId queueIdOf(const schema::QueueConfig &queue);
+
 // Resources that a task of the step reserves on its worker. A backfill task reserves no processor.
 Resources reservationOf(const schema::StepSpec &step);
 
@@ -141,8 +144,9 @@
     // Jobs that are not finished.
     const std::set<WorkSerial> &active() const { return active_; }
     const WorkChanges &changes() const { return changes_; }
+    std::set<QueueId> activeQueues() const;
     // Number of active jobs of the queue of which no task has ever been started.
-    uint64_t unstartedCount(const QueueName &queue) const;
+    uint64_t unstartedCount(const QueueId &queue) const;
 
     // Incarnations of workers that are not gone, and gone ones whose runs have not all ended.
     const std::map<WorkerNumber, schema::WorkerLife> &workers() const { return workers_; }
@@ -212,7 +216,7 @@
     std::set<WorkSerial> active_;
     WorkChanges changes_;
     // Those of waiting_ of which no task has ever been started.
-    std::map<QueueName, std::set<WorkSerial>> unstarted_;
+    std::map<QueueId, std::set<WorkSerial>> unstarted_;
     std::map<WorkerNumber, schema::WorkerLife> workers_;
     std::unordered_map<std::string, WorkerNumber> newestIncarnations_;
     // All of workers_ by address.
--- a/Source/Benchmarks/AccountSharesBench.cpp
+++ b/Source/Benchmarks/AccountSharesBench.cpp
@@ -124,7 +124,7 @@
         const AccountName account = accountName(i % Accounts);
         return forecast_
             .decide({ .id = std::to_string(i),
-                        .queue = state::QueueName("queue"),
+                        .queue = state::QueueId("queue"),
                         .account = account,
                         .objective = Millis(1500),
                         .isExempt = false,
--- a/Source/Benchmarks/StepPlanBench.cpp
+++ b/Source/Benchmarks/StepPlanBench.cpp
@@ -38,6 +38,7 @@
         config.mutable_config()->add_pools()->set_name("pool");
         schema::QueueConfig *queue = config.mutable_config()->add_queues();
         queue->set_name("queue");
+        queue->set_prefix("queue");
         queue->set_pool("pool");
         queue->set_slack_factor(2);
         queue->set_target_latency_ms(500);
--- a/Source/UnitTests/Dispatch/ForecastAccuracyTest.cpp
+++ b/Source/UnitTests/Dispatch/ForecastAccuracyTest.cpp
@@ -8,12 +8,12 @@
 TEST(ForecastAccuracy, comparesWithForecastAndEstimate)
 {
     ForecastAccuracy accuracy;
-    const state::QueueName queue("queue");
+    const state::QueueId queue("queue");
     for (int i = 0; i < 80; i++)
         accuracy.add(queue, Millis(1000), Millis(1000), Millis(200));
     for (int i = 0; i < 20; i++)
         accuracy.add(queue, Millis(4000), Millis(1000), Millis(200));
-    accuracy.add(state::QueueName("other"), Millis(10), Millis(0), Millis());
+    accuracy.add(state::QueueId("other"), Millis(10), Millis(0), Millis());
     const std::vector<QueueAccuracy> figures = accuracy.take();
     ASSERT_EQ(figures.size(), 2U);
     EXPECT_FALSE(figures[0].toEstimate) << "no estimate was given";
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -971,5 +971,159 @@
     EXPECT_TRUE(runWorkerUntil(allRun));
 }
 
+// Routes that change while their jobs wait, on a worker that has room for one task at a time.
+class RouteChangeTest : public WorkDispatcherTest
+{
+protected:
+    static constexpr const char *RunningJob = "00000000000000aa";
+    static constexpr const char *WaitingJob = "00000000000000bb";
+
+    struct Route
+    {
+        std::string name;
+        std::string prefix;
+        uint32_t priority = 0;
+    };
+
+    void putRoutes(uint64_t version, const std::vector<Route> &routes)
+    {
+        schema::RpcRequest request;
+        schema::PutWorkConfig *put = request.mutable_operator_call()->mutable_put_config();
+        put->set_version(version);
+        put->mutable_config()->add_pools()->set_name("pool");
+        for (const Route &route : routes) {
+            schema::QueueConfig *queue = put->mutable_config()->add_queues();
+            queue->set_name(route.name);
+            queue->set_host("desk.example");
+            queue->set_prefix(route.prefix);
+            queue->set_pool("pool");
+            queue->set_priority(route.priority);
+            queue->set_max_attempts(3);
+            queue->set_slack_factor(2);
+            queue->set_target_latency_ms(500);
+            queue->set_open(true);
+        }
+        ASSERT_EQ(call(request).status(), 200U);
+    }
+
+    static schema::RpcRequest makeCall(schema::QueueCall::Kind kind, const std::string &path)
+    {
+        schema::RpcRequest request;
+        schema::QueueCall *queueCall = request.mutable_queue_call();
+        queueCall->set_kind(kind);
+        queueCall->set_host("desk.example");
+        queueCall->set_path(path);
+        return request;
+    }
+
+    void submitTo(const std::string &prefix, const std::string &id)
+    {
+        schema::RpcRequest request = makeCall(schema::QueueCall::SUBMIT, prefix + id);
+        schema::StepSpec *step = request.mutable_queue_call()->mutable_spec()->add_steps();
+        step->set_count(1);
+        step->set_millicores(8000);
+        step->set_memory_mb(10);
+        step->set_estimate_ms(1000);
+        ASSERT_EQ(call(request).status(), 200U);
+    }
+
+    // The first job runs, and the second one waits.
+    void submitTwoTo(const std::string &prefix)
+    {
+        submitTo(prefix, RunningJob);
+        ASSERT_TRUE(runWorkerUntil([this] { return worker_.runs(RunningJob); }));
+        submitTo(prefix, WaitingJob);
+    }
+
+    uint64_t waitingCount(const std::string &prefix)
+    {
+        return call(makeCall(schema::QueueCall::STATUS, prefix)).waiting_count();
+    }
+
+    void expectWaitingJobRuns()
+    {
+        worker_.endAllRuns();
+        EXPECT_TRUE(runWorkerUntil([this] { return worker_.runs(WaitingJob); }));
+    }
+};
+
+// Guards against accepted jobs that never run: their queue was looked up by the name that its route
+// had when they were accepted.
+TEST_F(RouteChangeTest, aJobRunsAfterItsRouteHasGotAnotherName)
+{
+    putRoutes(2, { { "plans", "/plan/" } });
+    submitTwoTo("/plan/");
+    putRoutes(3, { { "depot", "/plan/" } });
+    EXPECT_EQ(waitingCount("/plan/"), 1U);
+    expectWaitingJobRuns();
+    EXPECT_EQ(waitingCount("/plan/"), 0U);
+}
+
+// Guards against accepted jobs that never run, because no queue in force is theirs.
+TEST_F(RouteChangeTest, aJobRunsAfterItsRouteWasRemoved)
+{
+    putRoutes(2, { { "plans", "/plan/" }, { "quotes", "/quote/" } });
+    submitTwoTo("/plan/");
+    putRoutes(3, { { "quotes", "/quote/" } });
+    EXPECT_EQ(call(makeCall(schema::QueueCall::STATUS, "/plan/")).status(), 404U);
+    expectWaitingJobRuns();
+}
+
+TEST_F(RouteChangeTest, aNewLeaderRunsTheJobsOfARemovedRoute)
+{
+    putRoutes(2, { { "plans", "/plan/" } });
+    submitTwoTo("/plan/");
+    putRoutes(3, {});
+    lead();
+    ASSERT_TRUE(runWorkerUntil([this] { return worker_.runs(RunningJob); }));
+    expectWaitingJobRuns();
+}
+
+TEST_F(RouteChangeTest, aJobOfARemovedRouteIsCanceledOnAnotherRoute)
+{
+    putRoutes(2, { { "plans", "/plan/" }, { "quotes", "/quote/" } });
+    submitTwoTo("/plan/");
+    putRoutes(3, { { "quotes", "/quote/" } });
+    const std::string path = std::string("/quote/") + WaitingJob;
+    EXPECT_EQ(call(makeCall(schema::QueueCall::CANCEL, path)).status(), 200U);
+    EXPECT_EQ(call(makeCall(schema::QueueCall::STATUS, path)).state(), "canceled");
+}
+
+TEST_F(RouteChangeTest, aJobRunsAfterItsRouteHasGotAnotherPrefix)
+{
+    putRoutes(2, { { "plans", "/plan/" } });
+    submitTwoTo("/plan/");
+    putRoutes(3, { { "plans", "/depot/" } });
+    expectWaitingJobRuns();
+}
+
+TEST_F(RouteChangeTest, jobsStayWithTheirPathWhenRoutesSwapNames)
+{
+    putRoutes(2, { { "plans", "/plan/", 1 }, { "quotes", "/quote/", 0 } });
+    submitTwoTo("/plan/");
+    putRoutes(3, { { "quotes", "/plan/", 1 }, { "plans", "/quote/", 0 } });
+    const state::WorkConfigState &config = replica_->state().workConfig();
+    const state::Work &waiting = *replica_->state().works().find(WaitingJob);
+    ASSERT_NE(config.findQueue(waiting.queue), nullptr);
+    EXPECT_EQ(config.findQueue(waiting.queue)->prefix(), "/plan/");
+    EXPECT_EQ(waitingCount("/plan/"), 1U);
+    EXPECT_EQ(waitingCount("/quote/"), 0U);
+    expectWaitingJobRuns();
+}
+
+TEST_F(RouteChangeTest, aRouteThatIsAddedAgainUnderAnotherNameHasItsJobs)
+{
+    putRoutes(2, { { "plans", "/plan/" } });
+    submitTwoTo("/plan/");
+    putRoutes(3, {});
+    putRoutes(4, { { "depot", "/plan/", 1 } });
+    EXPECT_EQ(waitingCount("/plan/"), 1U);
+    const state::Work &waiting = *replica_->state().works().find(WaitingJob);
+    const schema::QueueConfig *queue = replica_->state().workConfig().findQueue(waiting.queue);
+    ASSERT_NE(queue, nullptr);
+    EXPECT_EQ(queue->priority(), 1U);
+    expectWaitingJobRuns();
+}
+
 } // namespace
 } // namespace basilgap::dispatch
--- a/Source/UnitTests/Scheduling/AdmissionForecastTest.cpp
+++ b/Source/UnitTests/Scheduling/AdmissionForecastTest.cpp
@@ -14,10 +14,10 @@
 namespace {
 
 using state::AccountName;
-using state::QueueName;
+using state::QueueId;
 using state::WorkSerial;
 
-const QueueName Queue("queue");
+const QueueId Queue("queue");
 constexpr Millis Start{ 1'000'000 };
 constexpr Millis Round{ 50 };
 constexpr uint64_t TaskMs = 800;
@@ -485,7 +485,7 @@
     other.account = AccountName("other");
     EXPECT_FALSE(forecast.decide(other, now)) << "the backlog is another account's";
     other = job();
-    other.queue = QueueName("other");
+    other.queue = QueueId("other");
     EXPECT_FALSE(forecast.decide(other, now)) << "the backlog is another queue's";
     other = job();
     other.entitledCores = 0;
--- a/Source/UnitTests/Scheduling/StepPlannerFixture.h
+++ b/Source/UnitTests/Scheduling/StepPlannerFixture.h
@@ -23,6 +23,7 @@
         for (const char *name : { "urgent", "deferrable" }) {
             schema::QueueConfig *queue = config.add_queues();
             queue->set_name(name);
+            queue->set_prefix(name);
             queue->set_pool("pool");
             queue->set_priority(name == std::string("urgent") ? 0 : 2);
             queue->set_slack_factor(2);
--- a/Source/UnitTests/Scheduling/StragglerDetectionTest.cpp
+++ b/Source/UnitTests/Scheduling/StragglerDetectionTest.cpp
@@ -138,7 +138,7 @@
     for (uint64_t number = 1; number <= 20; number++) {
         state::Work work;
         work.serial = state::WorkSerial(number);
-        work.queue = state::QueueName("queue");
+        work.queue = state::QueueId("queue");
         schema::StepSpec *step = work.spec.add_steps();
         step->set_estimate_ms(number % 2 == 0 ? 300 : 3000);
         const state::StepRef ref{ work.serial, 0, 0 };
--- a/Source/UnitTests/Scheduling/UrgentDemandTest.cpp
+++ b/Source/UnitTests/Scheduling/UrgentDemandTest.cpp
@@ -119,6 +119,7 @@
     schema::QueueConfig *queue = configCommand.mutable_config()->add_queues();
     *queue = configCommand.config().queues(0);
     queue->set_name("urgent-other");
+    queue->set_prefix("urgent-other");
     queue->set_pool("other");
     addWorkers(1, 32000);
     workers.back().pool = "other";
--- a/Source/UnitTests/Scheduling/WaitingStepsTest.cpp
+++ b/Source/UnitTests/Scheduling/WaitingStepsTest.cpp
@@ -20,6 +20,7 @@
         for (const char *name : { "urgent", "deferrable" }) {
             schema::QueueConfig *queue = command.mutable_config()->add_queues();
             queue->set_name(name);
+            queue->set_prefix(name);
             queue->set_priority(name == std::string("urgent") ? 0 : 2);
             queue->set_slack_factor(slackFactor);
             queue->set_target_latency_ms(100);
--- a/Source/UnitTests/State/CellStateTest.cpp
+++ b/Source/UnitTests/State/CellStateTest.cpp
@@ -263,4 +263,113 @@
     RC_ASSERT(merged->version() == target.version());
 }
 
+namespace {
+
+schema::Command configureRoute(uint64_t version, const std::string &name, const std::string &prefix)
+{
+    schema::Command command;
+    command.mutable_put_work_config()->set_version(version);
+    schema::WorkConfig *config = command.mutable_put_work_config()->mutable_config();
+    if (name.empty())
+        return command;
+    schema::QueueConfig *queue = config->add_queues();
+    queue->set_name(name);
+    queue->set_host("desk.example");
+    queue->set_prefix(prefix);
+    return command;
+}
+
+schema::Command submitWork(const std::string &id)
+{
+    schema::Command command;
+    command.mutable_submit_work()->set_id(id);
+    command.mutable_submit_work()->mutable_spec()->add_steps()->set_count(1);
+    return command;
+}
+
+const schema::QueueConfig *queueOf(const CellState &state, const std::string &work)
+{
+    return state.workConfig().findQueue(state.works().find(work)->queue);
+}
+
+} // namespace
+
+// Records of earlier versions name the route of a job, and not its queue.
+TEST(CellState, aJobFromAnOldLogFollowsItsPath)
+{
+    CellState state;
+    state.apply(LogIndex(1), configureRoute(1, "plans", "/plan/"));
+    schema::Command submit = submitWork("old");
+    submit.mutable_submit_work()->set_queue("plans");
+    state.apply(LogIndex(2), submit);
+    state.apply(LogIndex(3), configureRoute(2, "depot", "/plan/"));
+    ASSERT_NE(queueOf(state, "old"), nullptr);
+    EXPECT_EQ(queueOf(state, "old")->name(), "depot");
+}
+
+TEST(CellState, aJobFromAnOldLogWhoseRouteIsGoneWaitsForItsName)
+{
+    CellState state;
+    schema::Command submit = submitWork("old");
+    submit.mutable_submit_work()->set_queue("plans");
+    state.apply(LogIndex(1), submit);
+    EXPECT_EQ(queueOf(state, "old"), nullptr);
+    state.apply(LogIndex(2), configureRoute(1, "plans", "/plan/"));
+    EXPECT_NE(queueOf(state, "old"), nullptr);
+}
+
+TEST(CellState, aJobFromAnOldSnapshotFollowsItsPath)
+{
+    CellState state;
+    state.apply(LogIndex(1), configureRoute(1, "plans", "/plan/"));
+    schema::Command submit = submitWork("old");
+    submit.mutable_submit_work()->set_queue("plans");
+    state.apply(LogIndex(2), submit);
+    schema::CellSnapshot snapshot;
+    ASSERT_TRUE(snapshot.ParseFromString(state.save()));
+    schema::WorkState *work = snapshot.mutable_works()->mutable_works(0);
+    work->clear_queue_id();
+    work->set_queue("plans");
+    CellState restored;
+    ASSERT_TRUE(restored.restore(snapshot.SerializeAsString()));
+    restored.apply(LogIndex(3), configureRoute(2, "depot", "/plan/"));
+    ASSERT_NE(queueOf(restored, "old"), nullptr);
+    EXPECT_EQ(queueOf(restored, "old")->name(), "depot");
+    EXPECT_EQ(restored.works().unstartedCount(queueIdOf(*queueOf(restored, "old"))), 1U);
+}
+
+TEST(CellState, aRemovedQueueIsKeptWhileItHasJobs)
+{
+    CellState state;
+    state.apply(LogIndex(1), configureRoute(1, "plans", "/plan/"));
+    schema::Command submit = submitWork("job");
+    submit.mutable_submit_work()->set_queue_id("desk.example/plan/");
+    EXPECT_EQ(state.apply(LogIndex(2), submit).code(), schema::ACCEPTED);
+    state.apply(LogIndex(3), configureRoute(2, "", ""));
+    CellState restored;
+    ASSERT_TRUE(restored.restore(state.save()));
+    ASSERT_NE(queueOf(restored, "job"), nullptr);
+    EXPECT_EQ(queueOf(restored, "job")->name(), "plans");
+    EXPECT_EQ(restored.workConfig().route("desk.example", "/plan/x"), nullptr);
+    EXPECT_EQ(restored.save(), state.save());
+    schema::Command cancel;
+    cancel.mutable_cancel_work()->set_id("job");
+    restored.apply(LogIndex(4), cancel);
+    restored.apply(LogIndex(5), configureRoute(3, "", ""));
+    EXPECT_TRUE(restored.workConfig().retiredQueues().empty());
+}
+
+// Guards against a job that is accepted and never runs: its submission is logged after the record
+// that removes its queue.
+TEST(CellState, aJobWhoseQueueIsGoneIsNotAccepted)
+{
+    CellState state;
+    state.apply(LogIndex(1), configureRoute(1, "plans", "/plan/"));
+    state.apply(LogIndex(2), configureRoute(2, "", ""));
+    schema::Command submit = submitWork("late");
+    submit.mutable_submit_work()->set_queue_id("desk.example/plan/");
+    EXPECT_EQ(state.apply(LogIndex(3), submit).code(), schema::NOT_FOUND);
+    EXPECT_EQ(state.works().find("late"), nullptr);
+}
+
 } // namespace basilgap::state
--- a/Source/UnitTests/State/WorkTableTest.cpp
+++ b/Source/UnitTests/State/WorkTableTest.cpp
@@ -498,12 +498,12 @@
 // Callers ask for this number all the time, so it is kept and not counted.
 TEST(WorkTable, unstartedCountFollowsStartsCancellationsAndSnapshots)
 {
-    const QueueName queue("queue");
+    const QueueId queue("queue");
     WorkTable table;
     for (const char *id : { "a", "b", "c" })
         table.submit(submitWorkCommand(id, { 2 }), 1);
     EXPECT_EQ(table.unstartedCount(queue), 3U);
-    EXPECT_EQ(table.unstartedCount(QueueName("other")), 0U);
+    EXPECT_EQ(table.unstartedCount(QueueId("other")), 0U);
     // The first start counts, not the last end.
     table.apply(runStartBatch(1, 0, 0, 1), 2);
     EXPECT_EQ(table.unstartedCount(queue), 2U);
