Log the runs that restarted workers hold

Why a task of a restarted worker waits couldn't be read from the logs: event=worker-reborn counts its runs, and nothing said which of them are not released, or what is missing for it.

--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -38,6 +38,21 @@
     return "unknown";
 }
 
+const char *toText(KnownRunState state)
+{
+    switch (state) {
+    case KnownRunState::Sent:
+        return "sent";
+    case KnownRunState::Confirmed:
+        return "confirmed";
+    case KnownRunState::Indeterminate:
+        return "indeterminate";
+    case KnownRunState::Stopped:
+        return "stopped";
+    }
+    return "unknown";
+}
+
 WorkerSession::WorkerSession(Options options, Millis now)
     : options_(std::move(options))
     , nextPollAt_(now)
@@ -767,12 +782,32 @@
         return;
     const bool wasWanted = !mustStop(task, found->second);
     const uint32_t run = found->second.run;
+    logHeldRun(task, found->second, now);
     found->second.knownState = KnownRunState::Indeterminate;
     stop(task, now);
     if (wasWanted)
         options_.events.onStartGivenUp(task, run);
 }
 
+// Logs what is known of a run whose task waits until the run is certainly over.
+void WorkerSession::logHeldRun(const StepTaskRef &task, const SessionRun &run, Millis now) const
+{
+    LogEvent("run-held")
+        .with("work", nameOf(task) ? nameOf(task)->work : "")
+        .with("step", task.step.step)
+        .with("task", task.index)
+        .with("run", run.run)
+        .with("worker", options_.endpoint.id)
+        .with("born", options_.incarnationStartMs)
+        .with("ageMs", now - run.startedAt)
+        .with("state", toText(run.knownState))
+        .with("listed", run.isListed ? 1 : 0)
+        .with("sends", run.sendCount)
+        .with("unanswered", run.unansweredSends)
+        .with("mayStartForMs",
+            run.latestStartAt ? std::max(Millis(), *run.latestStartAt - now) : Millis());
+}
+
 void WorkerSession::releaseMovedRuns()
 {
     if (!superseded_ || fenced_)
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -151,6 +151,8 @@
     Stopped,
 };
 
+const char *toText(KnownRunState state);
+
 struct SessionRun
 {
     uint32_t run = 0;
@@ -364,6 +366,7 @@
     void sendDueStops(Millis now);
     void releaseSupersededRuns(Millis now);
     bool isStoppedOnNewestIncarnation(const SessionRun &known, Millis now) const;
+    void logHeldRun(const StepTaskRef &task, const SessionRun &run, Millis now) const;
     void stopSupersededRun(const StepTaskRef &task, Millis now);
     void noteFenced();
     void sendStop(const StepTaskRef &task, uint32_t run, const TaskName &name);
