Release a run for good once no incarnation of its worker can have it

Cause: a run that no poll had listed was released 0.5 s after a later incarnation had taken its stop, and each further restart set it back. Log of the case: 105 lines run-held, all with sends=1 unanswered=0, so that nothing could be carried out any more.

Change: an incarnation that carries out a start was born before the last answer to a send, or, if one is not answered, before the time in which calls may come late. Once the newest incarnation has answered a poll that was sent after that without the run or its end, the run is over, whatever became of its stops.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -277,6 +277,14 @@
                                        Millis time) { recordStage(task, Stage::Start, time); },
                 .hasNewestListedEndsSince =
                     [this, number](Millis time) { return hasNewestListedEndsSince(number, time); },
+                .isMissingOnNewestSince =
+                    [this, number](const state::RunRef &run, Millis time) {
+                        WorkerSession *newest = newestSessionOf(number);
+                        if (newest == nullptr)
+                            return false;
+                        newest->requestEndsSince(time, steadyNow());
+                        return newest->isMissingSince(run, time);
+                    },
                 .pollDelay = [this, number] { return pollDelay(number); },
             },
             .wallClock = [this] { return stateNow(); },
@@ -284,6 +292,16 @@
         now);
 }
 
+WorkerSession *WorkDispatcher::newestSessionOf(state::WorkerNumber incarnation)
+{
+    const schema::WorkerLife *newest =
+        state_.works().newestIncarnation(sessions_.at(incarnation)->endpoint().id);
+    if (newest == nullptr || newest->number() == incarnation.value())
+        return nullptr;
+    const auto session = sessions_.find(state::WorkerNumber(newest->number()));
+    return session == sessions_.end() ? nullptr : session->second.get();
+}
+
 bool WorkDispatcher::hasNewestListedEndsSince(state::WorkerNumber incarnation, Millis time)
 {
     const auto session = sessions_.find(incarnation);
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -163,6 +163,8 @@
     uint64_t tokenFor(const schema::WorkerLife &incarnation) const;
     // As SessionEvents::hasNewestListedEndsSince, asked by the session with this incarnation.
     bool hasNewestListedEndsSince(state::WorkerNumber incarnation, Millis time);
+    // The session with the newest incarnation of the worker, if that is a later one.
+    WorkerSession *newestSessionOf(state::WorkerNumber incarnation);
     // An incarnation has ended a run that may have been ordered on an earlier one.
     void applyOtherEnd(
         state::WorkerNumber worker, const StepTaskRef &task, const EndReport &report);
--- a/Source/Basilgap/Dispatch/WorkerSession.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSession.cpp
@@ -393,7 +393,7 @@
     if (answer.result == OrderResult::Dropped) {
         known.sendCount--;
         if (known.unansweredSends == 0)
-            known.latestStartAt.reset();
+            known.settleStarts(now);
         known.isStartPending = known.knownState == KnownRunState::Sent;
         hasPendingStarts_ = hasPendingStarts_ || known.isStartPending;
         return;
@@ -403,7 +403,7 @@
         return handleAcceptanceElsewhere(task, &known, now);
     known.unansweredSends += answer.result == OrderResult::Unanswered ? 1 : 0;
     if (known.unansweredSends == 0)
-        known.latestStartAt.reset();
+        known.settleStarts(now);
     else if (known.latestStartAt)
         known.latestStartAt = now + options_.times.maxCallDelay;
     // An earlier unanswered send may still be carried out, whatever the answer to this one.
@@ -591,20 +591,29 @@
         poll(now, true);
 }
 
-// Releases the runs that the new incarnation has stopped, and repeats the other stops.
+// Releases the runs that are over or that the new incarnation has stopped, and repeats the other
+// stops.
 void WorkerSession::releaseSupersededRuns(Millis now)
 {
     for (const auto &[task, known] : std::map(runs_)) {
-        if (known.knownState == KnownRunState::Stopped) {
-            if (isStoppedOnNewestIncarnation(known, now))
-                endLostRun(task, schema::RUN_LOST);
-        } else if (!known.isStopPending
-            && now - known.lastStopAt >= options_.times.stopRetryInterval) {
+        const bool isStopped = known.knownState == KnownRunState::Stopped;
+        if (isOver(task, known, now) || (isStopped && isStoppedOnNewestIncarnation(known, now)))
+            endLostRun(task, schema::RUN_LOST);
+        else if (!isStopped && !known.isStopPending
+            && now - known.lastStopAt >= options_.times.stopRetryInterval)
             stop(task, now);
-        }
     }
 }
 
+// Whether no incarnation has the run, nor will have it. Whichever has carried out a start was born
+// before startsOverAt(). The newest incarnation has answered a poll that was sent later, so that it
+// is this one, or a later one, and this one's runs are gone.
+bool WorkerSession::isOver(const StepTaskRef &task, const SessionRun &known, Millis now) const
+{
+    const Millis overAt = known.startsOverAt();
+    return now > overAt && options_.events.isMissingOnNewestSince({ task, known.run }, overAt);
+}
+
 // Whether the run can neither begin nor go on, nor has it an end that is not listed yet.
 bool WorkerSession::isStoppedOnNewestIncarnation(const SessionRun &known, Millis now) const
 {
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -135,6 +135,11 @@
     // its ends in answer to a poll that was sent after this time, or has been dropped. Requests
     // such a list.
     std::function<bool(Millis)> hasNewestListedEndsSince = [](Millis) { return true; };
+    // Asked by a superseded session: whether the newest incarnation of the worker has listed its
+    // runs and all of its ends in answer to a poll that was sent after this time, and this run was
+    // not among them. Requests such a list.
+    std::function<bool(const state::RunRef &, Millis)> isMissingOnNewestSince =
+        [](const state::RunRef &, Millis) { return false; };
     // Delay of the next poll after an answer.
     std::function<Millis()> pollDelay = [] { return Millis(0); };
 };
@@ -173,6 +178,8 @@
     // Until when a send of the start may be carried out by a later incarnation of the worker.
     // Absent if none can be: there was no send, or all have been carried out.
     std::optional<Millis> latestStartAt;
+    // When latestStartAt last became absent.
+    Millis startsSettledAt;
     // The start is to be sent once orders may be sent again.
     bool isStartPending = false;
     std::string ticket;
@@ -199,6 +206,14 @@
     int stalledReports = 0;
     Millis lastStalledReportAt;
 
+    void settleStarts(Millis now)
+    {
+        latestStartAt.reset();
+        startsSettledAt = now;
+    }
+    // No incarnation that is born after this time carries out a start of the run.
+    Millis startsOverAt() const { return latestStartAt.value_or(startsSettledAt); }
+
     scheduling::RunProgress progress() const
     {
         return { firstPercent.value_or(0), progressPercent, firstPercentAt, lastProgressAt };
@@ -310,6 +325,12 @@
     Millis lastAnswerAt() const { return lastAnswerAt_; }
     // Whether the worker has listed all of its ends in answer to a poll sent after this time.
     bool hasListedEndsSince(Millis time) const { return allEndsAskedAt_ > time; }
+    // Whether the worker, in answer to a poll sent after this time, has listed its runs and all of
+    // its ends, and this run, which is none of the session's, was not among them.
+    bool isMissingSince(const state::RunRef &run, Millis time) const
+    {
+        return allRunsAskedAt_ > time && !strayRuns_.contains(run);
+    }
     // Requests such a list unless a poll has been sent after this time.
     void requestEndsSince(Millis time, Millis now);
     // Whether a run has started so recently that it may still crash the worker.
@@ -366,6 +387,7 @@
     void sendDueStops(Millis now);
     void releaseSupersededRuns(Millis now);
     bool isStoppedOnNewestIncarnation(const SessionRun &known, Millis now) const;
+    bool isOver(const StepTaskRef &task, const SessionRun &known, Millis now) const;
     void logHeldRun(const StepTaskRef &task, const SessionRun &run, Millis now) const;
     void stopSupersededRun(const StepTaskRef &task, Millis now);
     void noteFenced();
@@ -404,6 +426,8 @@
     uint64_t newestAnsweredPoll_ = 0;
     // When the last poll was sent whose answer listed all ends.
     Millis allEndsAskedAt_;
+    // When the newest poll was sent whose answer listed all runs and all ends.
+    Millis allRunsAskedAt_;
     Millis nextPollAt_;
     // Delay before the next poll; its wait is shortened by the same time.
     Millis pollDelay_;
@@ -451,6 +475,8 @@
     std::map<state::RunRef, LingeringRun> lingeringRuns_;
     // Whether the newest list contains a run that is not in the table.
     bool hasStrayRun_ = false;
+    // Runs in the newest list that are none of the session's, as far as their jobs are known.
+    std::set<state::RunRef> strayRuns_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -136,6 +136,8 @@
         applyRunning(answer, poll.sentAt, now);
         // Until all ends are listed, it is not known which runs of an earlier leader have ended.
         synced_ = synced_ || (!answer.mayHaveMoreEnds && answer.workerClock);
+        if (!answer.mayHaveMoreEnds)
+            allRunsAskedAt_ = poll.sentAt;
     }
     if (!answer.mayHaveMoreEnds)
         allEndsAskedAt_ = std::max(allEndsAskedAt_, poll.sentAt);
@@ -217,10 +219,13 @@
     std::set<StepTaskRef> listed;
     std::set<state::RunRef> listedLingering;
     hasStrayRun_ = false;
+    strayRuns_.clear();
     for (const RunningReport &report : answer.running) {
         const auto task = taskOf(report.task);
         const auto found = task ? runs_.find(*task) : runs_.end();
         if (found == runs_.end() || found->second.run != report.run) {
+            if (task)
+                strayRuns_.insert({ *task, report.run });
             const bool lingering = task && lingeringRuns_.contains({ *task, report.run });
             if (lingering)
                 listedLingering.insert({ *task, report.run });
@@ -237,7 +242,7 @@
         known.hasBegun = true;
         // The only send has been carried out.
         if (known.sendCount == 1)
-            known.latestStartAt.reset();
+            known.settleStarts(now);
         if (known.knownState == KnownRunState::Sent) {
             known.knownState = KnownRunState::Confirmed;
             known.knownStateSince = now;
--- a/Source/UnitTests/Dispatch/ModelLeader.cpp
+++ b/Source/UnitTests/Dispatch/ModelLeader.cpp
@@ -136,6 +136,18 @@
                                 session->second->requestEndsSince(time, options_.time.now());
                                 return session->second->hasListedEndsSince(time);
                             },
+                        .isMissingOnNewestSince =
+                            [this, asking = number](const state::RunRef &run, Millis time) {
+                                const auto *newest = options_.table.newestIncarnation(
+                                    sessions_.at(asking)->endpoint().id);
+                                if (newest == nullptr || newest->number() == asking.value())
+                                    return false;
+                                const auto session = sessions_.find(WorkerNumber(newest->number()));
+                                if (session == sessions_.end())
+                                    return false;
+                                session->second->requestEndsSince(time, options_.time.now());
+                                return session->second->isMissingSince(run, time);
+                            },
                     },
                     .clock = [this] { return options_.time.now(); },
                     .wallClock = [this] { return options_.time.now(); },
--- a/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
@@ -180,6 +180,52 @@
     EXPECT_EQ(ends[0].outcome, schema::RUN_LOST);
 }
 
+// Guards against LOST: each restart began the wait for a run anew, so that a worker which restarts
+// again and again held it for good.
+TEST_F(RestartedWorkerTest, aRunWhoseStartsAreAnsweredIsOverOnceANewerIncarnationDoesNotListIt)
+{
+    openSession();
+    startUnlistedRun();
+    const Millis answeredAt = now;
+    advanceAndTick(250);
+    for (uint64_t life = 0; life < 5; life++) {
+        session->supersede(LaterFencingToken + life, now);
+        port.stops.back().done({ OrderResult::Accepted, std::nullopt });
+        advanceAndTick(250);
+        EXPECT_TRUE(ends.empty()) << "it may run on this incarnation";
+    }
+    newestLacksRunSince = answeredAt;
+    advanceAndTick(25);
+    EXPECT_TRUE(ends.empty()) << "it may have begun after this list";
+    newestLacksRunSince = answeredAt + Millis(1);
+    advanceAndTick(25);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].outcome, schema::RUN_LOST);
+}
+
+// Guards against TWICE and LOST: a later incarnation may still carry out a start that has gone
+// unanswered, but not for longer than calls take.
+TEST_F(RestartedWorkerTest, aRunWithAnUnansweredStartIsHeldForAsLongAsCallsMayTake)
+{
+    openSession();
+    completeFirstPoll();
+    logStart(0, 1);
+    session->start(taskOf(0), 1, "", now);
+    dropAllStartAnswers();
+    const Millis answersLostAt = now;
+    for (uint64_t life = 0; now <= answersLostAt + SessionTimes().maxCallDelay; life++) {
+        session->supersede(LaterFencingToken + life, now);
+        if (!port.stops.empty())
+            port.stops.back().done({ OrderResult::Accepted, std::nullopt });
+        newestLacksRunSince = now;
+        EXPECT_TRUE(ends.empty());
+        advanceAndTick(250);
+    }
+    newestLacksRunSince = now;
+    advanceAndTick(25);
+    EXPECT_EQ(ends.size(), 1U);
+}
+
 // The same for a stop that was under way when the worker restarted.
 TEST_F(RestartedWorkerTest, theAnswerToAStopOfAnEarlierIncarnationDoesNotCount)
 {
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -68,6 +68,8 @@
             running_[{ start.order.task, start.order.run }] = steadyNow();
             start.done({ OrderResult::Accepted, steadyNow() });
         }
+        if (leavesPolls_)
+            return;
         for (auto &poll : std::exchange(port_.polls, {})) {
             ackedEndSequence_ = std::max(ackedEndSequence_, poll.order.ackedEndSequence);
             poll.done(pollAnswer());
@@ -113,6 +115,9 @@
     // Refuses the next start of the task with this index.
     void refuseStartOf(uint32_t index) { refusedTask_ = index; }
 
+    // Answers no poll, as while it waits for the end of a run.
+    void leavePolls(bool leaves) { leavesPolls_ = leaves; }
+
     // Neither carries out nor answers the starts of the task with this index.
     void holdStartOf(uint32_t index) { heldStarts_[index]; }
     bool holdsStartOf(uint32_t index) const
@@ -182,6 +187,7 @@
     std::map<Run, Millis> running_;
     std::vector<EndReport> ends_;
     std::optional<uint32_t> refusedTask_;
+    bool leavesPolls_ = false;
     // The last held start of each task whose starts are held.
     std::map<uint32_t, FakeWorkerPort::Start> heldStarts_;
     std::set<uint32_t> lostStops_;
@@ -1125,5 +1131,26 @@
     expectWaitingJobRuns();
 }
 
+// Guards against LOST: a worker that restarts again and again held a run that it had taken just
+// before the first restart, for as long as it went on.
+TEST_F(WorkDispatcherTest, aWorkerThatRestartsAgainAndAgainDoesNotHoldATask)
+{
+    // Shorter than the time for which a stopped run is waited for.
+    constexpr Millis Life{ 300 };
+    constexpr uint64_t Restarts = 8;
+    runWorkerForAWhile();
+    // The worker waits for the end of a run before it lists any.
+    worker_.leavePolls(true);
+    submit(1);
+    ASSERT_TRUE(runWorkerUntil([this] { return worker_.startCount(0, 1) == 1; }));
+    worker_.leavePolls(false);
+    for (uint64_t life = 1; life <= Restarts && worker_.startCount(0, 2) == 0; life++) {
+        worker_.restart(IncarnationStartMs + life);
+        registerWorker(IncarnationStartMs + life, "w1");
+        runWorkerFor(Life);
+    }
+    EXPECT_EQ(worker_.startCount(0, 2), 1U);
+}
+
 } // namespace
 } // namespace basilgap::dispatch
--- a/Source/UnitTests/Dispatch/WorkerSessionFixture.h
+++ b/Source/UnitTests/Dispatch/WorkerSessionFixture.h
@@ -66,6 +66,7 @@
                     .maySendOrders = [this] { return isLeaderConfirmed; },
                     .onTicketRefused = [](const StepTaskRef &) {},
                     .hasNewestListedEndsSince = [this](Millis time) { return newestListedEndsAt.value_or(now) > time; },
+                    .isMissingOnNewestSince = [this](const state::RunRef &, Millis time) { return newestLacksRunSince && *newestLacksRunSince > time; },
                     .pollDelay = [this] { return pollDelay; },
                 },
                 .clock = [this] { return now; },
@@ -173,6 +174,9 @@
     bool isRestart = false;
     // When the newest incarnation was last asked for a list of ends that was complete; absent: now.
     std::optional<Millis> newestListedEndsAt;
+    // When the newest incarnation was last asked for a list of runs, which did not contain the
+    // session's; absent: it has listed none.
+    std::optional<Millis> newestLacksRunSince;
     Millis pollDelay;
     Millis now{ 100000 };
 };
--- a/Source/UnitTests/Dispatch/WorkerSessionReportsTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionReportsTest.cpp
@@ -353,5 +353,28 @@
     EXPECT_EQ(session->lingeringReservation().millicores, 0);
 }
 
+// Guards against TWICE: a run of an earlier incarnation counts as over once this one doesn't list
+// it.
+TEST_F(WorkerSessionTest, aRunIsMissingOnlyInACompleteListThatWasAskedForLater)
+{
+    const state::RunRef run{ taskOf(0), 1 };
+    openSession();
+    EXPECT_FALSE(session->isMissingSince(run, Millis()));
+    const Millis askedAt = now;
+    advanceAndTick(0);
+    PollAnswer incomplete = pollAnswer({});
+    incomplete.mayHaveMoreEnds = true;
+    port.polls.back().done(incomplete);
+    EXPECT_FALSE(session->isMissingSince(run, askedAt - Millis(1))) << "its end may not be listed";
+    advanceAndTick(MinPollIntervalMs);
+    port.polls.back().done(pollAnswer({ 0 }));
+    EXPECT_FALSE(session->isMissingSince(run, askedAt)) << "it runs";
+    advanceAndTick(MinPollIntervalMs);
+    const Millis listedAt = now;
+    port.polls.back().done(pollAnswer({}));
+    EXPECT_TRUE(session->isMissingSince(run, listedAt - Millis(1)));
+    EXPECT_FALSE(session->isMissingSince(run, listedAt));
+}
+
 } // namespace
 } // namespace basilgap::dispatch
