Quarantine workers that restart again and again

Each incarnation began with a clean record, so that a worker in a crash loop was given a task in each life. Now that its runs are released at the next restart, such a task was started there again, and four losses in a row failed its job, although nothing was wrong with it.

Change: a restart hands on the number of lives in a row that were shorter than 5 s. After two the worker is quarantined, for longer each time, as if tasks had failed there. A success or a longer life ends the series.

WorkDispatcherTest.aWorkerThatRestartsAgainAndAgainIsGivenFewTasks failed before: the job was failed after its fourth run. Now it gets two runs in eight lives and goes on.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -48,6 +48,7 @@
           .leaderSince = steadyNow(),
           .hasUnknown = state_.works().hasRemovedIncarnations(),
       })
+    , firstOwnWorker_(state_.works().nextWorker())
     , leaderSince_(steadyNow())
     , term_(options_.replica.core().term().value())
     , wallAtStart_(wallNow())
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -117,6 +117,10 @@
         state::WorkerNumber worker, const StepTaskRef &task, schema::RunOutcome outcome);
     void recordFailure(state::WorkerNumber worker, const scheduling::FailedRun &run, Millis now);
     void recordSurvivals(Millis now);
+    void recordRestart(
+        state::WorkerNumber earlier, state::WorkerNumber later, std::optional<Millis> lifetime);
+    std::optional<Millis> lifetimeOf(state::WorkerNumber worker) const;
+    void logQuarantine(state::WorkerNumber worker, const char *reason) const;
     void logProbationEnd(state::WorkerNumber worker, const char *reason) const;
     // The id of the worker that has this incarnation; empty if there is no session with it.
     std::string workerId(state::WorkerNumber worker) const;
@@ -297,6 +301,8 @@
     std::map<StepTaskRef, Millis> startSentAt_;
     std::map<std::string, std::vector<std::function<void(bool)>>> pendingRegistrations_;
     uint32_t nextWorkerNumber_ = 0;
+    // Incarnations with lower numbers were registered by earlier leaders.
+    state::WorkerNumber firstOwnWorker_;
     bool isBatchPending_ = false;
     bool isPlanDue_ = true;
     bool fenced_ = false;
--- a/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
@@ -400,8 +400,17 @@
         .with("millicores", incarnation->millicores());
     const std::vector<state::LostRun> lost =
         state_.works().lostWorkers().runsReplacedBy(*incarnation);
-    options_.replica.propose(
-        std::move(command), guarded([this, key, lost](const schema::CommandOutcome &outcome) {
+    const state::WorkerNumber number(incarnation->number());
+    std::function<void()> recordRestart = [] {};
+    if (previous != nullptr)
+        recordRestart = [this, number, earlier = state::WorkerNumber(previous->number()),
+                            lifetime = lifetimeOf(state::WorkerNumber(previous->number()))] {
+            this->recordRestart(earlier, number, lifetime);
+        };
+    options_.replica.propose(std::move(command),
+        guarded([this, key, lost, recordRestart](const schema::CommandOutcome &outcome) {
+            if (outcome.code() == schema::ACCEPTED)
+                recordRestart();
             for (const state::LostRun &run : lost)
                 logCrashSuspect(run.task);
             const auto callbacks = std::move(pendingRegistrations_[key]);
--- a/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
@@ -47,13 +47,35 @@
 {
     const bool wasQuarantined = health_.isQuarantined(worker, now);
     health_.recordFailure(worker, run, now);
-    if (wasQuarantined || !health_.isQuarantined(worker, now))
-        return;
-    const state::Work *work = state_.works().find(state::WorkSerial(run.job.value()));
+    if (!wasQuarantined && health_.isQuarantined(worker, now))
+        logQuarantine(worker, "failures");
+}
+
+void WorkDispatcher::recordRestart(
+    state::WorkerNumber earlier, state::WorkerNumber later, std::optional<Millis> lifetime)
+{
+    const Millis now = steadyNow();
+    health_.recordRestart(earlier, later, lifetime, now);
+    planWorkers_.markChanged(later);
+    if (health_.isQuarantined(later, now))
+        logQuarantine(later, "restarts");
+}
+
+// For how long this leader has heard an incarnation; absent if it may have lived before that.
+std::optional<Millis> WorkDispatcher::lifetimeOf(state::WorkerNumber worker) const
+{
+    const auto session = sessions_.find(worker);
+    if (session == sessions_.end() || worker < firstOwnWorker_)
+        return std::nullopt;
+    return session->second->heardFor();
+}
+
+void WorkDispatcher::logQuarantine(state::WorkerNumber worker, const char *reason) const
+{
     LogEvent("worker-quarantined")
         .with("worker", workerId(worker))
         .with("number", worker.value())
-        .with("work", work == nullptr ? "" : work->id)
+        .with("reason", reason)
         .with("runs", state_.works().runsOn(worker).size());
 }
 
--- a/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherPlanning.cpp
@@ -96,6 +96,8 @@
         const state::Work *work = state_.works().find(state::WorkSerial(job.value()));
         return work != nullptr && work->isActive();
     });
+    health_.retainWorkers(
+        [this](state::WorkerNumber number) { return sessions_.contains(number); });
     const auto isFinished = [this](const StepTaskRef &task) {
         const state::Work *work = state_.works().find(task.step.work);
         return work == nullptr || !work->isActive();
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -323,6 +323,8 @@
     uint64_t incarnationStartMs() const { return options_.incarnationStartMs; }
     uint64_t highestEndSequence() const { return highestEndSequence_; }
     Millis lastAnswerAt() const { return lastAnswerAt_; }
+    // From the opening of the session until the worker was last heard.
+    Millis heardFor() const { return lastHeardAt_ ? *lastHeardAt_ - openedAt_ : Millis(); }
     // Whether the worker has listed all of its ends in answer to a poll sent after this time.
     bool hasListedEndsSince(Millis time) const { return allEndsAskedAt_ > time; }
     // Whether the worker, in answer to a poll sent after this time, has listed its runs and all of
--- a/Source/Basilgap/Scheduling/WorkerHealth.cpp
+++ b/Source/Basilgap/Scheduling/WorkerHealth.cpp
@@ -25,17 +25,44 @@
     record.nextTrialAt = now + options_.maxTrialTime;
     failedOn_[run.job].insert(worker);
     const bool confirmed = record.failedJobs.size() >= options_.minFailedJobs || record.onProbation;
-    if (confirmed && now >= record.quarantinedUntil) {
-        const int doublings = std::min(record.quarantines, MaxDoublings);
-        record.quarantinedUntil = now
-            + std::min(
-                options_.initialQuarantine * (int64_t(1) << doublings), options_.maxQuarantine);
-        record.quarantines++;
-        record.onProbation = true;
-    }
+    if (confirmed && now >= record.quarantinedUntil)
+        quarantine(&record, now);
     return othersFailed ? FailureCause::Worker : FailureCause::Job;
 }
 
+void WorkerHealth::quarantine(Record *record, Millis now) const
+{
+    const int doublings = std::min(record->quarantines, MaxDoublings);
+    record->quarantinedUntil = now
+        + std::min(options_.initialQuarantine * (int64_t(1) << doublings), options_.maxQuarantine);
+    record->quarantines++;
+    record->onProbation = true;
+}
+
+void WorkerHealth::recordRestart(state::WorkerNumber earlier, state::WorkerNumber later,
+    std::optional<Millis> lifetime, Millis now)
+{
+    const auto former = records_.extract(earlier);
+    int shortLives = former.empty() ? 0 : former.mapped().shortLives;
+    if (lifetime)
+        shortLives = *lifetime < options_.shortLifetime ? shortLives + 1 : 0;
+    if (shortLives == 0)
+        return;
+    Record &record = records_[later];
+    record.shortLives = shortLives;
+    record.quarantines = former.empty() ? 0 : former.mapped().quarantines;
+    record.lastFailureAt = now;
+    record.longestFailure = lifetime.value_or(options_.shortLifetime);
+    record.nextTrialAt = now + options_.maxTrialTime;
+    if (shortLives >= options_.minShortLives)
+        quarantine(&record, now);
+}
+
+void WorkerHealth::retainWorkers(const std::function<bool(state::WorkerNumber)> &isNeeded)
+{
+    std::erase_if(records_, [&isNeeded](const auto &entry) { return !isNeeded(entry.first); });
+}
+
 void WorkerHealth::recordSuccess(state::WorkerNumber worker)
 {
     records_.erase(worker);
--- a/Source/Basilgap/Scheduling/WorkerHealth.h
+++ b/Source/Basilgap/Scheduling/WorkerHealth.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -23,8 +24,8 @@
 
 // Distinguishes faulty workers from faulty jobs. A worker on which several different jobs failed in
 // a row is quarantined, for longer each time, and then put on probation: its tasks start one at a
-// time until one is done or runs for long enough. Load pattern: grey failures, where a worker
-// accepts tasks and fails them all.
+// time until one is done or runs for long enough. So is a worker that restarts again and again.
+// Load pattern: grey failures, where a worker accepts tasks and fails them all, and crash loops.
 class WorkerHealth
 {
 public:
@@ -38,6 +39,10 @@
         // A trial is a task that starts on probation. It keeps the next one back until it has
         // ended, but for no longer than this: services never end, and other tasks may take hours.
         Millis maxTrialTime{ 2000 };
+        // A worker is also quarantined if this many of its lives in a row were shorter than
+        // shortLifetime, without a success.
+        int minShortLives = 2;
+        Millis shortLifetime{ 5000 };
     };
 
     WorkerHealth() = default;
@@ -59,6 +64,12 @@
     // and has outlived all runs that failed on the worker. Returns whether it does.
     bool recordSurvival(state::WorkerNumber worker, Millis age, Millis now);
 
+    // The worker has restarted after a life of this length; absent: unknown. Its new incarnation
+    // begins with the count of short lives, and otherwise without failures.
+    void recordRestart(state::WorkerNumber earlier, state::WorkerNumber later,
+        std::optional<Millis> lifetime, Millis now);
+    void retainWorkers(const std::function<bool(state::WorkerNumber)> &isNeeded);
+
     bool isQuarantined(state::WorkerNumber worker, Millis now) const;
     // No task has failed there since the last success.
     bool hasNoFailures(state::WorkerNumber worker) const { return !records_.contains(worker); }
@@ -85,8 +96,11 @@
         // The greatest age of a run that failed.
         Millis longestFailure;
         Millis nextTrialAt;
+        int shortLives = 0;
     };
 
+    void quarantine(Record *record, Millis now) const;
+
     Options options_;
     std::map<state::WorkerNumber, Record> records_;
     std::map<JobId, std::set<state::WorkerNumber>> failedOn_;
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -1152,5 +1152,22 @@
     EXPECT_EQ(worker_.startCount(0, 2), 1U);
 }
 
+// Guards against LOST: each life of a worker that crashes soon after its starts was given a task,
+// and a task that is lost so four times fails its job.
+TEST_F(WorkDispatcherTest, aWorkerThatRestartsAgainAndAgainIsGivenFewTasks)
+{
+    constexpr Millis Life{ 300 };
+    constexpr uint64_t Restarts = 8;
+    submit(1);
+    ASSERT_TRUE(runWorkerUntil([this] { return worker_.startCount(0, 1) == 1; }));
+    for (uint64_t life = 1; life <= Restarts; life++) {
+        worker_.restart(IncarnationStartMs + life);
+        registerWorker(IncarnationStartMs + life, "w1");
+        runWorkerFor(Life);
+    }
+    EXPECT_EQ(work().phase, state::WorkPhase::Active);
+    EXPECT_LE(work().occurrences[0][0].tasks[0].run, 2U);
+}
+
 } // namespace
 } // namespace basilgap::dispatch
--- a/Source/UnitTests/Scheduling/WorkerHealthTest.cpp
+++ b/Source/UnitTests/Scheduling/WorkerHealthTest.cpp
@@ -109,5 +109,48 @@
     EXPECT_EQ(health.remainingStarts(worker, Now + TrialTime), 1U);
 }
 
+// Guards against tasks that are lost one after the other on a worker that crashes soon after each
+// start.
+TEST_F(WorkerHealthTest, aWorkerThatRestartsAgainAfterShortLivesIsQuarantined)
+{
+    Millis now = Now;
+    uint32_t life = 1;
+    const auto restart = [&](std::optional<Millis> lifetime) {
+        health.recordRestart(
+            state::WorkerNumber(life), state::WorkerNumber(life + 1), lifetime, now);
+        life++;
+        return health.isQuarantined(state::WorkerNumber(life), now);
+    };
+    EXPECT_FALSE(restart(Millis(60000)));
+    EXPECT_FALSE(restart(Millis(250)));
+    EXPECT_FALSE(health.hasNoFailures(state::WorkerNumber(life)));
+    for (const Millis quarantine : { Quarantine, Quarantine * 2, MaxQuarantine, MaxQuarantine }) {
+        now += Millis(1250);
+        EXPECT_TRUE(restart(Millis(250)));
+        const state::WorkerNumber newest(life);
+        EXPECT_TRUE(health.isQuarantined(newest, now + quarantine - Millis(1)));
+        EXPECT_FALSE(health.isQuarantined(newest, now + quarantine));
+    }
+    EXPECT_TRUE(restart(std::nullopt)) << "a life of unknown length changes nothing";
+    EXPECT_FALSE(restart(Millis(5000)));
+    EXPECT_TRUE(health.hasNoFailures(state::WorkerNumber(life)));
+}
+
+TEST_F(WorkerHealthTest, aSuccessEndsTheSeriesOfShortLives)
+{
+    health.recordRestart(state::WorkerNumber(1), state::WorkerNumber(2), Millis(250), Now);
+    health.recordSuccess(state::WorkerNumber(2));
+    health.recordRestart(state::WorkerNumber(2), state::WorkerNumber(3), Millis(250), Now);
+    EXPECT_FALSE(health.isQuarantined(state::WorkerNumber(3), Now));
+}
+
+TEST_F(WorkerHealthTest, aRestartEndsAQuarantineForFailures)
+{
+    quarantine(Now);
+    health.recordRestart(worker, state::WorkerNumber(2), Millis(60000), Now);
+    EXPECT_TRUE(health.hasNoFailures(state::WorkerNumber(2)));
+    EXPECT_TRUE(health.hasNoFailures(worker));
+}
+
 } // namespace
 } // namespace basilgap::scheduling
