--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -81,6 +81,15 @@
         Millis ticketsExpireAt;
     };
 
+    // A worker's later incarnation has taken the place of an earlier one.
+    struct Restart
+    {
+        state::WorkerNumber earlier;
+        state::WorkerNumber later;
+        // Of the earlier incarnation; absent if it is not known.
+        std::optional<Millis> lifetime;
+    };
+
     // Processor time that this process has used.
     static std::chrono::nanoseconds processorTime();
 
@@ -117,9 +126,8 @@
         state::WorkerNumber worker, const StepTaskRef &task, schema::RunOutcome outcome);
     void recordFailure(state::WorkerNumber worker, const scheduling::FailedRun &run, Millis now);
     void recordSurvivals(Millis now);
-    void recordRestart(
-        state::WorkerNumber earlier, state::WorkerNumber later, std::optional<Millis> lifetime);
-    std::optional<Millis> lifetimeOf(state::WorkerNumber worker) const;
+    Restart restartOf(const schema::WorkerLife &earlier, state::WorkerNumber later) const;
+    void recordRestart(const Restart &restart);
     void logQuarantine(state::WorkerNumber worker, const char *reason) const;
     void logProbationEnd(state::WorkerNumber worker, const char *reason) const;
     // The id of the worker that has this incarnation; empty if there is no session with it.
--- a/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
@@ -400,17 +400,13 @@
         .with("millicores", incarnation->millicores());
     const std::vector<state::LostRun> lost =
         state_.works().lostWorkers().runsReplacedBy(*incarnation);
-    const state::WorkerNumber number(incarnation->number());
-    std::function<void()> recordRestart = [] {};
+    std::optional<Restart> restart;
     if (previous != nullptr)
-        recordRestart = [this, number, earlier = state::WorkerNumber(previous->number()),
-                            lifetime = lifetimeOf(state::WorkerNumber(previous->number()))] {
-            this->recordRestart(earlier, number, lifetime);
-        };
+        restart = restartOf(*previous, state::WorkerNumber(incarnation->number()));
     options_.replica.propose(std::move(command),
-        guarded([this, key, lost, recordRestart](const schema::CommandOutcome &outcome) {
-            if (outcome.code() == schema::ACCEPTED)
-                recordRestart();
+        guarded([this, key, lost, restart](const schema::CommandOutcome &outcome) {
+            if (outcome.code() == schema::ACCEPTED && restart)
+                recordRestart(*restart);
             for (const state::LostRun &run : lost)
                 logCrashSuspect(run.task);
             const auto callbacks = std::move(pendingRegistrations_[key]);
--- a/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherMonitoring.cpp
@@ -51,23 +51,25 @@
         logQuarantine(worker, "failures");
 }
 
-void WorkDispatcher::recordRestart(
-    state::WorkerNumber earlier, state::WorkerNumber later, std::optional<Millis> lifetime)
+WorkDispatcher::Restart WorkDispatcher::restartOf(
+    const schema::WorkerLife &earlier, state::WorkerNumber later) const
 {
-    const Millis now = steadyNow();
-    health_.recordRestart(earlier, later, lifetime, now);
-    planWorkers_.markChanged(later);
-    if (health_.isQuarantined(later, now))
-        logQuarantine(later, "restarts");
+    Restart restart{ .earlier = state::WorkerNumber(earlier.number()), .later = later };
+    const auto session = sessions_.find(restart.earlier);
+    // An incarnation that an earlier leader registered has lived for longer than it was heard here.
+    // A worker that has announced its end has not crashed.
+    if (session != sessions_.end() && restart.earlier >= firstOwnWorker_ && !earlier.leaving())
+        restart.lifetime = session->second->heardFor();
+    return restart;
 }
 
-// For how long this leader has heard an incarnation; absent if it may have lived before that.
-std::optional<Millis> WorkDispatcher::lifetimeOf(state::WorkerNumber worker) const
+void WorkDispatcher::recordRestart(const Restart &restart)
 {
-    const auto session = sessions_.find(worker);
-    if (session == sessions_.end() || worker < firstOwnWorker_)
-        return std::nullopt;
-    return session->second->heardFor();
+    const Millis now = steadyNow();
+    health_.recordRestart(restart.earlier, restart.later, restart.lifetime, now);
+    planWorkers_.markChanged(restart.later);
+    if (health_.isQuarantined(restart.later, now))
+        logQuarantine(restart.later, "restarts");
 }
 
 void WorkDispatcher::logQuarantine(state::WorkerNumber worker, const char *reason) const
