Accept no job for a queue that is kept for earlier ones only

A submission that was logged behind the removal of its route was answered 404, but accepted if the queue still had jobs.

--- a/Source/Basilgap/State/CellState.cpp
+++ b/Source/Basilgap/State/CellState.cpp
@@ -87,7 +87,7 @@
         return works_.submit(withId, clockMs_);
     }
     const bool isKnown = works_.find(command.id()) != nullptr;
-    if (!isKnown && workConfig_.findQueue(QueueId(command.queue_id())) == nullptr) {
+    if (!isKnown && !workConfig_.isConfigured(QueueId(command.queue_id()))) {
         schema::CommandOutcome outcome;
         outcome.set_code(schema::NOT_FOUND);
         return outcome;
--- a/Source/UnitTests/State/CellStateTest.cpp
+++ b/Source/UnitTests/State/CellStateTest.cpp
@@ -365,11 +365,15 @@
 {
     CellState state;
     state.apply(LogIndex(1), configureRoute(1, "plans", "/plan/"));
-    state.apply(LogIndex(2), configureRoute(2, "", ""));
-    schema::Command submit = submitWork("late");
-    submit.mutable_submit_work()->set_queue_id("desk.example/plan/");
-    EXPECT_EQ(state.apply(LogIndex(3), submit).code(), schema::NOT_FOUND);
+    schema::Command early = submitWork("early");
+    early.mutable_submit_work()->set_queue_id("desk.example/plan/");
+    EXPECT_EQ(state.apply(LogIndex(2), early).code(), schema::ACCEPTED);
+    state.apply(LogIndex(3), configureRoute(2, "", ""));
+    schema::Command late = submitWork("late");
+    late.mutable_submit_work()->set_queue_id("desk.example/plan/");
+    EXPECT_EQ(state.apply(LogIndex(4), late).code(), schema::NOT_FOUND);
     EXPECT_EQ(state.works().find("late"), nullptr);
+    EXPECT_EQ(state.apply(LogIndex(5), early).code(), schema::ACCEPTED) << "sent again";
 }
 
 } // namespace basilgap::state
