Keep the time at which all sends of a start were first settled

Each list of a run moved that time, so that it wasn't what its comment said; it only held runs for longer than needed. A comment on trials and a name are clearer.

--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -206,10 +206,12 @@
     int stalledReports = 0;
     Millis lastStalledReportAt;
 
+    // Each send of the start has been carried out or answered.
     void settleStarts(Millis now)
     {
+        if (latestStartAt)
+            startsSettledAt = now;
         latestStartAt.reset();
-        startsSettledAt = now;
     }
     // No incarnation that is born after this time carries out a start of the run.
     Millis startsOverAt() const { return latestStartAt.value_or(startsSettledAt); }
--- a/Source/Basilgap/Scheduling/StepPlanner.cpp
+++ b/Source/Basilgap/Scheduling/StepPlanner.cpp
@@ -297,7 +297,7 @@
         return true;
     if (!onlyQuarantined_ || onlyQuarantined_->step != candidate.ref)
         onlyQuarantined_ = { candidate.ref, hasOnlyQuarantined(candidate) };
-    return onlyQuarantined_->isSo;
+    return onlyQuarantined_->answer;
 }
 
 // Whether no other worker could hold a task of the step if it were empty.
--- a/Source/Basilgap/Scheduling/StepPlanner.h
+++ b/Source/Basilgap/Scheduling/StepPlanner.h
@@ -266,7 +266,7 @@
     struct OnlyQuarantined
     {
         StepRef step;
-        bool isSo = false;
+        bool answer = false;
     };
     mutable std::optional<OnlyQuarantined> onlyQuarantined_;
     // Workers with free capacity when the first step asks for advice, and what steps claim there.
--- a/Source/Basilgap/Scheduling/WorkerHealth.h
+++ b/Source/Basilgap/Scheduling/WorkerHealth.h
@@ -36,8 +36,8 @@
         // Doubled with each further quarantine.
         Millis initialQuarantine{ 30000 };
         Millis maxQuarantine{ 600000 };
-        // A trial is a task that starts on probation. It keeps the next one back until it has
-        // ended, but for no longer than this: services never end, and other tasks may take hours.
+        // A task that starts on probation is a trial. It keeps the next one back for this long,
+        // unless it is done before: services never are, and other tasks may take hours.
         Millis maxTrialTime{ 2000 };
         // A worker is also quarantined if this many of its lives in a row were shorter than
         // shortLifetime, without a success.
