--- a/review/standin-3/Cell.cpp
+++ b/review/standin-3/Cell.cpp
@@ -368,7 +368,8 @@
 std::string Cell::jobId(int number)
 {
     char text[17];
-    std::snprintf(text, sizeof text, "5c0e7a21d94b%04x", static_cast<unsigned>(number));
+    // Ends in a letter, so that no part of a task's name reads like an IP address.
+    std::snprintf(text, sizeof text, "5c0e7a21d94%04xa", static_cast<unsigned>(number));
     return text;
 }
 
