Keep a cancellation that comes before its job is known

Cause: WorkDispatcher::cancel decided on the applied state. While the submission was being logged, or was held by an entry or sent again by it, the cancellation found no job and left nothing behind. A test that blocks the leader's disk shows the first way, and one that submits after the cancellation the second.

Change: each cancellation is logged. So the outcome doesn't depend on which of the two comes first, nor on which leader takes them. Beyond the limit, or while disk space is low, the answer is 503 "not canceled". Known jobs, and those that are being logged, are always canceled. The log line comes once the record is applied and tells the job's state.

Records of earlier versions lack the field that asks for this, and are applied as they were.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -97,7 +97,8 @@
     advicePool_.removeProxy(stream);
 }
 
-void WorkDispatcher::handleApplied(const schema::Command &command, const schema::CommandOutcome &)
+void WorkDispatcher::handleApplied(
+    const schema::Command &command, const schema::CommandOutcome &outcome)
 {
     isPlanDue_ = true;
     if (command.has_submit_work()) {
@@ -105,6 +106,11 @@
         const state::Work *work = state_.works().find(command.submit_work().id());
         if (work != nullptr)
             refreshAdmission(work->serial);
+        if (work != nullptr && !work->isActive() && !outcome.again())
+            LogEvent("work-canceled")
+                .with("work", work->id)
+                .with("account", work->account.value())
+                .with("state", "canceled before its submission");
     }
     if (command.has_cancel_work()) {
         const state::Work *work = state_.works().find(command.cancel_work().id());
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -213,8 +213,13 @@
     void refuseForBacklog(const schema::RpcRequest &request, const std::string &id,
         const std::string &queue, const std::string &account,
         const scheduling::AdmissionRefusal &refusal, const ReplyCallback &reply);
-    void cancel(
-        const schema::RpcRequest &request, const std::string &id, const ReplyCallback &reply);
+    void cancel(const schema::RpcRequest &request, const std::string &id,
+        const std::string &account, const ReplyCallback &reply);
+    // The answer to a cancellation that can't be kept for the job's submission; empty if it can.
+    std::optional<schema::CallReply> refuseEarlyCancellation(
+        const std::string &id, const std::string &account) const;
+    uint32_t cancellationRetryAfterSeconds(const std::string &account) const;
+    void logCancellation(const std::string &id, const std::string &account) const;
     void answerState(
         const schema::RpcRequest &request, const std::string &id, const ReplyCallback &reply);
     void answerOperatorCall(const schema::RpcRequest &request, const ReplyCallback &reply);
--- a/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
@@ -20,6 +20,7 @@
 constexpr uint32_t LowSpaceRetryAfterSeconds = 5;
 
 constexpr double MillicoresPerCore = 1000;
+constexpr int64_t MillisPerSecond = 1000;
 
 constexpr uint32_t Ok = 200;
 constexpr uint32_t BadRequest = 400;
@@ -44,6 +45,21 @@
     return reply;
 }
 
+schema::CallReply makeLowSpaceReply()
+{
+    schema::CallReply reply = makeReply(Unavailable, "disk space is low");
+    reply.set_retry_after_s(LowSpaceRetryAfterSeconds);
+    return reply;
+}
+
+schema::CallReply makeCancellationLimitReply(uint32_t retryAfterSeconds)
+{
+    schema::CallReply reply =
+        makeReply(Unavailable, "not canceled: too many cancellations of unknown jobs");
+    reply.set_retry_after_s(retryAfterSeconds);
+    return reply;
+}
+
 schema::RpcReply makeRpcReply(const schema::RpcRequest &request, schema::CallReply call)
 {
     schema::RpcReply reply;
@@ -149,7 +165,7 @@
     if (call.kind() == schema::QueueCall::SUBMIT)
         return submit(request, *queue, id, account == nullptr ? "" : account->name(), reply);
     if (call.kind() == schema::QueueCall::CANCEL)
-        return cancel(request, id, reply);
+        return cancel(request, id, account == nullptr ? "" : account->name(), reply);
     answerState(request, id, reply);
 }
 
@@ -181,12 +197,12 @@
     }
     if (!options_.replica.spaceError().empty()) {
         log("work-refused", options_.replica.spaceError());
-        schema::CallReply refusal = makeReply(Unavailable, "disk space is low");
-        refusal.set_retry_after_s(LowSpaceRetryAfterSeconds);
-        return reply(makeRpcReply(request, refusal));
+        return reply(makeRpcReply(request, makeLowSpaceReply()));
     }
-    // A job that is being logged may be accepted, so that its refusal would not be true.
-    if (!pendingSubmissions_.contains(id)) {
+    const bool isCanceled = state_.works().earlyCancellations().contains(id);
+    // A job that is being logged may be accepted, so that its refusal would not be true. One that
+    // was canceled before needs no room.
+    if (!pendingSubmissions_.contains(id) && !isCanceled) {
         if (const auto refusal = decideAdmission(id, queue, account, call.spec()))
             return refuseForBacklog(request, id, queue.name(), account, *refusal, reply);
     }
@@ -198,7 +214,8 @@
     *submit->mutable_spec() = call.spec();
     submit->set_max_attempts(queue.max_attempts());
     log("work-taken", "");
-    prefetchAdvice(id, queue, call.spec());
+    if (!isCanceled)
+        prefetchAdvice(id, queue, call.spec());
     pendingSubmissions_[id]++;
     const auto replyOnce = [this, alive = std::weak_ptr<bool>(alive_), id, reply](
                                schema::RpcReply answer) {
@@ -246,17 +263,69 @@
     });
 }
 
-void WorkDispatcher::cancel(
-    const schema::RpcRequest &request, const std::string &id, const ReplyCallback &reply)
+// The submission may still be on its way: in the log, in another entry, or in the hands of a caller
+// that resends it. So a job that is not known is canceled by a record, too, which its submission
+// meets in the log.
+void WorkDispatcher::cancel(const schema::RpcRequest &request, const std::string &id,
+    const std::string &account, const ReplyCallback &reply)
 {
-    if (state_.works().find(id) == nullptr)
-        return answerWhenConfirmed(request, reply, [] { return makeReply(Gone, "no such job"); });
-    LogEvent("work-canceled").with("work", id);
+    if (const auto refusal = refuseEarlyCancellation(id, account)) {
+        LogEvent("cancellation-refused")
+            .with("work", id)
+            .with("account", account)
+            .with("reason", refusal->error());
+        return reply(makeRpcReply(request, *refusal));
+    }
     schema::Command command;
-    command.mutable_cancel_work()->set_id(id);
-    propose(request, std::move(command), reply, [](const schema::CommandOutcome &outcome) {
-        return makeReply(outcome.code() == schema::ACCEPTED ? Ok : Gone);
-    });
+    schema::CancelWork *cancel = command.mutable_cancel_work();
+    cancel->set_id(id);
+    cancel->set_account(account);
+    cancel->set_covers_later_submission(true);
+    propose(request, std::move(command), reply,
+        [this, alive = std::weak_ptr<bool>(alive_), id, account](
+            const schema::CommandOutcome &outcome) {
+            if (!alive.expired())
+                logCancellation(id, account);
+            if (outcome.code() == schema::LIMIT_REACHED)
+                return makeCancellationLimitReply(
+                    alive.expired() ? 1 : cancellationRetryAfterSeconds(account));
+            return outcome.code() == schema::ACCEPTED ? makeReply(Ok)
+                                                      : makeReply(Gone, "no such job");
+        });
+}
+
+void WorkDispatcher::logCancellation(const std::string &id, const std::string &account) const
+{
+    const state::Work *work = state_.works().find(id);
+    const char *state = state_.works().earlyCancellations().contains(id) ? "unknown" : "not kept";
+    LogEvent("work-canceled")
+        .with("work", id)
+        .with("account", account)
+        .with("state", work == nullptr ? state : stateName(*work));
+}
+
+std::optional<schema::CallReply> WorkDispatcher::refuseEarlyCancellation(
+    const std::string &id, const std::string &account) const
+{
+    const state::EarlyCancellations &early = state_.works().earlyCancellations();
+    const bool isKnown = state_.works().find(id) != nullptr || pendingSubmissions_.contains(id);
+    if (isKnown || early.contains(id))
+        return std::nullopt;
+    if (!options_.replica.spaceError().empty())
+        return makeLowSpaceReply();
+    if (early.hasRoomFor(state::AccountName(account)))
+        return std::nullopt;
+    return makeCancellationLimitReply(cancellationRetryAfterSeconds(account));
+}
+
+// Until the oldest of the cancellations that take up the room is removed.
+uint32_t WorkDispatcher::cancellationRetryAfterSeconds(const std::string &account) const
+{
+    const auto since =
+        state_.works().earlyCancellations().roomTakenSinceMs(state::AccountName(account));
+    const Millis roomAt(static_cast<int64_t>(since.value_or(0) + state::WorkRetentionMs));
+    const int64_t seconds = (roomAt - stateNow()).count() / MillisPerSecond;
+    return static_cast<uint32_t>(std::max<int64_t>(0, seconds)) + 1;
 }
 
 void WorkDispatcher::answerState(
--- a/Source/Basilgap/State/CellState.cpp
+++ b/Source/Basilgap/State/CellState.cpp
@@ -5,13 +5,6 @@
 
 namespace basilgap::state {
 
-namespace {
-
-// How long a finished job with steps can be queried. Callers stop polling for it before that.
-constexpr uint64_t WorkRetentionMs = 180000;
-
-} // namespace
-
 schema::CommandOutcome CellState::apply(LogIndex index, const schema::Command &command)
 {
     // The clocks of successive leaders differ; the clock of the state never goes backwards.
@@ -127,7 +120,7 @@
     const uint64_t oldestJobMs = jobs_.oldestFinishMs();
     return (oldestClaimMs != 0 && oldestClaimMs + config_.retention().claim_ms() < nowMs)
         || (oldestJobMs != 0 && oldestJobMs + config_.retention().job_ms() < nowMs)
-        || (works_.oldestFinishMs() != 0 && works_.oldestFinishMs() + WorkRetentionMs < nowMs);
+        || works_.hasExpired(nowMs, WorkRetentionMs);
 }
 
 std::string CellState::save() const
--- a/Source/Basilgap/State/WorkRefs.h
+++ b/Source/Basilgap/State/WorkRefs.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 #include "Basilgap/Common/Ids.h"
 
 namespace basilgap::state {
 
+// Name of the account whose key came with a submission.
+using AccountName = StrongType<struct AccountNameTag, std::string>;
 // Number of a job with steps, assigned in the order of submission.
 using WorkSerial = StrongType<struct WorkSerialTag, uint64_t>;
 
--- a/Source/Basilgap/State/WorkSnapshot.cpp
+++ b/Source/Basilgap/State/WorkSnapshot.cpp
@@ -12,6 +12,7 @@
     for (const auto &[number, incarnation] : workers_)
         *snapshot.add_workers() = incarnation;
     lostWorkers_.save(&snapshot);
+    earlyCancellations_.save(&snapshot);
     snapshot.set_duration_model(durations_.save());
     for (const auto &[serial, work] : works_) {
         schema::WorkState *state = snapshot.add_works();
@@ -130,6 +131,7 @@
         updateIndexes(stored);
     }
     durations_.restore(snapshot.duration_model());
+    earlyCancellations_.restore(snapshot);
     lostWorkers_.restore(snapshot);
     for (const LostRun &run : lostWorkers_.runs()) {
         if (WorkTask *task = findMutable(run.task))
--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -67,7 +67,10 @@
     const WorkSerial serial = work.serial;
     Work &stored = works_.emplace(serial, std::move(work)).first->second;
     addToIndex(&stored);
-    updateIndexes(stored);
+    if (earlyCancellations_.remove(stored.id))
+        finish(&stored, WorkPhase::Canceled, stampMs);
+    else
+        updateIndexes(stored);
     return outcome;
 }
 
@@ -100,7 +103,9 @@
     schema::CommandOutcome outcome;
     const auto found = byId_.find(command.id());
     if (found == byId_.end()) {
-        outcome.set_code(schema::NOT_FOUND);
+        const bool isKept = !command.covers_later_submission()
+            || earlyCancellations_.add(command.id(), AccountName(command.account()), stampMs);
+        outcome.set_code(isKept ? schema::NOT_FOUND : schema::LIMIT_REACHED);
         return outcome;
     }
     Work &work = works_.at(found->second);
@@ -506,6 +511,14 @@
         }
     }
     finished_.insert(withRuns.begin(), withRuns.end());
+    earlyCancellations_.expire(nowMs, retentionMs);
+}
+
+bool WorkTable::hasExpired(uint64_t nowMs, uint64_t retentionMs) const
+{
+    const uint64_t oldestCancellationMs = earlyCancellations_.oldestMs();
+    return (!finished_.empty() && finished_.begin()->first + retentionMs < nowMs)
+        || (oldestCancellationMs != 0 && oldestCancellationMs + retentionMs < nowMs);
 }
 
 const Work *WorkTable::find(const std::string &id) const
@@ -595,9 +608,4 @@
     return found == usage_.end() ? Resources() : found->second;
 }
 
-uint64_t WorkTable::oldestFinishMs() const
-{
-    return finished_.empty() ? 0 : finished_.begin()->first;
-}
-
 } // namespace basilgap::state
--- a/Source/Basilgap/State/WorkTable.h
+++ b/Source/Basilgap/State/WorkTable.h
@@ -10,6 +10,7 @@
 
 #include "Basilgap/Common/Ids.h"
 #include "Basilgap/State/DurationModel.h"
+#include "Basilgap/State/EarlyCancellations.h"
 #include "Basilgap/State/JobTable.h"
 #include "Basilgap/State/LostWorkers.h"
 #include "Basilgap/State/Resources.h"
@@ -21,9 +22,6 @@
 
 // What callers see of a queue: its host and path prefix. The name of its route may change.
 using QueueId = StrongType<struct QueueIdTag, std::string>;
-// Name of the account whose key came with a submission.
-using AccountName = StrongType<struct AccountNameTag, std::string>;
-
 enum class WorkPhase { Active, Completed, Failed, Canceled };
 
 enum class RunPhase { Waiting, Running, Done };
@@ -118,6 +116,10 @@
 // Resources that a task of the step reserves on its worker. A backfill task reserves no processor.
 Resources reservationOf(const schema::StepSpec &step);
 
+// How long a finished job can be queried, and a cancellation that came before its job is kept.
+// Callers stop asking for a job, and resending it, before that.
+constexpr uint64_t WorkRetentionMs = 180000;
+
 // Jobs with steps, the incarnations of workers and the runs on them. Applying the same records
 // gives the same table on every replica.
 class WorkTable
@@ -132,8 +134,11 @@
     schema::CommandOutcome submit(const schema::SubmitWork &command, uint64_t stampMs);
     schema::CommandOutcome cancel(const schema::CancelWork &command, uint64_t stampMs);
     void apply(const schema::RunBatch &batch, uint64_t stampMs);
-    // Removes the jobs that finished longer ago than the retention.
+    // Removes the jobs that finished, and the early cancellations that came, longer ago than the
+    // retention.
     void expire(uint64_t nowMs, uint64_t retentionMs);
+    // Whether that would remove any.
+    bool hasExpired(uint64_t nowMs, uint64_t retentionMs) const;
 
     const Work *find(const std::string &id) const;
     const Work *find(WorkSerial serial) const;
@@ -145,6 +150,7 @@
     const std::set<WorkSerial> &active() const { return active_; }
     const WorkChanges &changes() const { return changes_; }
     std::set<QueueId> activeQueues() const;
+    const EarlyCancellations &earlyCancellations() const { return earlyCancellations_; }
     // Number of active jobs of the queue of which no task has ever been started.
     uint64_t unstartedCount(const QueueId &queue) const;
 
@@ -172,7 +178,6 @@
     const std::set<StepTaskRef> &runsOf(const AccountName &account) const;
     Resources usageOf(const AccountName &account) const;
     size_t runningTasks() const { return running_; }
-    uint64_t oldestFinishMs() const;
     // What ended runs have shown about the durations of tasks.
     const DurationModel &durations() const { return durations_; }
 
@@ -214,6 +219,7 @@
     uint64_t nextSerial_ = 1;
     std::set<WorkSerial> waiting_;
     std::set<WorkSerial> active_;
+    EarlyCancellations earlyCancellations_;
     WorkChanges changes_;
     // Those of waiting_ of which no task has ever been started.
     std::map<QueueId, std::set<WorkSerial>> unstarted_;
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -743,6 +743,16 @@
         return call(request);
     }
 
+    schema::CallReply cancel(const std::string &id)
+    {
+        schema::RpcRequest request;
+        schema::QueueCall *cancel = request.mutable_queue_call();
+        cancel->set_kind(schema::QueueCall::CANCEL);
+        cancel->set_host("host");
+        cancel->set_path("/queue/" + id);
+        return call(request);
+    }
+
     schema::CallReply configure(uint64_t version)
     {
         schema::RpcRequest request;
@@ -775,6 +785,8 @@
     EXPECT_EQ(refused.status(), 503U);
     EXPECT_GT(refused.retry_after_s(), 0U);
     EXPECT_EQ(configure(102).status(), 503U);
+    EXPECT_EQ(cancel("00000000000000a2").status(), 503U) << "it would be kept for the job";
+    EXPECT_EQ(cancel("00000000000000a1").status(), 200U);
     EXPECT_EQ(submitAs("00000000000000a1").status(), 200U) << "it was accepted before";
     EXPECT_EQ(configure(101).status(), 200U) << "it was accepted before";
     quota_.setFreeBytes(64 * 1024 * 1024);
@@ -914,6 +926,106 @@
     EXPECT_EQ(submitAs("team", "00000000000000a3", 1).status(), 200U) << "it was accepted before";
 }
 
+class CancellationTest : public WorkDispatcherAdmissionTest
+{
+protected:
+    static constexpr const char *JobId = "00000000000000c1";
+
+    static schema::RpcRequest makeCall(
+        schema::QueueCall::Kind kind, const std::string &id, const std::string &account = "team")
+    {
+        schema::RpcRequest request = makeRequest(account, id, 1);
+        request.mutable_queue_call()->set_kind(kind);
+        return request;
+    }
+
+    schema::CallReply cancelAs(const std::string &account, const std::string &id)
+    {
+        return call(makeCall(schema::QueueCall::CANCEL, id, account));
+    }
+
+    std::string stateOf(const std::string &id)
+    {
+        return call(makeCall(schema::QueueCall::STATUS, id)).state();
+    }
+
+    // Sends the call; its answer is added to statuses_.
+    void send(schema::QueueCall::Kind kind, const std::string &id)
+    {
+        dispatcher_->handleRequest(makeCall(kind, id),
+            [this](const schema::RpcReply &reply) { statuses_.push_back(reply.call().status()); });
+    }
+
+    void expectNeverRuns(const std::string &id)
+    {
+        runWorkerForAWhile();
+        EXPECT_FALSE(worker_.runs(id));
+        EXPECT_EQ(stateOf(id), "canceled");
+    }
+
+    std::vector<uint32_t> statuses_;
+};
+
+// Guards against UNASKED: a job ran although its cancellation had been acknowledged, because that
+// came while the submission was being logged.
+TEST_F(CancellationTest, aJobThatIsBeingLoggedIsCanceled)
+{
+    disk_.setBlocked(true);
+    send(schema::QueueCall::SUBMIT, JobId);
+    send(schema::QueueCall::CANCEL, JobId);
+    runWorkerFor(Millis(100));
+    disk_.setBlocked(false);
+    ASSERT_TRUE(runWorkerUntil([this] { return statuses_.size() == 2; }));
+    EXPECT_EQ(statuses_, (std::vector<uint32_t>{ 200, 200 }));
+    expectNeverRuns(JobId);
+}
+
+// Guards against UNASKED: a submission that another entry still held arrived after the cancellation
+// had been acknowledged.
+TEST_F(CancellationTest, aJobThatArrivesAfterItsCancellationDoesNotRun)
+{
+    EXPECT_EQ(cancelAs("team", JobId).status(), 410U);
+    EXPECT_EQ(call(makeCall(schema::QueueCall::STATUS, JobId)).status(), 410U);
+    EXPECT_EQ(submitAs("team", JobId, 1).status(), 200U);
+    expectNeverRuns(JobId);
+    EXPECT_EQ(submitAs("team", JobId, 1).status(), 200U) << "it remains one job";
+    EXPECT_EQ(cancelAs("team", JobId).status(), 200U);
+    expectNeverRuns(JobId);
+}
+
+TEST_F(CancellationTest, aNewLeaderKnowsTheCancellationsThatCameBeforeTheirJobs)
+{
+    EXPECT_EQ(cancelAs("team", JobId).status(), 410U);
+    lead();
+    EXPECT_EQ(submitAs("team", JobId, 1).status(), 200U);
+    expectNeverRuns(JobId);
+}
+
+// Guards against callers who fill the state by canceling jobs that don't exist, and against an
+// answer that says "no such job" to a cancellation which is not kept.
+TEST_F(CancellationTest, cancellationsOfUnknownJobsAreLimitedByAccount)
+{
+    size_t logged = 0;
+    for (size_t i = 0; i < state::EarlyCancellations::MaxPerAccount; i++) {
+        schema::Command command;
+        command.mutable_cancel_work()->set_id("unknown" + std::to_string(i));
+        command.mutable_cancel_work()->set_account("team");
+        command.mutable_cancel_work()->set_covers_later_submission(true);
+        replica_->propose(
+            std::move(command), [&logged](const schema::CommandOutcome &) { logged++; });
+    }
+    ASSERT_TRUE(
+        runWorkerUntil([&logged] { return logged == state::EarlyCancellations::MaxPerAccount; }));
+    const schema::CallReply refused = cancelAs("team", JobId);
+    EXPECT_EQ(refused.status(), 503U);
+    EXPECT_GE(refused.retry_after_s(), 1U);
+    EXPECT_LE(refused.retry_after_s(), state::WorkRetentionMs / 1000 + 1);
+    EXPECT_EQ(refused.error().find("not canceled"), 0U) << refused.error();
+    EXPECT_EQ(cancelAs("other", "00000000000000c2").status(), 410U);
+    EXPECT_EQ(submitAs("team", JobId, 1).status(), 200U) << "the cancellation was refused";
+    EXPECT_EQ(cancelAs("team", JobId).status(), 200U) << "the job is known";
+}
+
 // Guards against TWICE: a task was started again while the end of its run, which a later
 // incarnation of the worker had carried out, was not listed yet because answers to polls were lost.
 TEST_F(WorkDispatcherTest, anEndOnALaterIncarnationCountsAlsoIfPollsAreLostAfterTheStop)
