Remove the mark of a restart once no earlier call matters

Cause: a new leader waits for the longest lease that a worker grants (max_hold_ms, 10 s) if WorkerLife.restarted is set. The mark says that calls for an earlier incarnation may have extended the lease. They can until the first answer to a call of the incarnation's own, but the mark stayed for the rest of its life. New workers that register in the first 22 s of a leader get the same mark, as it doesn't know whom its predecessors have dropped.

Change: a session knows, on the worker's own clock, the end of the leases that earlier calls can have granted: its clock in the first answer and the longest lease more. Once an answer shows a later clock, the leader logs RunBatch.settled_restarts, and the mark is removed on all replicas. An incarnation that has answered refuses all calls for earlier ones, of later leaders too, so the record stays true whoever leads. Only the first record of an incarnation sets its mark now: one of an announcement that was made before the removal brought it back.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.cpp
@@ -292,6 +292,7 @@
                         newest->requestEndsSince(time, steadyNow());
                         return newest->isMissingSince(run, time);
                     },
+                .onEarlierLeasesOver = [this, number] { settleRestart(number); },
                 .pollDelay = [this, number] { return pollDelay(number); },
             },
             .wallClock = [this] { return stateNow(); },
@@ -299,6 +300,18 @@
         now);
 }
 
+// The next leader then takes the worker's lease for an ordinary one.
+void WorkDispatcher::settleRestart(state::WorkerNumber worker)
+{
+    const schema::WorkerLife *incarnation = state_.works().findIncarnation(worker);
+    if (incarnation == nullptr || !incarnation->restarted())
+        return;
+    LogEvent("worker-restart-settled")
+        .with("worker", incarnation->id())
+        .with("number", worker.value());
+    settledRestarts_.insert(worker);
+}
+
 WorkerSession *WorkDispatcher::newestSessionOf(state::WorkerNumber incarnation)
 {
     const schema::WorkerLife *newest =
@@ -491,12 +504,15 @@
     pendingEnds_.clear();
     for (const state::WorkerNumber number : std::exchange(returnedWorkers_, {}))
         batch->add_returned(number.value());
+    for (const state::WorkerNumber number : std::exchange(settledRestarts_, {}))
+        batch->add_settled_restarts(number.value());
     if (isPlanDue_ || hasEnds || now >= nextPlan_) {
         isPlanDue_ = false;
         nextPlan_ = now + IdlePlanInterval;
         plan(batch);
     }
-    if (batch->ends_size() == 0 && batch->starts_size() == 0 && batch->returned_size() == 0)
+    if (batch->ends_size() == 0 && batch->starts_size() == 0 && batch->returned_size() == 0
+        && batch->settled_restarts_size() == 0)
         return ackEnds(ends);
     isBatchPending_ = true;
     const schema::RunBatch sent = *batch;
@@ -527,6 +543,8 @@
         workersWithListedEnds_.insert(number);
     for (const uint32_t number : batch.returned())
         returnedWorkers_.insert(state::WorkerNumber(number));
+    for (const uint32_t number : batch.settled_restarts())
+        settledRestarts_.insert(state::WorkerNumber(number));
 }
 
 // The ends that go into the next record, by the highest number of each worker.
--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -171,6 +171,7 @@
     // Has the rest of a gang's run stopped, once the start of one member has been given up.
     void giveUpGang(const StepTaskRef &member, uint32_t run);
     void reconcileSessions();
+    void settleRestart(state::WorkerNumber worker);
     void openSession(const schema::WorkerLife &incarnation, Millis now);
     uint64_t tokenFor(const schema::WorkerLife &incarnation) const;
     // As SessionEvents::hasNewestListedEndsSince, asked by the session with this incarnation.
@@ -306,6 +307,8 @@
     std::map<state::StepRef, std::optional<Millis>> expectedStepEnds_;
     // Workers with lost runs that answer again, which is not logged yet.
     std::set<state::WorkerNumber> returnedWorkers_;
+    // Incarnations whose mark of a restart is to be removed.
+    std::set<state::WorkerNumber> settledRestarts_;
     // Workers on which a task that may crash them has just started; nothing else starts there until
     // then.
     std::map<state::WorkerNumber, Millis> crashProbations_;
--- a/Source/Basilgap/Dispatch/WorkerSession.h
+++ b/Source/Basilgap/Dispatch/WorkerSession.h
@@ -140,6 +140,8 @@
     // not among them. Requests such a list.
     std::function<bool(const state::RunRef &, Millis)> isMissingOnNewestSince =
         [](const state::RunRef &, Millis) { return false; };
+    // The leases that calls for an earlier incarnation can have granted are over.
+    std::function<void()> onEarlierLeasesOver = [] {};
     // Delay of the next poll after an answer.
     std::function<Millis()> pollDelay = [] { return Millis(0); };
 };
@@ -373,7 +375,7 @@
     void handlePollAnswer(PollAnswer answer, const SentPoll &poll);
     // The number up to which the next poll acknowledges ends.
     uint64_t endsToAck() const;
-    void boundEarlierLeases(Millis workerClock, Millis now);
+    void checkEarlierLeases(Millis workerClock, Millis now);
     bool isOwnClock(Millis workerClock, Millis earliest, Millis latest) const;
     void applyRunning(const PollAnswer &answer, Millis sentAt, Millis now);
     void endMissingRuns(const std::set<StepTaskRef> &listed, Millis sentAt);
@@ -450,8 +452,10 @@
     // The call that sent it, and the local time of that call.
     LeaseSource leaseSource_ = LeaseSource::None;
     Millis leaseSentAt_;
-    // The leases that calls for an earlier incarnation can have granted are counted.
-    bool hasBoundEarlierLeases_ = false;
+    // The latest end of a lease that a call for an earlier incarnation can have granted, on the
+    // worker's clock; absent until the worker's first answer.
+    std::optional<Millis> earlierLeasesEnd_;
+    bool areEarlierLeasesOver_ = false;
     // Another incarnation has answered, so that the worker has restarted.
     bool hasSeenOtherIncarnation_ = false;
     uint64_t ackedEndSequence_ = 0;
--- a/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
+++ b/Source/Basilgap/Dispatch/WorkerSessionReports.cpp
@@ -89,11 +89,20 @@
 }
 
 // Until its first answer, a worker may have taken calls that were meant for its earlier
-// incarnation. From then on it refuses them.
-void WorkerSession::boundEarlierLeases(Millis workerClock, Millis now)
+// incarnation. From then on it refuses them, those of earlier and later leaders too, so that its
+// lease depends on them for one longest lease more, by its own clock.
+void WorkerSession::checkEarlierLeases(Millis workerClock, Millis now)
 {
-    if (options_.isRestart && !std::exchange(hasBoundEarlierLeases_, true))
-        recordLeaseEnd(workerClock + options_.times.maxLease, LeaseSource::EarlierCall, now);
+    if (!options_.isRestart || areEarlierLeasesOver_)
+        return;
+    if (!earlierLeasesEnd_) {
+        earlierLeasesEnd_ = workerClock + options_.times.maxLease;
+        return recordLeaseEnd(*earlierLeasesEnd_, LeaseSource::EarlierCall, now);
+    }
+    if (workerClock <= *earlierLeasesEnd_)
+        return;
+    areEarlierLeasesOver_ = true;
+    options_.events.onEarlierLeasesOver();
 }
 
 void WorkerSession::handlePollAnswer(PollAnswer answer, const SentPoll &poll)
@@ -125,7 +134,7 @@
     confirmedEndSequence_ = std::max(confirmedEndSequence_, poll.ackedEndSequence);
     if (answer.workerClock) {
         setClock(*answer.workerClock, poll.sentAt, now);
-        boundEarlierLeases(*answer.workerClock, now);
+        checkEarlierLeases(*answer.workerClock, now);
     }
     const size_t lingeringRuns = lingeringRuns_.size();
     const bool hadStrayRun = hasStrayRun_;
--- a/Source/Basilgap/State/WorkTable.cpp
+++ b/Source/Basilgap/State/WorkTable.cpp
@@ -121,6 +121,11 @@
         registerIncarnation(incarnation, stampMs);
     for (const uint32_t number : batch.returned())
         dismissCrash(lostWorkers_.take(WorkerNumber(number)));
+    for (const uint32_t number : batch.settled_restarts()) {
+        const auto incarnation = workers_.find(WorkerNumber(number));
+        if (incarnation != workers_.end())
+            incarnation->second.set_restarted(false);
+    }
     for (const auto &end : batch.ends())
         endRun(end, stampMs);
     for (const auto &start : batch.starts())
@@ -144,9 +149,10 @@
     if (newest == nullptr || newest->number() <= incarnation.number())
         newestIncarnations_[incarnation.id()] = number;
     schema::WorkerLife stored = incarnation;
-    const bool isRestart = newest != nullptr && newest->number() < incarnation.number();
-    stored.set_restarted(incarnation.restarted() || isRestart
-        || (known != workers_.end() && known->second.restarted()));
+    // Later records of an incarnation may have been made before its mark was removed.
+    const bool follows = newest != nullptr && newest->number() < incarnation.number();
+    stored.set_restarted(
+        known == workers_.end() ? incarnation.restarted() || follows : known->second.restarted());
     storeIncarnation(stored);
     if (!incarnation.gone())
         return confirmCrash(lostWorkers_.takeReplacedBy(incarnation), stampMs);
--- a/Source/UnitTests/Dispatch/ModelLeader.cpp
+++ b/Source/UnitTests/Dispatch/ModelLeader.cpp
@@ -148,6 +148,7 @@
                                 session->second->requestEndsSince(time, options_.time.now());
                                 return session->second->isMissingSince(run, time);
                             },
+                        .onEarlierLeasesOver = [this, number = number] { settleRestart(number); },
                     },
                     .clock = [this] { return options_.time.now(); },
                     .wallClock = [this] { return options_.time.now(); },
@@ -169,6 +170,22 @@
     callLoss_.setSessionCount(sessions_.size());
 }
 
+// In a record of its own after a fixed time, so that no random number is drawn for it.
+void ModelLeader::settleRestart(WorkerNumber worker)
+{
+    const schema::WorkerLife *incarnation = options_.table.findIncarnation(worker);
+    if (incarnation == nullptr || !incarnation->restarted())
+        return;
+    options_.time.after(Millis(MaxCommitMs), [this, worker] {
+        if (isRetired_ || isFrozen_)
+            return;
+        schema::RunBatch batch;
+        batch.add_settled_restarts(worker.value());
+        options_.table.apply(batch, static_cast<uint64_t>(options_.time.now().count()));
+        settledRestarts_++;
+    });
+}
+
 void ModelLeader::recordEnd(const EndedRun &ended)
 {
     const StepTaskRef &task = ended.task;
--- a/Source/UnitTests/Dispatch/ModelLeader.h
+++ b/Source/UnitTests/Dispatch/ModelLeader.h
@@ -50,6 +50,7 @@
     void setRelaying(bool isRelaying) { port_.setRelaying(isRelaying); }
     uint64_t relayedCalls() const { return port_.relayedCalls(); }
     uint64_t droppedWorkers() const { return droppedWorkers_; }
+    uint64_t settledRestarts() const { return settledRestarts_; }
 
     // Opens sessions with new incarnations, and supersedes the sessions with earlier ones.
     void reconcile();
@@ -60,6 +61,8 @@
 private:
     void tick();
     RelayedWorkerPort::Options portOptions();
+    // As in WorkDispatcher.
+    void settleRestart(WorkerNumber worker);
     void recordEnd(const EndedRun &ended);
     // As in WorkDispatcher.
     void applyOtherEnd(WorkerNumber worker, const StepTaskRef &task, const EndReport &report);
@@ -99,6 +102,7 @@
     Millis nextDrop_;
     std::set<WorkerNumber> workersBeingDropped_;
     uint64_t droppedWorkers_ = 0;
+    uint64_t settledRestarts_ = 0;
     Millis lastCommitAt_;
 };
 
--- a/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Dispatch/RestartedWorkerTest.cpp
@@ -77,6 +77,40 @@
     EXPECT_EQ(ends.size(), 1U);
 }
 
+// Guards against LOST, as the wait for the longest lease has to end, and against TWICE, as it must
+// not end before the lease does. The worker's clock may run slow, so it decides.
+TEST_F(RestartedWorkerTest, theLeasesOfEarlierCallsAreOverOnceTheWorkersClockHasPassedThem)
+{
+    isRestart = true;
+    openSession();
+    const Millis firstClock = now;
+    completeFirstPoll();
+    const auto answerAt = [this](Millis workerClock) {
+        advanceAndTick(SessionTimes().maxPollDelay.count());
+        PollAnswer answer = pollAnswer({});
+        answer.workerClock = workerClock;
+        port.polls.back().done(answer);
+    };
+    now += SessionTimes().maxLease * 2;
+    answerAt(firstClock + SessionTimes().maxLease);
+    EXPECT_EQ(earlierLeasesOver, 0);
+    answerAt(firstClock + SessionTimes().maxLease + Millis(1));
+    EXPECT_EQ(earlierLeasesOver, 1);
+    answerAt(firstClock + SessionTimes().maxLease + Millis(1000));
+    EXPECT_EQ(earlierLeasesOver, 1);
+}
+
+TEST_F(RestartedWorkerTest, theLeasesOfEarlierCallsAreNotOverWhileNothingIsHeard)
+{
+    isRestart = true;
+    openSession();
+    completeFirstPoll();
+    tickFor(SessionTimes().maxLease * 3);
+    EXPECT_EQ(earlierLeasesOver, 0);
+    answerAsAnotherIncarnation();
+    EXPECT_EQ(earlierLeasesOver, 0);
+}
+
 // Guards against TWICE: a new leader that never hears the worker took its lease for one of the
 // earlier leader's own renewals.
 TEST_F(RestartedWorkerTest, aNewLeaderAllowsForTheLongestLeaseOfARestartedWorker)
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -227,7 +227,7 @@
             WorkDispatcher::Options{ .replica = *replica_,
                 .workers = port_,
                 .advice = advice_,
-                .times = {},
+                .times = times_,
                 .forecastUses = forecastUses_ });
     }
 
@@ -413,6 +413,7 @@
     const state::Work &work() const { return *replica_->state().works().find(WorkId); }
 
     scheduling::ForecastUses forecastUses_;
+    SessionTimes times_;
     FakeWorkerPort port_;
     NoAdvice advice_;
     AnsweringWorker worker_{ port_ };
@@ -580,6 +581,29 @@
     EXPECT_FALSE(registerWorker(IncarnationStartMs, "w2").restarted());
 }
 
+// Guards against LOST: the mark of a restart stayed for good. Each later leader that did not hear
+// the worker waited for the longest lease before the worker's tasks started elsewhere.
+TEST_F(WorkDispatcherTest, theMarkOfARestartIsRemovedOnceTheLongestLeaseIsOver)
+{
+    ASSERT_TRUE(runUntil([this] { return workers().newestIncarnation("w1") != nullptr; }));
+    times_.maxLease = Millis(500);
+    lead();
+    ASSERT_TRUE(registerWorker(IncarnationStartMs + 1, "w1").restarted());
+    worker_.restart(IncarnationStartMs + 1);
+    EXPECT_TRUE(runWorkerUntil([this] { return !workers().newestIncarnation("w1")->restarted(); }));
+}
+
+// The same for a worker that was marked because a new leader did not know whom its predecessors had
+// dropped.
+TEST_F(WorkDispatcherTest, theMarkOfAWorkerThatNobodyHasDroppedIsRemoved)
+{
+    ASSERT_NO_FATAL_FAILURE(dropWorker());
+    times_.maxLease = Millis(500);
+    lead();
+    ASSERT_TRUE(registerWorker(IncarnationStartMs, "w2").restarted());
+    EXPECT_TRUE(runWorkerUntil([this] { return !workers().newestIncarnation("w2")->restarted(); }));
+}
+
 // Guards against LOST: a task whose percentage rises slowly was stopped as hanging after three
 // seconds each time, and never done.
 TEST_F(WorkDispatcherTest, aTaskWhosePercentageRisesSlowlyIsDone)
--- a/Source/UnitTests/Dispatch/WorkerSessionFixture.h
+++ b/Source/UnitTests/Dispatch/WorkerSessionFixture.h
@@ -67,6 +67,7 @@
                     .onTicketRefused = [](const StepTaskRef &) {},
                     .hasNewestListedEndsSince = [this](Millis time) { return newestListedEndsAt.value_or(now) > time; },
                     .isMissingOnNewestSince = [this](const state::RunRef &, Millis time) { return newestLacksRunSince && *newestLacksRunSince > time; },
+                    .onEarlierLeasesOver = [this] { earlierLeasesOver++; },
                     .pollDelay = [this] { return pollDelay; },
                 },
                 .clock = [this] { return now; },
@@ -169,6 +170,8 @@
     // Tasks of ends that are none of the session's runs.
     std::vector<StepTaskRef> otherEnds;
     bool fenced = false;
+    // How often the session has reported that the leases of earlier calls are over.
+    int earlierLeasesOver = 0;
     bool isLeaderConfirmed = true;
     // For openSession().
     bool isRestart = false;
--- a/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkerSessionModelTest.cpp
@@ -129,6 +129,13 @@
             workers += leader->droppedWorkers();
         return workers;
     }
+    uint64_t settledRestarts() const
+    {
+        uint64_t restarts = 0;
+        for (const auto &leader : leaders_)
+            restarts += leader->settledRestarts();
+        return restarts;
+    }
     uint64_t relayedCalls() const
     {
         uint64_t calls = 0;
@@ -532,6 +539,7 @@
     size_t serviceStarts = 0;
     uint64_t relayedCalls = 0;
     uint64_t droppedWorkers = 0;
+    uint64_t settledRestarts = 0;
     const uint64_t seeds = seedCount(scenario);
     for (uint64_t seed = firstSeed(); seed < firstSeed() + seeds; seed++) {
         ModelCell cell(scenario, seed);
@@ -540,6 +548,7 @@
         serviceStarts += cell.serviceStarts();
         relayedCalls += cell.relayedCalls();
         droppedWorkers += cell.droppedWorkers();
+        settledRestarts += cell.settledRestarts();
         for (const std::string &violation : cell.violations())
             ADD_FAILURE() << "seed " << seed << ", " << violation;
     }
@@ -551,6 +560,7 @@
         EXPECT_EQ(relayedCalls, 0U);
     EXPECT_GE(serviceStarts, scenario.hasServices ? seeds * 10 : 0);
     EXPECT_GE(droppedWorkers, scenario.dropsWorkers ? seeds / 2 : 0);
+    EXPECT_GE(settledRestarts, scenario.restartsWorkers ? seeds : 0);
 }
 
 TEST(WorkerSessionModel, noWorkerIsOverItsCapacityInACalmNetwork)
--- a/Source/UnitTests/State/WorkTableTest.cpp
+++ b/Source/UnitTests/State/WorkTableTest.cpp
@@ -495,6 +495,43 @@
     EXPECT_TRUE(restored.newestIncarnation("w1")->restarted());
 }
 
+// Guards against LOST: the mark stayed for good, so that each new leader waited for the longest
+// lease.
+TEST(WorkTable, theMarkOfARestartIsRemovedForGood)
+{
+    WorkTable table;
+    schema::RunBatch registration;
+    schema::WorkerLife *life = registration.add_workers();
+    life->set_number(1);
+    life->set_id("w1");
+    life->set_born_ms(1);
+    life->set_restarted(true);
+    table.apply(registration, 1);
+    ASSERT_TRUE(table.newestIncarnation("w1")->restarted());
+    // Made before the mark is removed, and logged after that.
+    schema::RunBatch announcement;
+    *announcement.add_workers() = *table.newestIncarnation("w1");
+    announcement.mutable_workers(0)->set_leaving(true);
+    announcement.mutable_workers(0)->set_announced_sequence(2);
+    schema::RunBatch settled;
+    settled.add_settled_restarts(1);
+    settled.add_settled_restarts(7);
+    table.apply(settled, 2);
+    EXPECT_FALSE(table.newestIncarnation("w1")->restarted());
+    table.apply(announcement, 3);
+    EXPECT_TRUE(table.newestIncarnation("w1")->leaving());
+    EXPECT_FALSE(table.newestIncarnation("w1")->restarted());
+    WorkTable restored;
+    restored.restore(table.save());
+    EXPECT_FALSE(restored.newestIncarnation("w1")->restarted());
+    // A later incarnation has a mark of its own.
+    life->set_number(2);
+    life->set_born_ms(2);
+    life->set_restarted(false);
+    table.apply(registration, 4);
+    EXPECT_TRUE(table.newestIncarnation("w1")->restarted());
+}
+
 // Callers ask for this number all the time, so it is kept and not counted.
 TEST(WorkTable, unstartedCountFollowsStartsCancellationsAndSnapshots)
 {
