Handle announcements after the registration that they overtake

What callers see: a worker's announcement that it leaves, or of its end, is acknowledged and forgotten if it comes while the worker is being registered, so that tasks may start there until the next announcement. Of two incarnations that announce themselves at once the earlier one stays in the state, or even counts as the newest.

Further announcements of the incarnation were acknowledged with the first one, whatever they said, and those of another incarnation or of the end were compared with a state without the worker.

Change: announcements of a worker wait while one of its incarnations is being registered, and are then handled as usual.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -81,6 +81,12 @@
         Millis ticketsExpireAt;
     };
 
+    struct PendingAnnouncement
+    {
+        schema::RpcRequest request;
+        ReplyCallback reply;
+    };
+
     // A worker's later incarnation has taken the place of an earlier one.
     struct Restart
     {
@@ -225,6 +231,7 @@
         const schema::RpcRequest &request, const std::string &id, const ReplyCallback &reply);
     void answerOperatorCall(const schema::RpcRequest &request, const ReplyCallback &reply);
     void handleAnnouncement(const schema::RpcRequest &request, const ReplyCallback &reply);
+    void finishRegistration(const std::string &worker, bool isRegistered);
     void registerIncarnation(const schema::RpcRequest &request, const ReplyCallback &reply);
     void propose(const schema::RpcRequest &request, schema::Command command,
         const ReplyCallback &reply,
@@ -315,7 +322,9 @@
     scheduling::CapacityDemand capacityDemand_ = scheduling::CapacityDemand::None;
     // When this leader sent the start of each running task.
     std::map<StepTaskRef, Millis> startSentAt_;
-    std::map<std::string, std::vector<std::function<void(bool)>>> pendingRegistrations_;
+    // Announcements of workers of which an incarnation is being registered, by the worker's id. The
+    // first of each is the one that is registered.
+    std::map<std::string, std::vector<PendingAnnouncement>> pendingRegistrations_;
     uint32_t nextWorkerNumber_ = 0;
     // Incarnations with lower numbers were registered by earlier leaders.
     state::WorkerNumber firstOwnWorker_;
--- a/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
@@ -401,6 +401,12 @@
     const schema::RpcRequest &request, const ReplyCallback &reply)
 {
     const schema::WorkerAnnouncement &announcement = request.announcement();
+    // What it says is compared with the incarnation that is being registered, once that is known.
+    const auto pending = pendingRegistrations_.find(announcement.life().id());
+    if (pending != pendingRegistrations_.end()) {
+        pending->second.push_back({ request, reply });
+        return;
+    }
     const schema::WorkerLife *known = state_.works().newestIncarnation(announcement.life().id());
     const Millis now = steadyNow();
     const auto session =
@@ -432,27 +438,19 @@
     const schema::RpcRequest &request, const ReplyCallback &reply)
 {
     const schema::WorkerAnnouncement &announcement = request.announcement();
-    schema::RpcRequest idOnly;
-    idOnly.set_id(request.id());
-    const std::string key =
-        announcement.life().id() + "/" + std::to_string(announcement.life().born_ms());
-    auto &waiting = pendingRegistrations_[key];
-    waiting.push_back([idOnly, reply](bool accepted) {
-        reply(accepted ? makeRpcReply(idOnly, makeReply(Ok)) : makeUnavailableReply(idOnly));
-    });
-    if (waiting.size() > 1)
-        return;
+    const std::string &id = announcement.life().id();
+    pendingRegistrations_[id].push_back({ request, reply });
     nextWorkerNumber_ = std::max(nextWorkerNumber_, state_.works().nextWorker().value());
     schema::Command command;
     schema::RunBatch *batch = command.mutable_runs();
-    const schema::WorkerLife *previous = state_.works().newestIncarnation(announcement.life().id());
+    const schema::WorkerLife *previous = state_.works().newestIncarnation(id);
     schema::WorkerLife *incarnation = batch->add_workers();
     *incarnation = announcement.life();
     incarnation->set_number(nextWorkerNumber_++);
     incarnation->set_announced_sequence(announcement.sequence());
     // The previous incarnation may be removed before this record is applied.
     incarnation->set_restarted(
-        previous != nullptr || forgottenWorkers_.mayContain(announcement.life().id(), steadyNow()));
+        previous != nullptr || forgottenWorkers_.mayContain(id, steadyNow()));
     if (previous != nullptr) {
         schema::WorkerLife *gone = batch->add_workers();
         *gone = *previous;
@@ -473,16 +471,29 @@
     if (previous != nullptr)
         restart = restartOf(*previous, state::WorkerNumber(incarnation->number()));
     options_.replica.propose(std::move(command),
-        guarded([this, key, lost, restart](const schema::CommandOutcome &outcome) {
+        guarded([this, id, lost, restart](const schema::CommandOutcome &outcome) {
             if (outcome.code() == schema::ACCEPTED && restart)
                 recordRestart(*restart);
             for (const state::LostRun &run : lost)
                 logCrashSuspect(run.task);
-            const auto callbacks = std::move(pendingRegistrations_[key]);
-            pendingRegistrations_.erase(key);
-            for (const auto &callback : callbacks)
-                callback(outcome.code() == schema::ACCEPTED);
+            finishRegistration(id, outcome.code() == schema::ACCEPTED);
         }));
 }
 
+// Acknowledges the announcement that was registered, and handles those that came meanwhile.
+void WorkDispatcher::finishRegistration(const std::string &worker, bool isRegistered)
+{
+    const auto announcements = pendingRegistrations_.extract(worker);
+    bool isFirst = true;
+    for (const PendingAnnouncement &announcement : announcements.mapped()) {
+        if (!isRegistered)
+            announcement.reply(makeUnavailableReply(announcement.request));
+        else if (isFirst)
+            announcement.reply(makeRpcReply(announcement.request, makeReply(Ok)));
+        else
+            handleAnnouncement(announcement.request, announcement.reply);
+        isFirst = false;
+    }
+}
+
 } // namespace basilgap::dispatch
--- a/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
+++ b/Source/UnitTests/Dispatch/WorkDispatcherTest.cpp
@@ -247,8 +247,8 @@
         ASSERT_TRUE(runUntil([this] { return accepted_ == 1; }));
     }
 
-    void announceWorker(
-        uint64_t incarnationStartMs = IncarnationStartMs, const std::string &id = "w1")
+    static schema::RpcRequest makeAnnouncement(
+        uint64_t incarnationStartMs, const std::string &id, uint64_t sequence = 1)
     {
         schema::RpcRequest request;
         schema::WorkerLife *life = request.mutable_announcement()->mutable_life();
@@ -259,8 +259,15 @@
         life->set_pool("pool");
         life->set_millicores(8000);
         life->set_memory_mb(8000);
-        request.mutable_announcement()->set_sequence(1);
-        dispatcher_->handleRequest(request, [](const schema::RpcReply &) {});
+        request.mutable_announcement()->set_sequence(sequence);
+        return request;
+    }
+
+    void announceWorker(
+        uint64_t incarnationStartMs = IncarnationStartMs, const std::string &id = "w1")
+    {
+        dispatcher_->handleRequest(
+            makeAnnouncement(incarnationStartMs, id), [](const schema::RpcReply &) {});
     }
 
     // Proposes the record that is logged after a long silence of the worker.
@@ -604,6 +611,69 @@
     EXPECT_TRUE(runWorkerUntil([this] { return !workers().newestIncarnation("w2")->restarted(); }));
 }
 
+// Announcements of a worker that arrive while its registration is being logged.
+class PendingRegistrationTest : public WorkDispatcherTest
+{
+protected:
+    // Each is acknowledged in the end.
+    void announceAll(const std::vector<schema::RpcRequest> &announcements)
+    {
+        size_t acknowledged = 0;
+        for (const schema::RpcRequest &announcement : announcements) {
+            dispatcher_->handleRequest(
+                announcement, [&acknowledged](const schema::RpcReply &reply) {
+                    acknowledged += reply.call().status() == 200U ? 1 : 0;
+                });
+        }
+        EXPECT_TRUE(runUntil([&] { return acknowledged == announcements.size(); }));
+    }
+
+    size_t incarnationCount(const std::string &id) const
+    {
+        return static_cast<size_t>(
+            std::count_if(workers().workers().begin(), workers().workers().end(),
+                [&id](const auto &entry) { return entry.second.id() == id; }));
+    }
+};
+
+// Guards against DRAIN: the announcement that a worker leaves was acknowledged and forgotten.
+TEST_F(PendingRegistrationTest, aWorkerThatLeavesIsKnownToLeave)
+{
+    schema::RpcRequest leaving = makeAnnouncement(IncarnationStartMs, "w2", 2);
+    leaving.mutable_announcement()->mutable_life()->set_leaving(true);
+    announceAll({ makeAnnouncement(IncarnationStartMs, "w2"), leaving });
+    EXPECT_TRUE(workers().newestIncarnation("w2")->leaving());
+}
+
+// The same for the announcement of its end, which names no incarnation.
+TEST_F(PendingRegistrationTest, aWorkerThatEndsIsKnownToLeave)
+{
+    schema::RpcRequest ended;
+    ended.mutable_announcement()->mutable_life()->set_id("w2");
+    ended.mutable_announcement()->set_ended(true);
+    announceAll({ makeAnnouncement(IncarnationStartMs, "w2"), ended });
+    EXPECT_TRUE(workers().newestIncarnation("w2")->leaving());
+}
+
+// Guards against an earlier incarnation that stays in the state, because the later one was
+// registered before it was known.
+TEST_F(PendingRegistrationTest, aLaterIncarnationReplacesTheEarlierOne)
+{
+    announceAll({ makeAnnouncement(IncarnationStartMs, "w2"),
+        makeAnnouncement(IncarnationStartMs + 1, "w2") });
+    EXPECT_EQ(workers().newestIncarnation("w2")->born_ms(), IncarnationStartMs + 1);
+    EXPECT_TRUE(workers().newestIncarnation("w2")->restarted());
+    EXPECT_EQ(incarnationCount("w2"), 1U);
+}
+
+TEST_F(PendingRegistrationTest, aLateAnnouncementOfAnEarlierIncarnationReplacesNothing)
+{
+    announceAll({ makeAnnouncement(IncarnationStartMs + 1, "w2"),
+        makeAnnouncement(IncarnationStartMs, "w2") });
+    EXPECT_EQ(workers().newestIncarnation("w2")->born_ms(), IncarnationStartMs + 1);
+    EXPECT_EQ(incarnationCount("w2"), 1U);
+}
+
 // Guards against LOST: a task whose percentage rises slowly was stopped as hanging after three
 // seconds each time, and never done.
 TEST_F(WorkDispatcherTest, aTaskWhosePercentageRisesSlowlyIsDone)
