Name the states of canceled jobs in the log apart, and explain what announcements wait for

No change of behaviour: a local name hid a namespace, and comments left open which entry and which registration they mean.

--- a/Source/Basilgap/Dispatch/WorkDispatcher.h
+++ b/Source/Basilgap/Dispatch/WorkDispatcher.h
@@ -81,6 +81,7 @@
         Millis ticketsExpireAt;
     };
 
+    // An announcement that is not answered before a registration of its worker is logged.
     struct PendingAnnouncement
     {
         schema::RpcRequest request;
@@ -222,7 +223,8 @@
         const scheduling::AdmissionRefusal &refusal, const ReplyCallback &reply);
     void cancel(const schema::RpcRequest &request, const std::string &id,
         const std::string &account, const ReplyCallback &reply);
-    // The answer to a cancellation that can't be kept for the job's submission; empty if it can.
+    // The answer to a cancellation of an unknown job that can't be kept for the job's submission;
+    // empty if it can, or if the job is known.
     std::optional<schema::CallReply> refuseEarlyCancellation(
         const std::string &id, const std::string &account) const;
     uint32_t cancellationRetryAfterSeconds(const std::string &account) const;
@@ -231,8 +233,8 @@
         const schema::RpcRequest &request, const std::string &id, const ReplyCallback &reply);
     void answerOperatorCall(const schema::RpcRequest &request, const ReplyCallback &reply);
     void handleAnnouncement(const schema::RpcRequest &request, const ReplyCallback &reply);
-    void finishRegistration(const std::string &worker, bool isRegistered);
     void registerIncarnation(const schema::RpcRequest &request, const ReplyCallback &reply);
+    void finishRegistration(const std::string &worker, bool isRegistered);
     void propose(const schema::RpcRequest &request, schema::Command command,
         const ReplyCallback &reply,
         std::function<schema::CallReply(const schema::CommandOutcome &)>);
--- a/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
+++ b/Source/Basilgap/Dispatch/WorkDispatcherCalls.cpp
@@ -297,11 +297,12 @@
 void WorkDispatcher::logCancellation(const std::string &id, const std::string &account) const
 {
     const state::Work *work = state_.works().find(id);
-    const char *state = state_.works().earlyCancellations().contains(id) ? "unknown" : "not kept";
+    const bool isKept = state_.works().earlyCancellations().contains(id);
+    const char *unknownState = isKept ? "unknown" : "not kept";
     LogEvent("work-canceled")
         .with("work", id)
         .with("account", account)
-        .with("state", work == nullptr ? state : stateName(*work));
+        .with("state", work == nullptr ? unknownState : stateName(*work));
 }
 
 std::optional<schema::CallReply> WorkDispatcher::refuseEarlyCancellation(
@@ -480,7 +481,8 @@
         }));
 }
 
-// Acknowledges the announcement that was registered, and handles those that came meanwhile.
+// Acknowledges the announcement that was registered, and handles those that came meanwhile. The
+// first of these may begin another registration, for which the rest waits.
 void WorkDispatcher::finishRegistration(const std::string &worker, bool isRegistered)
 {
     const auto announcements = pendingRegistrations_.extract(worker);
--- a/Source/Basilgap/State/EarlyCancellations.h
+++ b/Source/Basilgap/State/EarlyCancellations.h
@@ -12,8 +12,9 @@
 
 namespace basilgap::state {
 
-// Cancellations of jobs that are not known. The submission of such a job may still be under way,
-// and must not be run when it arrives. Times are those of the state, in Unix milliseconds.
+// Cancellations of jobs that were not known when they were logged. The submission of such a job may
+// still be under way, and must not be run when it arrives. Times are those of the state, in Unix
+// milliseconds.
 class EarlyCancellations
 {
 public:
@@ -23,7 +24,8 @@
 
     bool contains(const std::string &id) const { return entries_.contains(id); }
     bool hasRoomFor(const AccountName &account) const;
-    // Time of the oldest entry whose removal makes room for the account; empty if it has room.
+    // Time of the entry that expires first among those whose removal makes room for the account;
+    // empty if it has room.
     std::optional<uint64_t> roomTakenSinceMs(const AccountName &account) const;
     // A repeated cancellation only moves the time of its entry. Returns false if there is no room.
     bool add(const std::string &id, const AccountName &account, uint64_t stampMs);
